--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be filled.
--- /dev/null
+++ b/crates/wire/src/record.rs
@@ -0,0 +1,20 @@
+//! Configuration records as operators publish them. Two schema versions are valid side by side.
+//!
+//! A record travels as a [`RecordEnvelope`] whose bytes are never rewritten, so that a daemon
+//! that doesn't know a schema version still passes the record on untouched.
+
+mod account;
+mod body;
+mod envelope;
+mod policy;
+mod route;
+mod target;
+
+pub use {
+    account::AccountRecord,
+    body::{NEWEST_SCHEMA, OLDEST_SCHEMA, RecordBody, RecordFault, parse_record},
+    envelope::RecordEnvelope,
+    policy::PolicyRecord,
+    route::{ProviderShare, RouteRecord, RouteSubject},
+    target::{ServedModel, TargetRecord, TargetRole},
+};
--- /dev/null
+++ b/crates/wire/src/record/policy.rs
@@ -0,0 +1,38 @@
+use serde::{Deserialize, Serialize};
+
+/// What the deployment cares for. A missing field has the value of `PolicyRecord::default()`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicyRecord {
+    /// Weight of the time to first token of the longest prompts, 0 to 1.
+    pub long_first_token_weight: f64,
+    /// Weight of the slowdown of short requests, 0 to 1.
+    pub short_slowdown_weight: f64,
+    /// Prompts of at least this many tokens count as long.
+    pub long_prompt_tokens: u64,
+    /// Reads of the platform a second, all daemons together.
+    pub platform_reads_per_s: f64,
+    /// Retries and hedges allowed for each 1,000 first attempts.
+    pub retry_budget_per_mille: u32,
+    /// Targets that a request may bring down before it is refused in the whole fleet.
+    pub poison_targets: u32,
+    /// How long callers may keep the answer of `GET /v1/entries`, in ms.
+    pub entries_ttl_ms: u64,
+    /// Longest deadline that a caller may ask for, in ms.
+    pub max_deadline_ms: u64,
+}
+
+impl Default for PolicyRecord {
+    fn default() -> Self {
+        Self {
+            long_first_token_weight: 0.5,
+            short_slowdown_weight: 0.5,
+            long_prompt_tokens: 100_000,
+            platform_reads_per_s: 200.0,
+            retry_budget_per_mille: 100,
+            poison_targets: 2,
+            entries_ttl_ms: 3_000,
+            max_deadline_ms: 600_000,
+        }
+    }
+}
