--- /dev/null
+++ b/crates/core/src/core/on_submit.rs
@@ -0,0 +1,258 @@
+//! A caller's request: who may, whether it may be repeated, and where it goes.
+
+use {
+    super::Core,
+    crate::{
+        action::{Action, Dispatch},
+        admission::{authorize, is_idempotent},
+        decisions::Part,
+        event::Submission,
+        requests::{Flight, Request, TicketState},
+        routing::{Ask, NoChoice},
+        time::MonoMs,
+    },
+    whinlatch_wire::{
+        caller::{Outcome, OutcomeKind, Reason},
+        ids::{RequestId, Ticket},
+        peer::MemberState,
+    },
+};
+
+/// When a caller is told to come back if there is no target, in ms.
+const NO_TARGET_RETRY_MS: u64 = 1_000;
+/// How long a dispatch may take from decision to first byte, in ms.
+const SEND_WITHIN_MS: u64 = 1_000;
+/// Priority of a request at an engine where nothing speaks for another.
+const USUAL_PRIORITY: u8 = 5;
+
+impl Core {
+    pub(super) fn on_submit(&mut self, now: MonoMs, submission: Submission) {
+        let request = submission.request;
+        self.book.open(now, request);
+        if self.records.summary().count == 0 {
+            let message = "this daemon holds no records yet: use another entry";
+            self.refuse(
+                now,
+                request,
+                Reason::NoRecords,
+                message,
+                Some(NO_TARGET_RETRY_MS),
+            );
+            return;
+        }
+        let (route, idempotent) = match authorize(self.records.in_force(), &submission) {
+            Ok((_, route)) => (route.clone(), is_idempotent(route)),
+            Err(refused) => {
+                self.refuse(now, request, refused.reason(), &refused.to_string(), None);
+                return;
+            }
+        };
+        let max_deadline_ms = self.records.in_force().policy().max_deadline_ms;
+        if submission.deadline_ms == 0 || submission.deadline_ms > max_deadline_ms {
+            let message = format!("the deadline must be 1 to {max_deadline_ms} ms");
+            self.refuse(now, request, Reason::BadDeadline, &message, None);
+            return;
+        }
+        let entry = Request {
+            accepted: now,
+            deadline: now + submission.deadline_ms,
+            idempotent,
+            route,
+            flight: None,
+            tried: Vec::new(),
+            may_have_run: false,
+            submission,
+        };
+        if idempotent {
+            self.requests.insert(entry);
+            self.route(now, request);
+        } else {
+            self.submit_once(now, entry);
+        }
+    }
+
+    /// Takes in a request that may not be repeated: only the home of its ticket may run it.
+    fn submit_once(&mut self, now: MonoMs, entry: Request) {
+        let request = entry.submission.request;
+        let Some(ticket) = entry.submission.ticket else {
+            self.hand_out_ticket(now, &entry);
+            return;
+        };
+        if ticket.home != self.options.incarnation {
+            self.pass_to_home(
+                now,
+                request,
+                ticket,
+                entry.submission.forwarded_by.is_some(),
+            );
+            return;
+        }
+        match self.tickets.state(ticket).cloned() {
+            Some(TicketState::Issued) => {
+                self.tickets
+                    .set(now, ticket, TicketState::InFlight(request));
+                self.requests.insert(entry);
+                self.route(now, request);
+            }
+            Some(TicketState::InFlight(_)) => {
+                let message = "the ticket's request is still in flight: ask again with it";
+                self.answer_unknown(now, request, Reason::TicketLost, message);
+            }
+            Some(TicketState::Ended(mut outcome)) => {
+                outcome.request = request;
+                self.act(Action::Replay {
+                    request,
+                    ticket,
+                    outcome,
+                });
+            }
+            None => {
+                let message = "this daemon has forgotten the ticket: the request may have run";
+                self.answer_unknown(now, request, Reason::TicketLost, message);
+            }
+        }
+    }
+
+    fn hand_out_ticket(&mut self, now: MonoMs, entry: &Request) {
+        let submission = &entry.submission;
+        let key = submission.idempotency_key.as_deref();
+        let ticket = self.tickets.issue(now, &submission.account, key);
+        self.finish_with(
+            now,
+            Outcome {
+                request: submission.request,
+                outcome: OutcomeKind::NotRun,
+                reason: Reason::TicketNeeded,
+                message: "this may not be repeated: send it again with this ticket".to_owned(),
+                retry_after_ms: Some(0),
+                ticket: Some(ticket),
+            },
+        );
+    }
+
+    fn pass_to_home(&mut self, now: MonoMs, request: RequestId, ticket: Ticket, forwarded: bool) {
+        let home = self.members.get(ticket.home);
+        let alive = home.filter(|member| member.news.state != MemberState::Dead && !forwarded);
+        let Some(member) = alive else {
+            let message = "the ticket's home is gone: the request may have run";
+            self.answer_unknown(now, request, Reason::TicketLost, message);
+            return;
+        };
+        let to = member.news.caller_address;
+        self.decide(
+            now,
+            Part::Requests,
+            Some(request),
+            format!("passed to its home {to}"),
+        );
+        self.act(Action::Forward {
+            request,
+            to,
+            home: ticket.home,
+        });
+    }
+
+    /// Chooses a target and dispatches, or ends the request.
+    pub(super) fn route(&mut self, now: MonoMs, request: RequestId) {
+        let Some(entry) = self.requests.get(request) else {
+            return;
+        };
+        let ask = Ask {
+            work: &entry.submission.work,
+            route: &entry.route,
+            tried: &entry.tried,
+        };
+        let in_force = self.records.in_force();
+        match self
+            .router
+            .choose(in_force, &self.targets, &ask, &mut self.rng)
+        {
+            Ok(target) => self.dispatch(now, request, &target),
+            Err(NoChoice::TooLong) => {
+                let message = NoChoice::TooLong.to_string();
+                self.give_up(now, request, Reason::PromptTooLong, &message);
+            }
+            Err(NoChoice::NoneLive) => {
+                let message = NoChoice::NoneLive.to_string();
+                let retry = Some(NO_TARGET_RETRY_MS);
+                let kind = self.kind_now(request);
+                self.finish(now, request, kind, Reason::NoTarget, &message, retry);
+            }
+        }
+    }
+
+    /// What may be said of a request that gets no further attempt.
+    pub(super) fn kind_now(&self, request: RequestId) -> OutcomeKind {
+        match self.requests.get(request) {
+            Some(entry) if entry.may_have_run => OutcomeKind::Unknown,
+            _ => OutcomeKind::NotRun,
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        now: MonoMs,
+        request: RequestId,
+        target: &whinlatch_wire::ids::TargetName,
+    ) {
+        let attempt = self.draw_attempt();
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        let Some(incarnation) = state.incarnation else {
+            return;
+        };
+        state.in_flight += 1;
+        let address = state.address;
+        let Some(entry) = self.requests.get(request) else {
+            return;
+        };
+        let dispatch = Dispatch {
+            request,
+            attempt,
+            target: target.clone(),
+            address,
+            expect_incarnation: incarnation,
+            deadline: entry.deadline,
+            send_before: (now + SEND_WITHIN_MS).min(entry.deadline),
+            priority: USUAL_PRIORITY,
+            version: None,
+            resume: entry.may_have_run,
+            reservation: None,
+            group: Vec::new(),
+            keep_answer: entry.submission.ticket,
+        };
+        let flight = Flight {
+            attempt,
+            target: target.clone(),
+            incarnation,
+            first_chunk: false,
+        };
+        self.requests.dispatched(request, flight);
+        let text = format!("attempt {attempt} goes to {target}");
+        self.decide(now, Part::Routing, Some(request), text);
+        self.act(Action::Dispatch(Box::new(dispatch)));
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        now: MonoMs,
+        request: RequestId,
+        reason: Reason,
+        message: &str,
+        retry_after_ms: Option<u64>,
+    ) {
+        self.finish(
+            now,
+            request,
+            OutcomeKind::NotRun,
+            reason,
+            message,
+            retry_after_ms,
+        );
+    }
+
+    fn answer_unknown(&mut self, now: MonoMs, request: RequestId, reason: Reason, message: &str) {
+        self.finish(now, request, OutcomeKind::Unknown, reason, message, None);
+    }
+}
--- /dev/null
+++ b/crates/core/src/core/reports.rs
@@ -0,0 +1,123 @@
+//! What callers and operators may read.
+
+use {
+    super::Core,
+    crate::time::MonoMs,
+    whinlatch_wire::{
+        caller::{Entries, Entry},
+        ids::{InstanceName, RequestId},
+        peer::MemberState,
+        record::TargetRole,
+        report::{
+            DecisionReport, PeerStatus, PlatformStatus, RecordsReport, StatusReport, TargetStatus,
+        },
+    },
+};
+
+impl Core {
+    /// The addresses that callers may use.
+    pub fn entries(&self) -> Entries {
+        let own = Entry {
+            address: self.options.caller_address,
+            failure_domain: self.options.failure_domain.clone(),
+        };
+        let others = self
+            .members
+            .iter()
+            .filter(|member| member.news.state == MemberState::Alive && member.linked)
+            .map(|member| Entry {
+                address: member.news.caller_address,
+                failure_domain: member.news.failure_domain.clone(),
+            });
+        let own = self.leaving_since.is_none().then_some(own);
+        Entries {
+            entries: own.into_iter().chain(others).collect(),
+            ttl_ms: self.records.in_force().policy().entries_ttl_ms,
+        }
+    }
+
+    /// The state of this daemon.
+    pub fn status(&self, now: MonoMs) -> StatusReport {
+        StatusReport {
+            instance: self.options.instance.clone(),
+            incarnation: self.options.incarnation,
+            failure_domain: self.options.failure_domain.clone(),
+            uptime_ms: now.since(self.started),
+            leaving: self.leaving_since.is_some(),
+            requests_in_flight: self.requests.len() as u64,
+            platform: PlatformStatus {
+                reachable: self.platform.reachable,
+                reads: self.platform.reads,
+                last_answer_ms: self.platform.answered.map(|at| now.since(at)),
+            },
+            newest_revision: self.records.newest(),
+            peers: self.peer_statuses(),
+            targets: self.target_statuses(),
+        }
+    }
+
+    fn peer_statuses(&self) -> Vec<PeerStatus> {
+        self.members
+            .iter()
+            .map(|member| PeerStatus {
+                instance: member.news.instance.clone(),
+                incarnation: member.news.incarnation,
+                failure_domain: member.news.failure_domain.clone(),
+                state: member.news.state,
+                linked: member.linked,
+            })
+            .collect()
+    }
+
+    fn target_statuses(&self) -> Vec<TargetStatus> {
+        self.targets
+            .iter()
+            .map(|(target, state)| TargetStatus {
+                target: target.clone(),
+                incarnation: state.incarnation,
+                health: state.health,
+                in_flight: state.in_flight,
+                backlog_ms: 0,
+                prefill_tokens_per_s: self.stated_rate(target),
+            })
+            .collect()
+    }
+
+    fn stated_rate(&self, target: &whinlatch_wire::ids::TargetName) -> f64 {
+        match self
+            .records
+            .in_force()
+            .target(target)
+            .map(|record| &record.role)
+        {
+            Some(TargetRole::Engine {
+                prefill_tokens_per_s,
+                ..
+            }) => *prefill_tokens_per_s as f64,
+            _ => 0.0,
+        }
+    }
+
+    /// The records and where they are in force.
+    pub fn records_report(&self) -> RecordsReport {
+        let summary = self.records.summary();
+        let mut holders: Vec<InstanceName> = self
+            .links
+            .in_agreement(&summary)
+            .filter_map(|peer| self.members.get(peer))
+            .map(|member| member.news.instance.clone())
+            .collect();
+        holders.push(self.options.instance.clone());
+        holders.sort();
+        RecordsReport {
+            instance: self.options.instance.clone(),
+            newest: self.records.newest(),
+            records: self.records.statuses(&holders),
+        }
+    }
+
+    /// Why a request went where it did.
+    pub fn decision_report(&self, request: RequestId) -> Option<DecisionReport> {
+        self.book.report(request).cloned()
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,11 @@
+//! What is known of the other daemons and of the targets.
+
+mod members;
+mod target_state;
+mod targets;
+
+pub use {
+    members::{Member, Members},
+    target_state::TargetState,
+    targets::Targets,
+};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,26 @@
-//! To be filled.
+//! Every decision of whinlatch, without sockets, clocks or threads.
+//!
+//! [`Core::handle`] takes the time and an [`Event`] and returns [`Action`]s for the process around
+//! it to carry out. Chance comes from a seed, so one seed and one order of events give one verdict.
+
+mod action;
+mod core;
+mod event;
+mod time;
+
+pub mod admission;
+pub mod decisions;
+pub mod fleet;
+pub mod orders;
+pub mod peers;
+pub mod placement;
+pub mod records;
+pub mod requests;
+pub mod routing;
+
+pub use {
+    crate::core::{Core, CoreOptions},
+    action::{Action, Dispatch, TargetCall},
+    event::{AttemptEvent, Event, PlatformEvent, Submission, TargetEvent, Work},
+    time::MonoMs,
+};
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,9 @@
+//! Choice of the target for a request.
+
+mod ask;
+mod router;
+
+pub use {
+    ask::{Ask, NoChoice},
+    router::Router,
+};
--- /dev/null
+++ b/crates/core/src/routing/ask.rs
@@ -0,0 +1,27 @@
+use {
+    crate::event::Work,
+    thiserror::Error,
+    whinlatch_wire::{ids::TargetName, record::RouteRecord},
+};
+
+/// What a target is wanted for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The work.
+    pub work: &'a Work,
+    /// The route that allows it.
+    pub route: &'a RouteRecord,
+    /// Targets that were tried already.
+    pub tried: &'a [TargetName],
+}
+
+/// Why there is no target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum NoChoice {
+    /// None is live.
+    #[error("no live target serves this: check its targets and their records")]
+    NoneLive,
+    /// The prompt is larger than the memory of any engine.
+    #[error("the prompt is larger than the memory of any engine")]
+    TooLong,
+}
--- a/crates/wire/src/record/body.rs
+++ b/crates/wire/src/record/body.rs
@@ -113,11 +113,15 @@
 /// # Errors
 /// The first fault of the value, with the field's path and the remedy.
 pub fn parse_record(value: &str) -> Result<RecordBody, RecordFault> {
-    let json: serde_json::Value = serde_json::from_str(value)
-        .map_err(|error| RecordFault::NotJson { detail: error.to_string() })?;
+    let json: serde_json::Value =
+        serde_json::from_str(value).map_err(|error| RecordFault::NotJson {
+            detail: error.to_string(),
+        })?;
     let header: Header = from_json(json.clone(), "schema")?;
     if !(OLDEST_SCHEMA..=NEWEST_SCHEMA).contains(&header.schema) {
-        return Err(RecordFault::UnknownSchema { found: header.schema });
+        return Err(RecordFault::UnknownSchema {
+            found: header.schema,
+        });
     }
     let body = match from_json::<AnySchema>(json, "kind")? {
         AnySchema::Route(route) => RecordBody::Route(read_route(route)?),
@@ -137,7 +141,10 @@
 }
 
 fn bad_field(path: &str, detail: &str) -> RecordFault {
-    RecordFault::BadField { path: path.to_owned(), detail: detail.to_owned() }
+    RecordFault::BadField {
+        path: path.to_owned(),
+        detail: detail.to_owned(),
+    }
 }
 
 fn read_route(route: AnyRoute) -> Result<RouteRecord, RecordFault> {
@@ -166,7 +173,11 @@
         accounts: v1.accounts,
         callers: v1.callers,
         providers: vec![
-            share("old", v1.old_version, PER_MILLE.saturating_sub(new_per_mille)),
+            share(
+                "old",
+                v1.old_version,
+                PER_MILLE.saturating_sub(new_per_mille),
+            ),
             share("new", v1.new_version, new_per_mille),
         ],
     }
@@ -182,7 +193,11 @@
 }
 
 fn check_route(route: &RouteRecord) -> Result<(), RecordFault> {
-    let total: u32 = route.providers.iter().map(|share| share.share_per_mille).sum();
+    let total: u32 = route
+        .providers
+        .iter()
+        .map(|share| share.share_per_mille)
+        .sum();
     if total == PER_MILLE {
         return Ok(());
     }
@@ -198,13 +213,18 @@
         ("spec.tokens_per_s", account.tokens_per_s),
         ("spec.weight", account.weight),
     ];
-    rates.iter().try_for_each(|(path, rate)| check_positive(path, *rate))
+    rates
+        .iter()
+        .try_for_each(|(path, rate)| check_positive(path, *rate))
 }
 
 fn check_policy(policy: &PolicyRecord) -> Result<(), RecordFault> {
     check_positive("spec.platform_reads_per_s", policy.platform_reads_per_s)?;
     let weights = [
-        ("spec.long_first_token_weight", policy.long_first_token_weight),
+        (
+            "spec.long_first_token_weight",
+            policy.long_first_token_weight,
+        ),
         ("spec.short_slowdown_weight", policy.short_slowdown_weight),
     ];
     for (path, weight) in weights {
