--- a/crates/wire/src/conf.rs
+++ b/crates/wire/src/conf.rs
@@ -1,5 +1,17 @@
-//! Settings of a daemon: JSON with comments, checked whole before the start.
+//! Settings of a daemon and record files: JSON with comments, checked whole. All faults are told
+//! at once, each with its line, the path of the field and the remedy.
 
+mod check;
+mod fault;
+mod file;
+pub(crate) mod reader;
+mod records;
 mod settings;
 
-pub use settings::{LimitSettings, LogFormat, LogLevel, LogSettings, Settings};
+pub use {
+    check::check_settings,
+    fault::{ConfFault, FaultKind},
+    file::{ConfFile, check_file},
+    records::{RecordEntry, check_records},
+    settings::{LimitSettings, LogFormat, LogLevel, LogSettings, Settings},
+};
--- a/crates/wire/src/conf/settings.rs
+++ b/crates/wire/src/conf/settings.rs
@@ -34,10 +34,13 @@
     pub log: LogSettings,
 }
 
-const DEFAULT_SHUTDOWN_MS: u64 = 30_000;
+impl Settings {
+    /// Time a graceful shutdown may take where the settings state none, in ms.
+    pub const DEFAULT_SHUTDOWN_MS: u64 = 30_000;
+}
 
 fn default_shutdown_ms() -> u64 {
-    DEFAULT_SHUTDOWN_MS
+    Settings::DEFAULT_SHUTDOWN_MS
 }
 
 /// Limits on what callers may send and how long they may take.
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -22,7 +22,11 @@
 const SHOWN_CHARS: usize = 40;
 
 fn bad_id(what: &'static str, text: &str, expected: &'static str) -> BadId {
-    BadId { what, text: text.chars().take(SHOWN_CHARS).collect(), expected }
+    BadId {
+        what,
+        text: text.chars().take(SHOWN_CHARS).collect(),
+        expected,
+    }
 }
 
 macro_rules! name_type {
@@ -166,8 +170,9 @@
     }
 
     fn visit_bytes<E: serde::de::Error>(self, bytes: &[u8]) -> Result<u128, E> {
-        let array: [u8; 16] =
-            bytes.try_into().map_err(|_wrong_length| E::invalid_length(bytes.len(), &self))?;
+        let array: [u8; 16] = bytes
+            .try_into()
+            .map_err(|_wrong_length| E::invalid_length(bytes.len(), &self))?;
         Ok(u128::from_be_bytes(array))
     }
 }
@@ -223,14 +228,17 @@
     type Err = BadId;
 
     fn from_str(text: &str) -> Result<Self, BadId> {
-        let (home, number) =
-            text.split_once('-').ok_or_else(|| bad_id("ticket", text, TICKET_FORM))?;
+        let (home, number) = text
+            .split_once('-')
+            .ok_or_else(|| bad_id("ticket", text, TICKET_FORM))?;
         let digits_only = number.len() == 16 && number.bytes().all(|b| b.is_ascii_hexdigit());
         if !digits_only {
             return Err(bad_id("ticket", text, TICKET_FORM));
         }
         Ok(Self {
-            home: home.parse().map_err(|_bad_home| bad_id("ticket", text, TICKET_FORM))?,
+            home: home
+                .parse()
+                .map_err(|_bad_home| bad_id("ticket", text, TICKET_FORM))?,
             number: u64::from_str_radix(number, 16)
                 .map_err(|_bad_digits| bad_id("ticket", text, TICKET_FORM))?,
         })
--- a/crates/wire/src/peer/codec.rs
+++ b/crates/wire/src/peer/codec.rs
@@ -26,8 +26,9 @@
 /// [`PeerCodecError::TooLarge`] if the frame is over [`MAX_FRAME_BYTES`].
 pub fn encode_frame(frame: &PeerFrame) -> Result<Vec<u8>, PeerCodecError> {
     let mut bytes = Vec::new();
-    ciborium::into_writer(frame, &mut bytes)
-        .map_err(|error| PeerCodecError::Malformed { detail: error.to_string() })?;
+    ciborium::into_writer(frame, &mut bytes).map_err(|error| PeerCodecError::Malformed {
+        detail: error.to_string(),
+    })?;
     if bytes.len() > MAX_FRAME_BYTES {
         return Err(PeerCodecError::TooLarge { bytes: bytes.len() });
     }
@@ -42,6 +43,7 @@
     if bytes.len() > MAX_FRAME_BYTES {
         return Err(PeerCodecError::TooLarge { bytes: bytes.len() });
     }
-    ciborium::from_reader(bytes)
-        .map_err(|error| PeerCodecError::Malformed { detail: error.to_string() })
+    ciborium::from_reader(bytes).map_err(|error| PeerCodecError::Malformed {
+        detail: error.to_string(),
+    })
 }
--- a/crates/wire/src/peer/hello.rs
+++ b/crates/wire/src/peer/hello.rs
@@ -40,13 +40,20 @@
 /// # Panics
 /// Never: HMAC takes keys of any length.
 pub fn prove(key: &[u8], their_nonce: u128, own: Incarnation) -> HelloProof {
-    HelloProof { mac: mac_over(key, their_nonce, own).finalize().into_bytes().to_vec() }
+    HelloProof {
+        mac: mac_over(key, their_nonce, own)
+            .finalize()
+            .into_bytes()
+            .to_vec(),
+    }
 }
 
 /// Whether `proof` was made with `key` by `theirs` over the nonce sent to it. The comparison takes
 /// the same time whatever differs.
 pub fn verify(key: &[u8], own_nonce: u128, theirs: Incarnation, proof: &HelloProof) -> bool {
-    mac_over(key, own_nonce, theirs).verify_slice(&proof.mac).is_ok()
+    mac_over(key, own_nonce, theirs)
+        .verify_slice(&proof.mac)
+        .is_ok()
 }
 
 fn mac_over(key: &[u8], nonce: u128, prover: Incarnation) -> Hmac<Sha256> {
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -7,9 +7,11 @@
 mod body;
 mod envelope;
 mod policy;
+mod read;
 mod route;
 mod target;
 
+pub(crate) use read::read_record;
 pub use {
     account::AccountRecord,
     body::{NEWEST_SCHEMA, OLDEST_SCHEMA, RecordBody, RecordFault, parse_record},
--- /dev/null
+++ b/crates/wire/tests/records.rs
@@ -0,0 +1,89 @@
+//! What a daemon makes of a record's bytes.
+
+use whinlatch_wire::record::{RecordBody, RecordFault, parse_record};
+
+fn route(schema: u32, spec: &str) -> String {
+    format!(
+        r#"{{"schema":{schema},"kind":"route","spec":{{"subject":{{"type":"model","model":"m"}},{spec}}}}}"#
+    )
+}
+
+fn path_of(value: &str) -> String {
+    match parse_record(value).expect_err("the record is faulty") {
+        RecordFault::BadField { path, .. } => path,
+        other => panic!("no field is named: {other}"),
+    }
+}
+
+#[test]
+fn both_schemas_of_a_route_say_the_same() {
+    let old = route(
+        1,
+        r#""new_share_percent":25,"old_version":7,"new_version":1"#,
+    );
+    let new = route(
+        2,
+        r#""providers":[{"provider":"old","version":7,"share_per_mille":750},
+        {"provider":"new","version":1,"share_per_mille":250}]"#,
+    );
+
+    assert_eq!(parse_record(&old), parse_record(&new));
+    assert!(matches!(parse_record(&new), Ok(RecordBody::Route(_))));
+}
+
+#[test]
+fn the_faulty_field_is_named_to_the_last_step() {
+    let wrong_share = route(
+        2,
+        r#""providers":[{"provider":"old","share_per_mille":500},
+        {"provider":"new","share_per_mille":"half"}]"#,
+    );
+    let wrong_sum = route(
+        2,
+        r#""providers":[{"provider":"old","share_per_mille":999}]"#,
+    );
+    let huge_sum = route(
+        2,
+        r#""providers":[{"provider":"old","share_per_mille":4294967295},
+        {"provider":"new","share_per_mille":1001}]"#,
+    );
+
+    assert_eq!(path_of(&wrong_share), "spec.providers[1].share_per_mille");
+    assert_eq!(path_of(&wrong_sum), "spec.providers");
+    assert_eq!(path_of(&huge_sum), "spec.providers[0].share_per_mille");
+}
+
+#[test]
+fn unknown_and_doubled_fields_are_refused_at_each_level() {
+    let in_spec = route(1, r#""new_share_percent":0,"note":"x""#);
+    let in_subject = in_spec.replace(r#""model":"m""#, r#""model":"m","note":"x""#);
+    let at_top = route(1, r#""new_share_percent":0"#).replace("{\"schema", "{\"note\":1,\"schema");
+    let doubled = route(1, r#""new_share_percent":0,"new_share_percent":100"#);
+
+    assert_eq!(path_of(&in_spec), "spec.note");
+    assert_eq!(path_of(&in_subject), "spec.subject.note");
+    assert_eq!(path_of(&at_top), "note");
+    assert_eq!(path_of(&doubled), "spec.new_share_percent");
+}
+
+#[test]
+fn unknown_schemas_are_told_whatever_their_fields() {
+    let value = r#"{"schema":3,"kind":"herd","flock":[]}"#;
+
+    assert_eq!(
+        parse_record(value),
+        Err(RecordFault::UnknownSchema { found: 3 })
+    );
+}
+
+/// A value of a megabyte that is nothing but brackets would exhaust the stack of a parser that
+/// recurses without a bound, and end every daemon that reads it.
+#[test]
+fn deep_nesting_is_refused() {
+    let value = "[".repeat(1_000_000);
+
+    assert!(matches!(
+        parse_record(&value),
+        Err(RecordFault::NotJson { .. })
+    ));
+}
