--- /dev/null
+++ b/crates/daemon/src/app.rs
@@ -0,0 +1,11 @@
+//! The daemon as a program, and as a value that tests start within their own process.
+
+mod args;
+mod daemon;
+mod run;
+mod signals;
+
+pub use {
+    daemon::{Daemon, DaemonOptions},
+    run::run,
+};
--- /dev/null
+++ b/crates/daemon/src/callers/answer.rs
@@ -0,0 +1,114 @@
+use {
+    super::{
+        refusal::{Refusal, reason_name},
+        stream_answer::ChunkReceiver,
+    },
+    http_types::{Body, Response, StatusCode},
+    std::sync::Arc,
+    whinlatch_wire::{
+        caller::{OUTCOME_HEADER, Outcome, REASON_HEADER, REQUEST_HEADER},
+        ids::RequestId,
+        target::ServiceAnswer,
+    },
+};
+
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub enum Answer {
+    /// A stream of events that ends with the outcome.
+    Stream {
+        /// The request.
+        request: RequestId,
+        /// The events.
+        events: ChunkReceiver,
+    },
+    /// The whole answer of a plain service.
+    Service {
+        /// The answer.
+        answer: Arc<ServiceAnswer>,
+        /// The outcome.
+        outcome: Outcome,
+    },
+    /// An outcome without an answer.
+    Ended(Refusal),
+    /// The answer of the ticket's home.
+    Passed(Response),
+    /// A page for operators or callers.
+    Page {
+        /// HTTP status.
+        status: u16,
+        /// Media type.
+        media: &'static str,
+        /// Body.
+        body: Vec<u8>,
+    },
+}
+
+impl Answer {
+    /// The outcome as answer, with the usual status of its reason.
+    pub fn ended(outcome: Outcome) -> Self {
+        Self::Ended(Refusal {
+            status: outcome.reason.http_status(),
+            outcome,
+        })
+    }
+
+    /// The answer as it is sent.
+    pub fn into_response(self) -> Response {
+        match self {
+            Self::Stream { request, events } => {
+                let mut response = Response::new(StatusCode::Ok);
+                response.insert_header("content-type", "text/event-stream");
+                response.insert_header("cache-control", "no-store");
+                response.insert_header(REQUEST_HEADER, request.to_string());
+                response.set_body(Body::from_reader(events.into_reader(), None));
+                response
+            }
+            Self::Service { answer, outcome } => {
+                let mut response = Response::new(status(answer.status));
+                response.set_body(answer.body.clone());
+                insert_outcome(&mut response, &outcome);
+                response
+            }
+            Self::Ended(refusal) => ended_response(&refusal),
+            Self::Passed(response) => response,
+            Self::Page {
+                status: code,
+                media,
+                body,
+            } => {
+                let mut response = Response::new(status(code));
+                response.set_body(body);
+                response.insert_header("content-type", media);
+                response
+            }
+        }
+    }
+}
+
+fn ended_response(refusal: &Refusal) -> Response {
+    let outcome = &refusal.outcome;
+    let mut response = Response::new(status(refusal.status));
+    let body = serde_json::to_vec(outcome).unwrap_or_default();
+    response.set_body(body);
+    response.insert_header("content-type", "application/json");
+    insert_outcome(&mut response, outcome);
+    response
+}
+
+fn insert_outcome(response: &mut Response, outcome: &Outcome) {
+    response.insert_header(OUTCOME_HEADER, outcome.outcome.as_str());
+    response.insert_header(REASON_HEADER, reason_name(outcome.reason));
+    response.insert_header(REQUEST_HEADER, outcome.request.to_string());
+    if let Some(ms) = outcome.retry_after_ms {
+        response.insert_header("retry-after", ms.div_ceil(MS_PER_S).to_string());
+    }
+}
+
+/// A status that the library doesn't know becomes a failure of the target.
+fn status(code: u16) -> StatusCode {
+    StatusCode::try_from(code).unwrap_or(StatusCode::BadGateway)
+}
--- /dev/null
+++ b/crates/daemon/src/callers/forward.rs
@@ -0,0 +1,104 @@
+use {
+    super::{answer::Answer, submission::SecretHeader},
+    crate::{
+        clock::timeout,
+        shared::Shared,
+        targets::{AttemptWork, connect, read_body},
+    },
+    http_types::{Method, Request, Response, Url},
+    std::net::SocketAddr,
+    whinlatch_core::Submission,
+    whinlatch_wire::caller::{
+        ACCOUNT_HEADER, CALLER_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, OUTCOME_HEADER, Outcome,
+        OutcomeKind, REASON_HEADER, REQUEST_HEADER, Reason, SERVICES_PREFIX, TICKET_HEADER,
+    },
+};
+
+/// Largest answer that is passed on, in bytes.
+const MAX_ANSWER_BYTES: u64 = 17 * 1_048_576;
+/// Header fields of the home's answer that the caller gets.
+const PASSED_FIELDS: [&str; 5] = [
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_HEADER,
+    "retry-after",
+    "content-type",
+];
+
+/// A request that goes to the home of its ticket.
+#[derive(Debug)]
+pub struct Forward<'a> {
+    /// The request.
+    pub submission: &'a Submission,
+    /// Its body.
+    pub work: &'a AttemptWork,
+    /// The caller's key.
+    pub key: &'a SecretHeader,
+    /// Time left, in ms.
+    pub left_ms: u64,
+    /// The home's address for callers.
+    pub to: SocketAddr,
+}
+
+impl Forward<'_> {
+    /// Passes the request on and the answer back. Without an answer the outcome is `unknown`, also
+    /// if nothing was written now: the home may have run the ticket earlier.
+    pub async fn run(&self, shared: &Shared) -> Answer {
+        let answered = timeout(shared.clock.as_ref(), self.left_ms, self.ask(shared)).await;
+        match answered.flatten() {
+            Some(response) => Answer::Passed(response),
+            None => Answer::ended(self.unknown()),
+        }
+    }
+
+    async fn ask(&self, shared: &Shared) -> Option<Response> {
+        let request = self.request(shared)?;
+        let stream = connect(shared.clock.as_ref(), self.to).await.ok()?;
+        let mut answer = async_h1::connect(stream, request).await.ok()?;
+        let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.ok()?;
+        let mut response = Response::new(answer.status());
+        response.set_body(body);
+        for field in PASSED_FIELDS {
+            if let Some(value) = answer.header(field) {
+                response.insert_header(field, value.last().as_str());
+            }
+        }
+        Some(response)
+    }
+
+    fn request(&self, shared: &Shared) -> Option<Request> {
+        let AttemptWork::Call { service, body, .. } = self.work else {
+            return None;
+        };
+        let url = Url::parse(&format!("http://{}{SERVICES_PREFIX}{service}", self.to)).ok()?;
+        let mut request = Request::new(Method::Post, url);
+        request.set_body(body.clone());
+        request.insert_header("connection", "close");
+        request.insert_header(ACCOUNT_HEADER, self.submission.account.as_str());
+        request.insert_header(DEADLINE_HEADER, self.left_ms.to_string());
+        request.insert_header(FORWARDED_HEADER, shared.incarnation.to_string());
+        if let Some(caller) = &self.submission.caller {
+            request.insert_header(CALLER_HEADER, caller.as_str());
+        }
+        if let Some(ticket) = &self.submission.ticket {
+            request.insert_header(TICKET_HEADER, ticket.to_string());
+        }
+        if let Some(key) = &self.key.0 {
+            request.insert_header("authorization", key.as_str());
+        }
+        Some(request)
+    }
+
+    fn unknown(&self) -> Outcome {
+        Outcome {
+            request: self.submission.request,
+            outcome: OutcomeKind::Unknown,
+            reason: Reason::TicketLost,
+            message: "the ticket's home gives no answer: the request may have run, ask again \
+                      with the same ticket"
+                .to_owned(),
+            retry_after_ms: None,
+            ticket: self.submission.ticket,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/conf.rs
@@ -0,0 +1,5 @@
+//! Settings of the daemon.
+
+mod load;
+
+pub use load::load;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The daemon that callers ask and that passes their requests on to targets.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    whinlatch_daemon::app::run()
+}
--- /dev/null
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -0,0 +1,196 @@
+use {
+    prometheus::{
+        Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+        Registry, TextEncoder,
+    },
+    whinlatch_wire::caller::Outcome,
+};
+
+/// Buckets of durations of requests, in seconds: a short reply to a prompt of a million tokens.
+const DURATION_BUCKETS_S: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 120.0, 600.0,
+];
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+/// Microseconds in a second.
+const US_PER_S: f64 = 1_000_000.0;
+
+/// What a daemon counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    durations: HistogramVec,
+    first_tokens: Histogram,
+    in_flight: IntGauge,
+    connections: IntGauge,
+    dropped_chunks: IntCounter,
+    dropped_log_lines: IntCounter,
+    peer_links: IntGauge,
+    peers_turned_away: IntCounter,
+    platform_reads: IntCounterVec,
+    control_s: prometheus::Counter,
+    control_events: IntCounter,
+}
+
+impl Metrics {
+    /// Metrics that stand at zero.
+    ///
+    /// # Errors
+    /// A name is taken twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                Opts::new("whinlatch_requests_total", "Requests that ended."),
+                &["outcome", "reason"],
+            )?,
+            durations: HistogramVec::new(
+                seconds(
+                    "whinlatch_request_duration_seconds",
+                    "Time from a request to the end of its answer.",
+                ),
+                &["outcome"],
+            )?,
+            first_tokens: Histogram::with_opts(seconds(
+                "whinlatch_time_to_first_token_seconds",
+                "Time from a prompt to the first chunk of its answer.",
+            ))?,
+            in_flight: IntGauge::new(
+                "whinlatch_in_flight_requests",
+                "Requests that have no whole answer yet.",
+            )?,
+            connections: IntGauge::new(
+                "whinlatch_caller_connections",
+                "Open connections of callers.",
+            )?,
+            dropped_chunks: IntCounter::new(
+                "whinlatch_dropped_chunks_total",
+                "Chunks and answers of targets that were not for the attempt or out of order.",
+            )?,
+            dropped_log_lines: IntCounter::new(
+                "whinlatch_dropped_log_lines_total",
+                "Decisions that were not logged because the log's reader was too slow.",
+            )?,
+            peer_links: IntGauge::new("whinlatch_peer_links", "Open links to other daemons.")?,
+            peers_turned_away: IntCounter::new(
+                "whinlatch_peers_turned_away_total",
+                "Links refused because the other side didn't prove that it holds the key.",
+            )?,
+            platform_reads: IntCounterVec::new(
+                Opts::new("whinlatch_platform_reads_total", "Reads of the platform."),
+                &["read", "result"],
+            )?,
+            control_s: prometheus::Counter::new(
+                "whinlatch_control_seconds_total",
+                "Time that the control thread spent on events.",
+            )?,
+            control_events: IntCounter::new(
+                "whinlatch_control_events_total",
+                "Events that the control thread handled.",
+            )?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.durations.clone()),
+            Box::new(self.first_tokens.clone()),
+            Box::new(self.in_flight.clone()),
+            Box::new(self.connections.clone()),
+            Box::new(self.dropped_chunks.clone()),
+            Box::new(self.dropped_log_lines.clone()),
+            Box::new(self.peer_links.clone()),
+            Box::new(self.peers_turned_away.clone()),
+            Box::new(self.platform_reads.clone()),
+            Box::new(self.control_s.clone()),
+            Box::new(self.control_events.clone()),
+        ];
+        collectors
+            .into_iter()
+            .try_for_each(|collector| self.registry.register(collector))
+    }
+
+    /// All metrics in the text form.
+    ///
+    /// # Errors
+    /// A metric can't be written.
+    pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
+    /// Counts a request that ended after `ms`.
+    pub fn note_request(&self, outcome: &Outcome, ms: u64) {
+        let kind = outcome.outcome.as_str();
+        let reason = crate::callers::reason_name(outcome.reason);
+        self.requests.with_label_values(&[kind, &reason]).inc();
+        self.durations
+            .with_label_values(&[kind])
+            .observe(ms as f64 / MS_PER_S);
+    }
+
+    /// Notes the time to the first chunk of an answer.
+    pub fn note_first_token(&self, ms: u64) {
+        self.first_tokens.observe(ms as f64 / MS_PER_S);
+    }
+
+    /// Notes that a request came or went.
+    pub fn add_in_flight(&self, requests: i64) {
+        self.in_flight.add(requests);
+    }
+
+    /// Notes that a caller's connection was opened or closed.
+    pub fn add_connections(&self, connections: i64) {
+        self.connections.add(connections);
+    }
+
+    /// Counts a chunk that was not for its attempt.
+    pub fn note_dropped_chunk(&self) {
+        self.dropped_chunks.inc();
+    }
+
+    /// Chunks dropped so far.
+    pub fn dropped_chunks(&self) -> u64 {
+        self.dropped_chunks.get()
+    }
+
+    /// Counts a decision that wasn't logged.
+    pub fn note_dropped_log_line(&self) {
+        self.dropped_log_lines.inc();
+    }
+
+    /// Notes how many links are open.
+    pub fn set_peer_links(&self, links: usize) {
+        self.peer_links.set(links as i64);
+    }
+
+    /// Counts a peer that was turned away.
+    pub fn note_peer_turned_away(&self) {
+        self.peers_turned_away.inc();
+    }
+
+    /// Peers turned away so far.
+    pub fn peers_turned_away(&self) -> u64 {
+        self.peers_turned_away.get()
+    }
+
+    /// Counts a read of the platform.
+    pub fn note_platform_read(&self, read: &str, result: &str) {
+        self.platform_reads.with_label_values(&[read, result]).inc();
+    }
+
+    /// Notes time that the control thread spent on an event.
+    pub fn note_control_time(&self, us: u64) {
+        self.control_s.inc_by(us as f64 / US_PER_S);
+        self.control_events.inc();
+    }
+}
+
+fn seconds(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).buckets(DURATION_BUCKETS_S.to_vec())
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,8 @@
+//! Links to other daemons: CBOR frames over websockets.
+
+mod handshake;
+mod link;
+mod listener;
+mod outgoing;
+
+pub use {link::open_link, listener::serve};
--- /dev/null
+++ b/crates/daemon/src/peers/handshake.rs
@@ -0,0 +1,119 @@
+use {
+    super::outgoing::{LinkReceiver, LinkSender, receive_frame, send_frame},
+    crate::{entropy::random_u128, shared::Shared},
+    thiserror::Error,
+    whinlatch_wire::peer::{Hello, PEER_PROTOCOL, PeerFrame, prove, verify},
+};
+
+/// Why a link isn't opened.
+#[derive(Debug, Error)]
+pub enum HandshakeError {
+    /// The connection broke, or what came is no frame.
+    #[error("the link broke before both sides had proved themselves: see the peer's log")]
+    Broken,
+    /// The peer begins with something else.
+    #[error("the peer begins with something else than a hello: run versions that fit each other")]
+    NoHello,
+    /// The peer is this daemon itself.
+    #[error("the peer is this daemon itself: take its own address out of `seed_peers`")]
+    Itself,
+    /// The peer doesn't hold the key.
+    #[error("the peer doesn't hold the key: set the same `peer_key` in all settings")]
+    Unproved,
+}
+
+/// Says hello as the side that opened the link. This side proves itself first.
+pub async fn greet(
+    shared: &Shared,
+    sender: &mut LinkSender,
+    receiver: &mut LinkReceiver,
+) -> Result<Hello, HandshakeError> {
+    let own = own_hello(shared);
+    let theirs = exchange_hellos(&own, sender, receiver).await?;
+    send_proof(shared, &theirs, sender).await?;
+    check_proof(shared, &own, &theirs, receiver).await?;
+    Ok(theirs)
+}
+
+/// Answers a hello as the side that was called. It proves itself only to a peer that has done so:
+/// else anyone could have it sign a nonce of another daemon and pass for it there.
+pub async fn welcome(
+    shared: &Shared,
+    sender: &mut LinkSender,
+    receiver: &mut LinkReceiver,
+) -> Result<Hello, HandshakeError> {
+    let own = own_hello(shared);
+    let theirs = exchange_hellos(&own, sender, receiver).await?;
+    check_proof(shared, &own, &theirs, receiver).await?;
+    send_proof(shared, &theirs, sender).await?;
+    Ok(theirs)
+}
+
+fn own_hello(shared: &Shared) -> Hello {
+    let settings = &shared.settings;
+    Hello {
+        protocol: PEER_PROTOCOL,
+        instance: settings.instance.clone(),
+        incarnation: shared.incarnation,
+        failure_domain: settings.failure_domain.clone(),
+        caller_address: settings.caller_address,
+        peer_address: settings.peer_address,
+        nonce: random_u128(),
+    }
+}
+
+async fn exchange_hellos(
+    own: &Hello,
+    sender: &mut LinkSender,
+    receiver: &mut LinkReceiver,
+) -> Result<Hello, HandshakeError> {
+    let frame = PeerFrame {
+        hello: Some(own.clone()),
+        ..PeerFrame::default()
+    };
+    send_frame(sender, frame)
+        .await
+        .map_err(|_broken| HandshakeError::Broken)?;
+    let frame = receive_frame(receiver)
+        .await
+        .map_err(|_broken| HandshakeError::Broken)?;
+    let theirs = frame.hello.ok_or(HandshakeError::NoHello)?;
+    if theirs.incarnation == own.incarnation {
+        return Err(HandshakeError::Itself);
+    }
+    Ok(theirs)
+}
+
+async fn send_proof(
+    shared: &Shared,
+    theirs: &Hello,
+    sender: &mut LinkSender,
+) -> Result<(), HandshakeError> {
+    let key = shared.settings.peer_key.as_bytes();
+    let frame = PeerFrame {
+        proof: Some(prove(key, theirs.nonce, shared.incarnation)),
+        ..PeerFrame::default()
+    };
+    send_frame(sender, frame)
+        .await
+        .map_err(|_broken| HandshakeError::Broken)
+}
+
+async fn check_proof(
+    shared: &Shared,
+    own: &Hello,
+    theirs: &Hello,
+    receiver: &mut LinkReceiver,
+) -> Result<(), HandshakeError> {
+    let frame = receive_frame(receiver)
+        .await
+        .map_err(|_broken| HandshakeError::Broken)?;
+    let key = shared.settings.peer_key.as_bytes();
+    let proved = frame
+        .proof
+        .is_some_and(|proof| verify(key, own.nonce, theirs.incarnation, &proof));
+    match proved {
+        true => Ok(()),
+        false => Err(HandshakeError::Unproved),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/link.rs
@@ -0,0 +1,157 @@
+use {
+    super::{
+        handshake::{HandshakeError, greet, welcome},
+        outgoing::{LinkReceiver, LinkSender, link_config, receive_frame, send_frame},
+    },
+    crate::{
+        clock::timeout,
+        control::{ControlMessage, LinkId},
+        entropy::random_u64,
+        shared::Shared,
+        targets::{GuardedStream, connect},
+    },
+    async_channel::Receiver,
+    async_tungstenite::{accept_async_with_config, client_async_with_config},
+    futures::{StreamExt, future::select, pin_mut},
+    std::{net::SocketAddr, sync::Arc},
+    whinlatch_core::Event,
+    whinlatch_wire::peer::{Hello, PeerFrame},
+};
+
+/// Time for both sides to prove themselves, in ms.
+const HANDSHAKE_TIMEOUT_MS: u64 = 3_000;
+/// Silence after which a link is closed, in ms: six heartbeats.
+const SILENCE_MS: u64 = 3_000;
+/// Time for a peer to take a frame, in ms.
+const SEND_TIMEOUT_MS: u64 = 3_000;
+/// Frames that may wait for a slow peer.
+const WAITING_FRAMES: usize = 256;
+
+/// Opens a link and keeps it until it closes.
+pub async fn open_link(shared: Arc<Shared>, address: SocketAddr) {
+    let opened = timeout(
+        shared.clock.as_ref(),
+        HANDSHAKE_TIMEOUT_MS,
+        open(&shared, address),
+    );
+    match opened.await.unwrap_or(Err(HandshakeError::Broken)) {
+        Ok((hello, halves)) => keep(&shared, hello, halves, address).await,
+        Err(error) => {
+            turned_away(&shared, &error, address);
+            let event = Event::PeerDown {
+                address,
+                peer: None,
+            };
+            shared.control.send(ControlMessage::Event(event)).await;
+        }
+    }
+}
+
+/// Answers a peer that opened a link, and keeps the link until it closes.
+pub async fn accept_link(shared: Arc<Shared>, stream: GuardedStream, from: SocketAddr) {
+    let accepted = timeout(
+        shared.clock.as_ref(),
+        HANDSHAKE_TIMEOUT_MS,
+        accept(&shared, stream),
+    );
+    match accepted.await.unwrap_or(Err(HandshakeError::Broken)) {
+        Ok((hello, halves)) => {
+            let address = hello.peer_address;
+            keep(&shared, hello, halves, address).await;
+        }
+        Err(error) => turned_away(&shared, &error, from),
+    }
+}
+
+type Halves = (LinkSender, LinkReceiver);
+
+async fn open(shared: &Shared, address: SocketAddr) -> Result<(Hello, Halves), HandshakeError> {
+    let broken = HandshakeError::Broken;
+    let Ok(stream) = connect(shared.clock.as_ref(), address).await else {
+        return Err(broken);
+    };
+    let url = format!("ws://{address}/");
+    let Ok((socket, _response)) = client_async_with_config(url, stream, Some(link_config())).await
+    else {
+        return Err(broken);
+    };
+    let (mut sender, mut receiver) = socket.split();
+    let hello = greet(shared, &mut sender, &mut receiver).await?;
+    Ok((hello, (sender, receiver)))
+}
+
+async fn accept(shared: &Shared, stream: GuardedStream) -> Result<(Hello, Halves), HandshakeError> {
+    let Ok(socket) = accept_async_with_config(stream, Some(link_config())).await else {
+        return Err(HandshakeError::Broken);
+    };
+    let (mut sender, mut receiver) = socket.split();
+    let hello = welcome(shared, &mut sender, &mut receiver).await?;
+    Ok((hello, (sender, receiver)))
+}
+
+fn turned_away(shared: &Shared, error: &HandshakeError, address: SocketAddr) {
+    match error {
+        HandshakeError::Broken => log::debug!("peers: no link to {address}: {error}"),
+        HandshakeError::NoHello | HandshakeError::Itself | HandshakeError::Unproved => {
+            shared.metrics.note_peer_turned_away();
+            log::warn!("peers: {address} is turned away: {error}");
+        }
+    }
+}
+
+async fn keep(shared: &Shared, hello: Hello, halves: Halves, address: SocketAddr) {
+    let link = LinkId(random_u64());
+    let peer = hello.incarnation;
+    let (frames, waiting) = async_channel::bounded(WAITING_FRAMES);
+    let up = ControlMessage::LinkUp {
+        link,
+        hello,
+        frames,
+    };
+    shared.control.send(up).await;
+    let (sender, receiver) = halves;
+    {
+        let writing = write_frames(shared, sender, waiting);
+        let reading = read_frames(shared, receiver, link, peer);
+        pin_mut!(writing, reading);
+        select(writing, reading).await;
+    }
+    let down = ControlMessage::LinkDown {
+        link,
+        peer,
+        address,
+    };
+    shared.control.send(down).await;
+}
+
+/// Ends when the control thread closes the link, or the peer takes a frame too slowly.
+async fn write_frames(shared: &Shared, mut sender: LinkSender, frames: Receiver<PeerFrame>) {
+    while let Ok(frame) = frames.recv().await {
+        let sent = send_frame(&mut sender, frame);
+        match timeout(shared.clock.as_ref(), SEND_TIMEOUT_MS, sent).await {
+            Some(Ok(())) => {}
+            Some(Err(error)) => return log::debug!("peers: {error}"),
+            None => return,
+        }
+    }
+}
+
+/// Guards against a link that goes silent for good while it stays open, and against a peer that
+/// stands still: heartbeats come both ways, and without a frame for some time the link is closed.
+async fn read_frames(
+    shared: &Shared,
+    mut receiver: LinkReceiver,
+    link: LinkId,
+    peer: whinlatch_wire::ids::Incarnation,
+) {
+    loop {
+        let received = receive_frame(&mut receiver);
+        let frame = match timeout(shared.clock.as_ref(), SILENCE_MS, received).await {
+            Some(Ok(frame)) => Box::new(frame),
+            Some(Err(error)) => return log::debug!("peers: {error}"),
+            None => return,
+        };
+        let message = ControlMessage::LinkFrame { link, peer, frame };
+        shared.control.send(message).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/outgoing.rs
@@ -0,0 +1,86 @@
+use {
+    crate::targets::GuardedStream,
+    async_tungstenite::{
+        WebSocketStream,
+        tungstenite::{Message, protocol::WebSocketConfig},
+    },
+    futures::{
+        SinkExt, StreamExt,
+        stream::{SplitSink, SplitStream},
+    },
+    thiserror::Error,
+    whinlatch_wire::peer::{
+        MAX_FRAME_BYTES, PeerCodecError, PeerFrame, decode_frame, encode_frame,
+    },
+};
+
+/// The sending half of a link.
+pub type LinkSender = SplitSink<WebSocketStream<GuardedStream>, Message>;
+/// The receiving half of a link.
+pub type LinkReceiver = SplitStream<WebSocketStream<GuardedStream>>;
+
+/// Why a link carries no more frames.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The peer closed it.
+    #[error("the peer closed the link: see its log")]
+    Closed,
+    /// The websocket failed.
+    #[error("the link failed ({0}): it is opened anew")]
+    Failed(#[from] Box<async_tungstenite::tungstenite::Error>),
+    /// A frame can't be encoded or decoded.
+    #[error(transparent)]
+    Codec(#[from] PeerCodecError),
+}
+
+/// Bounds of what a peer may send at once.
+pub fn link_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES))
+}
+
+/// Sends a frame. Records that are too many for one frame go in several.
+pub async fn send_frame(sender: &mut LinkSender, frame: PeerFrame) -> Result<(), LinkError> {
+    let mut waiting = vec![frame];
+    while let Some(mut frame) = waiting.pop() {
+        match encode_frame(&frame) {
+            Ok(bytes) => send_bytes(sender, bytes).await?,
+            Err(PeerCodecError::TooLarge { .. }) if frame.records.len() > 1 => {
+                let half = frame.records.len() / 2;
+                let rest = PeerFrame {
+                    records: frame.records.split_off(half),
+                    ..PeerFrame::default()
+                };
+                waiting.push(rest);
+                waiting.push(frame);
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Ok(())
+}
+
+async fn send_bytes(sender: &mut LinkSender, bytes: Vec<u8>) -> Result<(), LinkError> {
+    sender
+        .send(Message::binary(bytes))
+        .await
+        .map_err(|error| LinkError::Failed(Box::new(error)))
+}
+
+/// Receives the next frame.
+pub async fn receive_frame(receiver: &mut LinkReceiver) -> Result<PeerFrame, LinkError> {
+    loop {
+        let message = receiver
+            .next()
+            .await
+            .ok_or(LinkError::Closed)?
+            .map_err(|error| LinkError::Failed(Box::new(error)))?;
+        match message {
+            Message::Binary(bytes) => return Ok(decode_frame(&bytes)?),
+            Message::Close(_) => return Err(LinkError::Closed),
+            // Pings are answered by the library; text is no part of the protocol.
+            Message::Text(_) | Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/targets.rs
@@ -0,0 +1,18 @@
+//! Calls to targets: attempts whose answers are passed on, and calls on the target's own matters.
+
+mod attempt;
+mod calls;
+mod connect;
+mod event_reader;
+mod gate;
+mod generate;
+mod json_call;
+mod liveness;
+mod service_call;
+
+pub use {
+    attempt::{Attempt, AttemptWork, Step},
+    calls::call,
+    connect::{GuardedStream, connect, set_options},
+    json_call::{CallError, get_json, read_body},
+};
--- /dev/null
+++ b/crates/daemon/src/targets/calls.rs
@@ -0,0 +1,119 @@
+use {
+    super::json_call::{CallError, get_json, post_json},
+    crate::shared::Shared,
+    serde::Serialize,
+    std::{net::SocketAddr, sync::Arc},
+    whinlatch_core::{MonoMs, TargetCall, TargetEvent},
+    whinlatch_wire::{
+        ids::TargetName,
+        target::{
+            CACHE_EVENTS_PATH, CANCEL_PATH, ORDERS_PATH, Order, OrderAnswer, RELEASE_PATH,
+            REPORT_PATH, RESERVE_PATH, ReserveRequest, STATE_PATH,
+        },
+    },
+};
+
+/// Time for an answer, in ms.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+/// Largest answer to a read, in bytes.
+const MAX_READ_BYTES: u64 = 16 * 1_048_576;
+/// Times that a cancel or release is sent until it is answered. Both are idempotent. The target's
+/// own deadline frees what these couldn't.
+const FREE_ATTEMPTS: u32 = 5;
+/// Time between two of them, in ms.
+const FREE_RETRY_MS: u64 = 500;
+/// HTTP statuses of success.
+const SUCCESS: std::ops::Range<u16> = 200..300;
+
+/// Calls a target on a matter of its own and reports its answer.
+pub async fn call(shared: Arc<Shared>, target: TargetName, address: SocketAddr, call: TargetCall) {
+    let event = match call {
+        TargetCall::Report => read(&shared, address, REPORT_PATH, TargetEvent::Report).await,
+        TargetCall::State => read(&shared, address, STATE_PATH, TargetEvent::State).await,
+        TargetCall::CacheEvents { after } => {
+            let path = format!("{CACHE_EVENTS_PATH}?after={after}");
+            read(&shared, address, &path, TargetEvent::Cache).await
+        }
+        TargetCall::Order { order, send_before } => {
+            match give_order(&shared, address, &order, send_before).await {
+                Some(event) => event,
+                None => return,
+            }
+        }
+        TargetCall::Reserve {
+            reserve: request,
+            send_before,
+        } => reserve(&shared, address, &request, send_before).await,
+        TargetCall::Release(release) => {
+            return free(&shared, address, RELEASE_PATH, &release).await;
+        }
+        TargetCall::Cancel(cancel) => return free(&shared, address, CANCEL_PATH, &cancel).await,
+    };
+    shared.control.target(target, event).await;
+}
+
+async fn read<T: serde::de::DeserializeOwned>(
+    shared: &Shared,
+    address: SocketAddr,
+    path: &str,
+    event: impl FnOnce(T) -> TargetEvent,
+) -> TargetEvent {
+    get_json(shared, address, path, CALL_TIMEOUT_MS, MAX_READ_BYTES)
+        .await
+        .map_or(TargetEvent::Unreachable, event)
+}
+
+/// An order without an answer reports nothing: the target's state is read again in any case.
+async fn give_order(
+    shared: &Shared,
+    address: SocketAddr,
+    order: &Order,
+    send_before: MonoMs,
+) -> Option<TargetEvent> {
+    let posted = post_json(
+        shared,
+        address,
+        ORDERS_PATH,
+        order,
+        send_before,
+        CALL_TIMEOUT_MS,
+    );
+    let answer: OrderAnswer = posted.await.ok()?.json().ok()?;
+    Some(TargetEvent::Ordered(answer.verdict))
+}
+
+async fn reserve(
+    shared: &Shared,
+    address: SocketAddr,
+    request: &ReserveRequest,
+    send_before: MonoMs,
+) -> TargetEvent {
+    let reservation = request.reservation;
+    let posted = post_json(
+        shared,
+        address,
+        RESERVE_PATH,
+        request,
+        send_before,
+        CALL_TIMEOUT_MS,
+    );
+    match posted.await {
+        Ok(answer) if SUCCESS.contains(&answer.status) => TargetEvent::Reserved(reservation),
+        Ok(_) | Err(CallError::NotSent) => TargetEvent::ReserveRefused(reservation),
+        Err(_lost) => TargetEvent::ReserveLost(reservation),
+    }
+}
+
+async fn free<T: Serialize>(shared: &Shared, address: SocketAddr, path: &str, body: &T) {
+    for _attempt in 0..FREE_ATTEMPTS {
+        let send_before = shared.clock.now() + CALL_TIMEOUT_MS;
+        let posted = post_json(shared, address, path, body, send_before, CALL_TIMEOUT_MS);
+        if posted
+            .await
+            .is_ok_and(|answer| SUCCESS.contains(&answer.status))
+        {
+            return;
+        }
+        shared.clock.sleep(FREE_RETRY_MS).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/targets/generate.rs
@@ -0,0 +1,142 @@
+use {
+    super::{
+        attempt::{AttemptWork, Step, lost_event, refused_event},
+        connect::connect,
+        event_reader::EventReader,
+        gate::Gate,
+        json_call::{request, set_json},
+        liveness::Liveness,
+    },
+    crate::shared::Shared,
+    async_channel::Sender,
+    http_types::{Method, Response, StatusCode},
+    std::{net::SocketAddr, sync::Arc},
+    whinlatch_core::{AttemptEvent, Dispatch},
+    whinlatch_wire::target::{GENERATE_PATH, GenerateRequest, StreamChunk},
+};
+
+/// Sends a prompt and passes its chunks on as steps, until the end mark.
+pub async fn run(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    work: &AttemptWork,
+    first_chunk: u64,
+    steps: &Sender<Step>,
+) -> Result<(), AttemptEvent> {
+    let mut liveness = Liveness::new(shared, dispatch, true);
+    let body = body(shared, dispatch, work, first_chunk)?;
+    let sent = send(shared, dispatch, GENERATE_PATH, &body);
+    let response = liveness
+        .watch(sent)
+        .await
+        .map_err(|lost| lost_event(lost, first_chunk))??;
+    if response.status() != StatusCode::Ok {
+        return Err(refused_event(dispatch.attempt, response).await);
+    }
+    read_chunks(
+        shared,
+        dispatch,
+        response,
+        first_chunk,
+        &mut liveness,
+        steps,
+    )
+    .await
+}
+
+async fn read_chunks(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    response: Response,
+    first_chunk: u64,
+    liveness: &mut Liveness<'_>,
+    steps: &Sender<Step>,
+) -> Result<(), AttemptEvent> {
+    let mut events = EventReader::new(response);
+    let mut next = first_chunk;
+    loop {
+        let broken = AttemptEvent::Broken { chunks: next };
+        let event = liveness
+            .watch(events.next())
+            .await
+            .map_err(|lost| lost_event(lost, next))?;
+        let Ok(Some(data)) = event else {
+            return Err(broken);
+        };
+        let Some(chunk) = own_chunk(data, dispatch, next) else {
+            shared.metrics.note_dropped_chunk();
+            continue;
+        };
+        next += 1;
+        let end = chunk.end;
+        if steps.send(Step::Chunk(chunk)).await.is_err() || end {
+            return Ok(());
+        }
+    }
+}
+
+/// Guards against answers that arrive late or crossed: a chunk of another attempt, doubled or out
+/// of order, is no part of this answer. The target echoes the attempt and numbers its chunks, so
+/// whatever differs is dropped.
+fn own_chunk(data: &[u8], dispatch: &Dispatch, next: u64) -> Option<StreamChunk> {
+    serde_json::from_slice::<StreamChunk>(data)
+        .ok()
+        .filter(|chunk| chunk.attempt == dispatch.attempt && chunk.sequence == next)
+}
+
+/// Sends a request of an attempt and reads the head of the answer.
+pub async fn send<T: serde::Serialize>(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    path: &str,
+    body: &T,
+) -> Result<Response, AttemptEvent> {
+    let address: SocketAddr = dispatch.address;
+    let mut request =
+        request(Method::Post, address, path).map_err(|_bad_url| AttemptEvent::NotSent)?;
+    set_json(&mut request, body).map_err(|_not_encoded| AttemptEvent::NotSent)?;
+    request.insert_header("connection", "close");
+    let stream = connect(shared.clock.as_ref(), address)
+        .await
+        .map_err(|_refused| AttemptEvent::NotSent)?;
+    let gate = Gate::new(Arc::clone(&shared.clock), dispatch.send_before);
+    async_h1::connect(gate.guard(stream), request)
+        .await
+        .map_err(|_broken| match gate.passed() {
+            true => AttemptEvent::Broken { chunks: 0 },
+            false => AttemptEvent::NotSent,
+        })
+}
+
+fn body(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    work: &AttemptWork,
+    first_chunk: u64,
+) -> Result<GenerateRequest, AttemptEvent> {
+    let AttemptWork::Prompt {
+        completion,
+        prompt_tokens,
+        prefix_hashes,
+    } = work
+    else {
+        return Err(AttemptEvent::NotSent);
+    };
+    Ok(GenerateRequest {
+        attempt: dispatch.attempt,
+        owner: shared.incarnation,
+        expect_incarnation: dispatch.expect_incarnation,
+        deadline_ms: dispatch.deadline.since(shared.clock.now()),
+        priority: dispatch.priority,
+        model: completion.model.clone(),
+        adapter: completion.adapter.clone(),
+        version: dispatch.version,
+        prompt: completion.prompt.clone(),
+        prompt_tokens: *prompt_tokens,
+        prefix_hashes: prefix_hashes.clone(),
+        max_tokens: completion.max_tokens,
+        resume_after: first_chunk.checked_sub(1),
+        reservation: dispatch.reservation,
+        group: dispatch.group.clone(),
+    })
+}
