--- /dev/null
+++ b/crates/standins/tests/standins/main.rs
@@ -0,0 +1,6 @@
+//! The fakes behave as they say.
+
+mod engine;
+mod platform;
+mod service;
+mod support;
