--- /dev/null
+++ b/crates/daemon/tests/daemon/services.rs
@@ -0,0 +1,148 @@
+//! Calls that may not be repeated.
+
+use {
+    super::{
+        client::{ask, get, label_call},
+        fixture::{World, fast_engine, until, world},
+    },
+    whinlatch_daemon::app::Daemon,
+    whinlatch_standins::{
+        Die,
+        service::{ServiceAnswerFault, ServiceFaults},
+    },
+    whinlatch_wire::{
+        caller::{OutcomeKind, Reason},
+        ids::Ticket,
+        report::StatusReport,
+    },
+};
+
+async fn ticket(daemon: &Daemon, body: &str) -> Ticket {
+    let refused = ask(daemon, label_call(daemon, body, None)).await;
+    assert_eq!(refused.status, 428);
+    assert_eq!(refused.outcome.outcome, OutcomeKind::NotRun);
+    assert_eq!(refused.outcome.reason, Reason::TicketNeeded);
+    refused.outcome.ticket.unwrap()
+}
+
+fn runs(world: &World, body: &str) -> u32 {
+    let stats = world.service.stats();
+    stats.runs_by_body.get(body).copied().unwrap_or_default()
+}
+
+async fn linked(daemon: &Daemon) -> bool {
+    let status: StatusReport = get(daemon, "/v1/status").await;
+    status.peers.iter().any(|peer| peer.linked)
+}
+
+/// Two daemons with a link between them.
+async fn two_daemons(world: &World) -> (Daemon, Daemon) {
+    let one = world.daemon(world.settings("one")).await;
+    let two = world.daemon(world.settings("two")).await;
+    world.list(&[("one", &one), ("two", &two)]);
+    until(async || linked(&one).await && linked(&two).await).await;
+    (one, two)
+}
+
+#[async_std::test]
+async fn a_call_with_a_ticket_runs_once_however_often_it_is_sent() {
+    let world = world(1, fast_engine()).await;
+    let daemon = world.daemon(world.settings("one")).await;
+    let ticket = ticket(&daemon, "parcel 1").await;
+
+    let first = ask(&daemon, label_call(&daemon, "parcel 1", Some(ticket))).await;
+    let again = ask(&daemon, label_call(&daemon, "parcel 1", Some(ticket))).await;
+
+    for answer in [first, again] {
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.text, "ran parcel 1");
+        assert_eq!(answer.outcome.outcome, OutcomeKind::Completed);
+    }
+    assert_eq!(runs(&world, "parcel 1"), 1);
+}
+
+// A member is charged twice for one label.
+// The service prints it and its answer is lost; the caller sends the call again.
+// Cause: a lost answer is taken for a call that wasn't run.
+#[async_std::test]
+async fn a_call_whose_answer_is_lost_is_not_run_again() {
+    let world = world(1, fast_engine()).await;
+    let daemon = world.daemon(world.settings("one")).await;
+    let ticket = ticket(&daemon, "parcel 2").await;
+    world.service.set_faults(ServiceFaults {
+        answer: ServiceAnswerFault::Lost,
+        ..ServiceFaults::default()
+    });
+
+    let first = ask(&daemon, label_call(&daemon, "parcel 2", Some(ticket))).await;
+    world.service.set_faults(ServiceFaults::default());
+    let again = ask(&daemon, label_call(&daemon, "parcel 2", Some(ticket))).await;
+
+    assert_eq!(first.outcome.outcome, OutcomeKind::Unknown);
+    assert_eq!(again.outcome.outcome, OutcomeKind::Unknown);
+    assert_eq!(runs(&world, "parcel 2"), 1);
+}
+
+// A caller gets the label of another parcel.
+// The service answers with the id of another call. Cause: answers are told apart by connection.
+#[async_std::test]
+async fn a_crossed_answer_of_a_service_reaches_no_caller() {
+    let world = world(1, fast_engine()).await;
+    let daemon = world.daemon(world.settings("one")).await;
+    let ticket = ticket(&daemon, "parcel 3").await;
+    world.service.set_faults(ServiceFaults {
+        answer: ServiceAnswerFault::Crossed,
+        ..ServiceFaults::default()
+    });
+
+    let answer = ask(&daemon, label_call(&daemon, "parcel 3", Some(ticket))).await;
+
+    assert_eq!(answer.outcome.outcome, OutcomeKind::Unknown);
+    assert_eq!(daemon.metrics().dropped_chunks(), 1);
+}
+
+// A caller is told that its call may have run though no service was there to run it.
+#[async_std::test]
+async fn a_call_to_a_service_that_is_down_is_not_run() {
+    let world = world(1, fast_engine()).await;
+    let daemon = world.daemon(world.settings("one")).await;
+    let ticket = ticket(&daemon, "parcel 4").await;
+    let never_back = Die {
+        back_after_ms: None,
+    };
+    world.service.die(never_back).await;
+
+    let answer = ask(&daemon, label_call(&daemon, "parcel 4", Some(ticket))).await;
+
+    assert_eq!(answer.outcome.outcome, OutcomeKind::NotRun);
+    assert_eq!(runs(&world, "parcel 4"), 0);
+}
+
+#[async_std::test]
+async fn another_daemon_passes_a_call_on_to_the_home_of_its_ticket() {
+    let world = world(1, fast_engine()).await;
+    let (one, two) = two_daemons(&world).await;
+    let ticket = ticket(&one, "parcel 5").await;
+
+    let through_two = ask(&two, label_call(&two, "parcel 5", Some(ticket))).await;
+    let through_one = ask(&one, label_call(&one, "parcel 5", Some(ticket))).await;
+
+    assert_eq!(through_two.text, "ran parcel 5");
+    assert_eq!(through_one.text, "ran parcel 5");
+    assert_eq!(runs(&world, "parcel 5"), 1);
+}
+
+// A member is charged twice: its call ran, the daemon died, and another daemon ran it anew.
+#[async_std::test]
+async fn a_call_whose_home_is_gone_is_never_run_elsewhere() {
+    let world = world(1, fast_engine()).await;
+    let (one, two) = two_daemons(&world).await;
+    let ticket = ticket(&one, "parcel 6").await;
+    drop(one);
+
+    let answer = ask(&two, label_call(&two, "parcel 6", Some(ticket))).await;
+
+    assert_eq!(answer.outcome.outcome, OutcomeKind::Unknown);
+    assert_eq!(answer.outcome.reason, Reason::TicketLost);
+    assert_eq!(runs(&world, "parcel 6"), 0);
+}
