--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -4,7 +4,10 @@
         work::{Event, Work},
     },
     crate::target::Die,
-    std::time::{Duration, Instant},
+    std::{
+        collections::HashSet,
+        time::{Duration, Instant},
+    },
     whinlatch_wire::target::RefusalReason,
 };
 
@@ -21,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Plan {
     pub cost: Duration,
-    decode: Vec<u64>,
+    decode: HashSet<u64>,
     prefill: Vec<(u64, u64)>,
 }
 
@@ -107,7 +110,7 @@
         let mut budget = self.options.chunk_tokens;
         for work in &self.running {
             if work.prefill_left() == 0 {
-                plan.decode.push(work.serial);
+                plan.decode.insert(work.serial);
                 continue;
             }
             let tokens = work.prefill_left().min(budget);
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -2,7 +2,7 @@
     super::{
         EngineOptions,
         cache::PrefixCache,
-        work::{Event, Work},
+        work::{Event, Work, answer_seed},
     },
     crate::target::{Common, TargetStats},
     async_channel::Receiver,
@@ -114,6 +114,7 @@
             holds_tokens,
             next_chunk: request.resume_after.map_or(0, |last| last + 1),
             chunks,
+            seed: answer_seed(&request.model, &request.prompt),
             request,
         });
         Ok(receiver)
