--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -4,12 +4,15 @@
         cache::PrefixCache,
         work::{Event, Work, answer_seed},
     },
-    crate::target::{Common, TargetStats},
+    crate::{
+        signal::after_ms,
+        target::{Common, TargetStats},
+    },
     async_channel::Receiver,
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
         mem,
-        time::{Duration, Instant},
+        time::Instant,
     },
     whinlatch_wire::{
         ids::{AttemptId, Revision},
@@ -103,12 +106,16 @@
     ) -> Result<Receiver<Event>, RefusalReason> {
         self.prune(now);
         let chunks = u64::from(request.max_tokens.min(self.options.answer_tokens).max(1));
-        let holds_tokens = self.admit(&request, request.prompt_tokens + chunks, group_tokens)?;
+        let holds_tokens = self.admit(
+            &request,
+            request.prompt_tokens.saturating_add(chunks),
+            group_tokens,
+        )?;
         let (events, receiver) = async_channel::unbounded();
         self.serials += 1;
         self.waiting.push(Work {
             serial: self.serials,
-            until: now + Duration::from_millis(request.deadline_ms),
+            until: after_ms(now, request.deadline_ms),
             events,
             prefilled: 0,
             holds_tokens,
@@ -152,7 +159,7 @@
         if request.tokens > self.free_tokens() + own {
             return Err(RefusalReason::Full);
         }
-        let until = now + Duration::from_millis(request.hold_ms);
+        let until = after_ms(now, request.hold_ms);
         self.reservations
             .insert(request.reservation, (until, request));
         self.cache.trim(now, self.free_tokens());
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -5,7 +5,7 @@
 use {
     bpaf::Bpaf,
     serde::de::DeserializeOwned,
-    std::{future::pending, io, net::SocketAddr},
+    std::{convert::Infallible, future::pending, io, net::SocketAddr, process::ExitCode},
     thiserror::Error,
     whinlatch_standins::{Engine, PlainService, Platform, Relay},
 };
@@ -50,15 +50,25 @@
 
 #[derive(Debug, Error)]
 enum StartError {
-    #[error("--options: {0}: see the options of the fake in its documentation")]
+    #[error("--options: {0}")]
     Options(#[from] serde_json::Error),
     #[error("can't listen: {0}: choose another address with --listen")]
     Listen(#[from] io::Error),
 }
 
 #[async_std::main]
-async fn main() -> Result<(), StartError> {
-    match command().run() {
+async fn main() -> ExitCode {
+    match run(command().run()).await {
+        Ok(never) => match never {},
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<Infallible, StartError> {
+    match command {
         Command::Platform(settings) => {
             let platform = Platform::start(settings.read()?).await?;
             println!("listening {}", platform.address());
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -15,7 +15,7 @@
     std::io,
     whinlatch_wire::{
         ids::{RecordKey, Revision},
-        platform::InstanceList,
+        platform::{InstanceList, MAX_VALUE_BYTES},
     },
 };
 
@@ -31,7 +31,7 @@
         Self::listen(options.listen, FakePlatform::new(&options)).await
     }
 
-    /// Publishes a value, or deletes the record where there is none.
+    /// Publishes a value of up to 1 MB, or deletes the record where there is none.
     pub fn publish(&self, key: &str, value: Option<&str>) -> Revision {
         let value = value.map(str::to_owned);
         self.control(PlatformControl::Publish {
@@ -51,7 +51,14 @@
     }
 
     /// Changes what is published or shown; gives the revision afterwards.
+    ///
+    /// # Panics
+    /// The value of a record is over the largest that the platform takes.
     pub fn control(&self, control: PlatformControl) -> Revision {
+        assert!(
+            !control.is_too_large(),
+            "over {MAX_VALUE_BYTES} bytes: split the record"
+        );
         self.0.control_platform(control)
     }
 }
--- a/crates/standins/src/platform/options.rs
+++ b/crates/standins/src/platform/options.rs
@@ -4,7 +4,7 @@
     std::net::SocketAddr,
     whinlatch_wire::{
         ids::{RecordKey, Revision},
-        platform::InstanceList,
+        platform::{InstanceList, MAX_VALUE_BYTES},
     },
 };
 
@@ -72,6 +72,18 @@
     },
 }
 
+impl PlatformControl {
+    pub(super) fn is_too_large(&self) -> bool {
+        let Self::Publish {
+            value: Some(value), ..
+        } = self
+        else {
+            return false;
+        };
+        value.len() > MAX_VALUE_BYTES
+    }
+}
+
 /// Answer to a control request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Published {
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         http::{Answer, Call, Fault, done, ok, refuse, status},
+        signal::after_ms,
         standin::{ANY_PORT, Fake, Server, Standin},
         target::{AnswerFault, Common, Faults, TargetStats},
     },
@@ -115,7 +116,7 @@
 }
 
 async fn run(server: &Arc<Server<FakeService>>, call: &ServiceCall) -> Answer {
-    let until = Instant::now() + Duration::from_millis(call.deadline_ms);
+    let until = after_ms(Instant::now(), call.deadline_ms);
     let begun = server.state().begin(call);
     let (faults, answer) = match begun {
         Ok(begun) => begun,
@@ -125,6 +126,7 @@
     let work = Duration::from_millis(server.state().options.call_ms);
     task::sleep(work.mul_f64(faults.slow_factor.unwrap_or(1.0))).await;
     drop(slot);
+    server.state().common.end(&call.body);
     if server.state().common.crashes(&call.body) {
         // The death drops this very call, so it runs on its own.
         let server = Arc::clone(server);
--- a/crates/standins/src/signal.rs
+++ b/crates/standins/src/signal.rs
@@ -1,4 +1,4 @@
-//! Wakes and stops tasks.
+//! Wakes and stops tasks, and tells when.
 
 use {
     async_channel::{Receiver, Sender},
@@ -9,6 +9,7 @@
             Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
+        time::{Duration, Instant},
     },
 };
 
@@ -17,12 +18,18 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The moment so many ms later. An absurd span, which no clock can add, counts as a day.
+pub fn after_ms(now: Instant, span_ms: u64) -> Instant {
+    const DAY_MS: u64 = 86_400_000;
+    now + Duration::from_millis(span_ms.min(DAY_MS))
+}
+
 /// Wakes all that wait, and can be used again and again.
 #[derive(Debug)]
 pub struct Signal(Mutex<(Sender<()>, Receiver<()>)>);
 
 /// Waits for the next signal after it was made.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Waiter(Receiver<()>);
 
 impl Default for Signal {
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -156,6 +156,11 @@
         self.faults.answer
     }
 
+    /// Counts work that ran to its end.
+    pub fn end(&mut self, key: &str) {
+        *self.counted.ended_by_key.entry(key.to_owned()).or_default() += 1;
+    }
+
     pub fn crashes(&self, text: &str) -> bool {
         self.faults
             .crash_marker
