--- a/crates/wire/src/conf/reader.rs
+++ b/crates/wire/src/conf/reader.rs
@@ -15,7 +15,7 @@
     object::ObjectReader,
     place::{Faults, Place, Placed},
     values::{
-        choice, flag, list, name, number, positive, reachable_address, secret, text, whole,
-        whole_u32,
+        choice, flag, list, name, number, plain_name, positive, reachable_address, secret, text,
+        whole, whole_u32,
     },
 };
--- a/crates/wire/src/conf/reader/values.rs
+++ b/crates/wire/src/conf/reader/values.rs
@@ -8,6 +8,8 @@
 
 /// Longest name, in bytes.
 const MAX_NAME_BYTES: usize = 200;
+/// Signs that mean nothing of their own in a header or in the path of a URL.
+const PLAIN_SIGNS: &[u8] = b"-._~@:+";
 
 /// Reads a text.
 pub(crate) fn text<'n>(place: &Place<'n>, faults: &mut Faults) -> Option<&'n str> {
@@ -39,6 +41,31 @@
     Some(T::from(text))
 }
 
+/// Reads a name that travels in a header or in the path of a URL, where other characters would
+/// be refused or mean something else: no caller could ever state such a name.
+pub(crate) fn plain_name<T: for<'t> From<&'t str>>(
+    place: &Place<'_>,
+    faults: &mut Faults,
+) -> Option<T> {
+    let read = name::<T>(place, faults)?;
+    let text = text(place, faults)?;
+    if text
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || PLAIN_SIGNS.contains(&byte))
+    {
+        return Some(read);
+    }
+    let expected = "a name of ASCII letters, digits and the signs -._~@:+".to_owned();
+    faults.add(
+        place,
+        FaultKind::BadText {
+            found: units::shown(text),
+            expected,
+        },
+    );
+    None
+}
+
 /// Reads a text that is never repeated in a message.
 pub(crate) fn secret(place: &Place<'_>, faults: &mut Faults) -> Option<String> {
     let text = text(place, faults)?;
--- /dev/null
+++ b/crates/wire/src/record/read/account.rs
@@ -0,0 +1,41 @@
+use crate::{
+    conf::{
+        FaultKind,
+        reader::{Faults, ObjectReader, Place, list, plain_name, positive, text},
+    },
+    record::AccountRecord,
+};
+
+/// Hexadecimal digits of a SHA-256 digest.
+const DIGEST_DIGITS: usize = 64;
+
+pub(super) fn read_account(place: &Place<'_>, faults: &mut Faults) -> Option<AccountRecord> {
+    let mut object = ObjectReader::open(place, faults)?;
+    let account = object.required("account", "\"members\"", faults, plain_name);
+    let key_sha256 = object.required("key_sha256", "[\"…\"]", faults, list(read_digest));
+    let callers = object.or("callers", Vec::new(), faults, list(plain_name));
+    let requests_per_s = object.required("requests_per_s", "50", faults, positive);
+    let tokens_per_s = object.required("tokens_per_s", "200000", faults, positive);
+    let weight = object.or("weight", 1.0, faults, positive);
+    object.close(faults);
+    Some(AccountRecord {
+        account: account?,
+        key_sha256: key_sha256?,
+        callers: callers?,
+        requests_per_s: requests_per_s?,
+        tokens_per_s: tokens_per_s?,
+        weight: weight?,
+    })
+}
+
+/// Reads a digest. The text is not repeated in a message: it may be the key itself.
+fn read_digest(place: &Place<'_>, faults: &mut Faults) -> Option<String> {
+    let digest = text(place, faults)?;
+    if digest.len() == DIGEST_DIGITS && digest.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Some(digest.to_ascii_lowercase());
+    }
+    let found = format!("a text of {} bytes", digest.len());
+    let expected = "the SHA-256 digest of the key as 64 hexadecimal digits".to_owned();
+    faults.add(place, FaultKind::OutOfRange { found, expected });
+    None
+}
--- /dev/null
+++ b/crates/wire/src/record/read/route.rs
@@ -0,0 +1,131 @@
+use crate::{
+    conf::{
+        FaultKind,
+        reader::{Faults, ObjectReader, Place, choice, flag, list, name, plain_name, whole_u32},
+    },
+    ids::ProviderName,
+    record::{ProviderShare, RouteRecord, RouteSubject},
+};
+
+/// Thousandths in a whole.
+const PER_MILLE: u32 = 1_000;
+/// Thousandths in one hundredth.
+const PER_MILLE_IN_PERCENT: u32 = 10;
+
+/// Reads a route of schema 1, which states the share of the new provider in hundredths.
+pub(super) fn read_route_v1(place: &Place<'_>, faults: &mut Faults) -> Option<RouteRecord> {
+    let mut object = ObjectReader::open(place, faults)?;
+    let subject = object.required("subject", SUBJECT_EXAMPLE, faults, read_subject);
+    let accounts = object.or("accounts", Vec::new(), faults, list(plain_name));
+    let callers = object.or("callers", Vec::new(), faults, list(plain_name));
+    let new_percent = object.required("new_share_percent", "10", faults, whole_u32(0..=100));
+    let old_version = object.optional("old_version", faults, whole_u32(0..=u32::MAX));
+    let new_version = object.optional("new_version", faults, whole_u32(0..=u32::MAX));
+    object.close(faults);
+
+    let new_per_mille = new_percent? * PER_MILLE_IN_PERCENT;
+    let share = |provider: &str, version, share_per_mille| ProviderShare {
+        provider: ProviderName::new(provider),
+        version,
+        share_per_mille,
+    };
+    Some(RouteRecord {
+        subject: subject?,
+        accounts: accounts?,
+        callers: callers?,
+        providers: vec![
+            share("old", old_version?, PER_MILLE - new_per_mille),
+            share("new", new_version?, new_per_mille),
+        ],
+    })
+}
+
+/// Reads a route of schema 2, which lists any number of providers.
+pub(super) fn read_route_v2(place: &Place<'_>, faults: &mut Faults) -> Option<RouteRecord> {
+    let mut object = ObjectReader::open(place, faults)?;
+    let subject = object.required("subject", SUBJECT_EXAMPLE, faults, read_subject);
+    let accounts = object.or("accounts", Vec::new(), faults, list(plain_name));
+    let callers = object.or("callers", Vec::new(), faults, list(plain_name));
+    let providers = object.required("providers", PROVIDERS_EXAMPLE, faults, read_providers);
+    object.close(faults);
+    Some(RouteRecord {
+        subject: subject?,
+        accounts: accounts?,
+        callers: callers?,
+        providers: providers?,
+    })
+}
+
+const SUBJECT_EXAMPLE: &str = "{ \"type\": \"model\", \"model\": \"assistant\" }";
+const PROVIDERS_EXAMPLE: &str = "[{ \"provider\": \"old\", \"share_per_mille\": 1000 }]";
+
+fn read_providers(place: &Place<'_>, faults: &mut Faults) -> Option<Vec<ProviderShare>> {
+    let faults_before = faults.count();
+    let providers = list(read_provider)(place, faults)?;
+    if faults.count() > faults_before {
+        return None;
+    }
+    let total = providers
+        .iter()
+        .map(|share| u64::from(share.share_per_mille))
+        .sum();
+    if total != u64::from(PER_MILLE) {
+        faults.add(place, FaultKind::Shares { total });
+        return None;
+    }
+    Some(providers)
+}
+
+fn read_provider(place: &Place<'_>, faults: &mut Faults) -> Option<ProviderShare> {
+    let mut object = ObjectReader::open(place, faults)?;
+    let provider = object.required("provider", "\"old\"", faults, name);
+    let version = object.optional("version", faults, whole_u32(0..=u32::MAX));
+    let share_per_mille =
+        object.required("share_per_mille", "1000", faults, whole_u32(0..=PER_MILLE));
+    object.close(faults);
+    Some(ProviderShare {
+        provider: provider?,
+        version: version?,
+        share_per_mille: share_per_mille?,
+    })
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Subject {
+    Model,
+    Service,
+}
+
+const SUBJECTS: [(&str, Subject); 2] = [("model", Subject::Model), ("service", Subject::Service)];
+
+fn read_subject(place: &Place<'_>, faults: &mut Faults) -> Option<RouteSubject> {
+    let mut object = ObjectReader::open(place, faults)?;
+    let kind = object.required("type", "\"model\"", faults, |at, faults| {
+        choice(at, &SUBJECTS, faults)
+    });
+    let Some(kind) = kind else {
+        object.close_untyped(faults);
+        return None;
+    };
+    let subject = match kind {
+        Subject::Model => {
+            let model = object.required("model", "\"assistant\"", faults, name);
+            let adapter = object.optional("adapter", faults, name);
+            model
+                .zip(adapter)
+                .map(|(model, adapter)| RouteSubject::Model { model, adapter })
+        }
+        Subject::Service => {
+            let service = object.required("service", "\"labels\"", faults, plain_name);
+            let idempotent = object.required("idempotent", "false", faults, flag);
+            service
+                .zip(idempotent)
+                .map(|(service, idempotent)| RouteSubject::Service {
+                    service,
+                    idempotent,
+                })
+        }
+    };
+    object.close(faults);
+    subject
+}
--- /dev/null
+++ b/crates/wire/tests/decoders.rs
@@ -0,0 +1,366 @@
+//! No decoder panics on what a stranger may send, and what is encoded comes back the same.
+//!
+//! Seeds are fixed, so that each run has the same verdict; `PROPTEST_CASES` runs more cases.
+
+use {
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    serde::de::DeserializeOwned,
+    whinlatch_wire::{
+        caller::{CompletionChunk, CompletionRequest, Entries, Outcome},
+        conf::{check_file, check_records, check_settings},
+        ids::{AttemptId, Incarnation, RequestId, Revision, Ticket},
+        peer::{
+            Heartbeat, Hello, MemberNews, MemberState, News, PeerFrame, PoisonNews, RecordPull,
+            RecordSummary, TargetLoad, decode_frame, encode_frame, prove, verify,
+        },
+        platform::{InstanceList, RecordPage},
+        record::{RecordEnvelope, parse_record},
+        report::{DecisionReport, RecordsReport, StatusReport},
+        target::{CacheEvents, EngineState, GenerateRequest, LoadReport, ServiceCall, StreamChunk},
+    },
+};
+
+const SEED: u64 = 0x5eed;
+const SETTINGS: &str = include_str!("../../../conf/whinlatchd.jsonc");
+const RECORDS: &str = include_str!("../../../conf/records.jsonc");
+
+fn fixed() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn incarnation() -> impl Strategy<Value = Incarnation> {
+    any::<u128>().prop_map(Incarnation)
+}
+
+fn hello() -> impl Strategy<Value = Hello> {
+    (any::<u32>(), ".{0,20}", incarnation(), any::<u128>()).prop_map(
+        |(protocol, name, incarnation, nonce)| Hello {
+            protocol,
+            instance: name.as_str().into(),
+            incarnation,
+            failure_domain: name.as_str().into(),
+            caller_address: ([10, 0, 0, 1], 7_001).into(),
+            peer_address: ([10, 0, 0, 1], 7_002).into(),
+            nonce,
+        },
+    )
+}
+
+fn member() -> impl Strategy<Value = MemberNews> {
+    let state = prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Suspect),
+        Just(MemberState::Leaving),
+        Just(MemberState::Dead)
+    ];
+    (incarnation(), ".{0,20}", any::<u64>(), state).prop_map(
+        |(incarnation, name, version, state)| MemberNews {
+            incarnation,
+            instance: name.as_str().into(),
+            failure_domain: name.as_str().into(),
+            caller_address: ([10, 0, 0, 1], 7_001).into(),
+            peer_address: ([10, 0, 0, 1], 7_002).into(),
+            version,
+            state,
+        },
+    )
+}
+
+fn news() -> impl Strategy<Value = News> {
+    let loads = (incarnation(), any::<u64>(), any::<u32>()).prop_map(|(origin, number, load)| {
+        let target = "engine-1".into();
+        TargetLoad {
+            origin,
+            number,
+            target,
+            in_flight: load,
+            prefill_left_ms: number,
+        }
+    });
+    let poison = (any::<u64>(), prop::collection::vec(incarnation(), 0..3)).prop_map(
+        |(fingerprint, deaths)| PoisonNews {
+            fingerprint,
+            deaths,
+            keep_ms: 1,
+        },
+    );
+    (
+        prop::collection::vec(member(), 0..4),
+        prop::collection::vec(loads, 0..4),
+        prop::collection::vec(poison, 0..4),
+    )
+        .prop_map(|(members, loads, poison)| News {
+            members,
+            loads,
+            poison,
+            ..News::default()
+        })
+}
+
+fn envelope() -> impl Strategy<Value = RecordEnvelope> {
+    (".{0,20}", any::<u64>(), prop::option::of(".{0,40}")).prop_map(|(key, revision, value)| {
+        RecordEnvelope {
+            key: key.as_str().into(),
+            revision: Revision(revision),
+            value: value.map(Into::into),
+        }
+    })
+}
+
+fn frame() -> impl Strategy<Value = PeerFrame> {
+    let heartbeat = any::<u64>().prop_map(|number| {
+        let newest = Revision(number);
+        Heartbeat {
+            number,
+            records: RecordSummary {
+                newest,
+                count: number,
+                digest: !number,
+            },
+        }
+    });
+    let pull = (
+        prop::option::of(any::<u64>()),
+        prop::collection::vec(any::<u64>(), 0..9),
+    )
+        .prop_map(|(after, buckets)| RecordPull {
+            after: after.map(Revision),
+            buckets,
+        });
+    (
+        prop::option::of(hello()),
+        prop::option::of(heartbeat),
+        news(),
+        prop::option::of(pull),
+        prop::collection::vec(envelope(), 0..4),
+    )
+        .prop_map(|(hello, heartbeat, news, pull, records)| PeerFrame {
+            hello,
+            proof: None,
+            heartbeat,
+            news,
+            pull,
+            records,
+        })
+}
+
+/// A text with some of its bytes cut out or written over.
+fn damaged(text: &'static str) -> impl Strategy<Value = String> {
+    let cuts = prop::collection::vec((0..text.len(), 0..40_usize, ".{0,3}"), 1..4);
+    cuts.prop_map(move |cuts| {
+        let mut bytes = text.as_bytes().to_vec();
+        for (begin, length, new) in cuts {
+            let begin = begin.min(bytes.len());
+            let end = (begin + length).min(bytes.len());
+            bytes.splice(begin..end, new.into_bytes());
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    })
+}
+
+/// Reads JSON as a `T` twice over: what was accepted must survive being written and read again.
+fn reread<T: DeserializeOwned + serde::Serialize + PartialEq + std::fmt::Debug>(json: &str) {
+    if let Ok(value) = serde_json::from_str::<T>(json) {
+        let written = serde_json::to_string(&value).expect("accepted values can be written");
+        assert_eq!(
+            serde_json::from_str::<T>(&written).expect("and read again"),
+            value
+        );
+    }
+}
+
+/// JSON with the field names of the messages, so that more than the first field is reached.
+fn message() -> impl Strategy<Value = String> {
+    let leaf = prop_oneof![
+        Just("null".to_owned()),
+        any::<i64>().prop_map(|number| number.to_string()),
+        any::<u128>().prop_map(|number| format!("\"{number:032x}\"")),
+        Just("\"10.0.0.1:80\"".to_owned()),
+        Just("\"live\"".to_owned()),
+        Just("[]".to_owned()),
+    ];
+    let names = [
+        "model",
+        "prompt",
+        "request",
+        "outcome",
+        "reason",
+        "message",
+        "attempt",
+        "sequence",
+        "text",
+        "tokens",
+        "incarnation",
+        "events",
+        "entries",
+        "ttl_ms",
+        "revision",
+        "records",
+        "version",
+        "daemons",
+        "targets",
+        "running",
+        "waiting",
+        "steps",
+        "instance",
+        "newest",
+    ];
+    let field = (prop::sample::select(names.to_vec()), leaf);
+    prop::collection::vec(field, 0..8).prop_map(|fields| {
+        let fields: Vec<String> = fields
+            .iter()
+            .map(|(name, value)| format!("\"{name}\":{value}"))
+            .collect();
+        format!("{{{}}}", fields.join(","))
+    })
+}
+
+fn read_every_message(json: &str) {
+    reread::<CompletionRequest>(json);
+    reread::<CompletionChunk>(json);
+    reread::<Outcome>(json);
+    reread::<Entries>(json);
+    reread::<RecordPage>(json);
+    reread::<InstanceList>(json);
+    reread::<GenerateRequest>(json);
+    reread::<StreamChunk>(json);
+    reread::<ServiceCall>(json);
+    reread::<LoadReport>(json);
+    reread::<CacheEvents>(json);
+    reread::<EngineState>(json);
+    reread::<StatusReport>(json);
+    reread::<RecordsReport>(json);
+    reread::<DecisionReport>(json);
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn arbitrary_bytes_are_no_frame_or_one_that_encodes(
+        bytes in prop::collection::vec(any::<u8>(), 0..400),
+    ) {
+        if let Ok(frame) = decode_frame(&bytes) {
+            let again = encode_frame(&frame).expect("a decoded frame is small enough");
+            prop_assert_eq!(decode_frame(&again).expect("and decodes"), frame);
+        }
+    }
+
+    #[test]
+    fn frames_come_back_the_same(frame in frame()) {
+        let bytes = encode_frame(&frame).expect("the frame is small");
+
+        prop_assert_eq!(decode_frame(&bytes).expect("the frame decodes"), frame);
+    }
+
+    #[test]
+    fn cut_frames_never_decode(frame in frame(), cut in any::<prop::sample::Index>()) {
+        let bytes = encode_frame(&frame).expect("the frame is small");
+
+        let decoded = decode_frame(&bytes[..cut.index(bytes.len())]);
+
+        prop_assert!(decoded.is_err());
+    }
+
+    #[test]
+    fn damaged_frames_do_not_panic(
+        frame in frame(),
+        place in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut bytes = encode_frame(&frame).expect("the frame is small");
+        let place = place.index(bytes.len());
+        bytes[place] = byte;
+
+        if let Ok(decoded) = decode_frame(&bytes) {
+            prop_assert!(encode_frame(&decoded).is_ok());
+        }
+    }
+
+    #[test]
+    fn proofs_hold_for_their_key_nonce_and_incarnation_only(
+        key in prop::collection::vec(any::<u8>(), 1..40),
+        nonce in any::<u128>(),
+        own in incarnation(),
+    ) {
+        let proof = prove(&key, nonce, own);
+
+        prop_assert!(verify(&key, nonce, own, &proof));
+        prop_assert!(!verify(&[&key[..], b"x"].concat(), nonce, own, &proof));
+        prop_assert!(!verify(&key, !nonce, own, &proof));
+        prop_assert!(!verify(&key, nonce, Incarnation(!own.0), &proof));
+    }
+
+    #[test]
+    fn ids_come_back_the_same(number in any::<u128>(), ticket_number in any::<u64>()) {
+        let ticket = Ticket { home: Incarnation(number), number: ticket_number };
+
+        prop_assert_eq!(ticket.to_string().parse(), Ok(ticket));
+        prop_assert_eq!(Incarnation(number).to_string().parse(), Ok(Incarnation(number)));
+        prop_assert_eq!(RequestId(number).to_string().parse(), Ok(RequestId(number)));
+        prop_assert_eq!(AttemptId(number).to_string().parse(), Ok(AttemptId(number)));
+    }
+
+    #[test]
+    fn arbitrary_texts_are_no_ids_or_come_back_the_same(text in "[0-9a-fA-F-]{0,60}|.{0,60}") {
+        if let Ok(ticket) = text.parse::<Ticket>() {
+            prop_assert_eq!(ticket.to_string(), text.to_lowercase());
+        }
+        if let Ok(id) = text.parse::<RequestId>() {
+            prop_assert_eq!(id.to_string(), text.to_lowercase());
+        }
+    }
+
+    #[test]
+    fn arbitrary_texts_do_not_panic(text in ".{0,200}|[\\[\\]{}\":,0-9eE.+-]{0,200}") {
+        let faulty = check_settings(&text).is_err();
+        let _records = check_records(&text);
+        let _file = check_file(&text);
+        let _record = parse_record(&text);
+        read_every_message(&text);
+
+        prop_assert!(faulty, "settings have required fields");
+    }
+
+    #[test]
+    fn json_with_the_messages_fields_does_not_panic(text in message()) {
+        read_every_message(&text);
+    }
+
+    #[test]
+    fn damaged_settings_are_told_or_hold(text in damaged(SETTINGS)) {
+        if let Err(faults) = check_settings(&text) {
+            let lines = text.lines().count() + 1;
+            prop_assert!(!faults.is_empty());
+            prop_assert!(faults.iter().all(|fault| (1..=lines).contains(&fault.line)));
+        }
+    }
+
+    #[test]
+    fn damaged_records_are_told_or_are_what_a_daemon_reads(text in damaged(RECORDS)) {
+        match check_records(&text) {
+            Ok(entries) => {
+                for entry in entries {
+                    prop_assert_eq!(parse_record(&entry.value), Ok(entry.body));
+                }
+            }
+            Err(faults) => prop_assert!(!faults.is_empty()),
+        }
+    }
+}
+
+/// A peer that opens lists without end would exhaust the stack of a decoder that recurses without
+/// a bound, and end the daemon that reads its frame.
+#[test]
+fn deep_nesting_in_a_frame_is_refused() {
+    let bytes = vec![0x81; 1_000_000];
+
+    decode_frame(&bytes).expect_err("a frame is a map and not nested this deep");
+}
--- a/crates/wire/tests/records.rs
+++ b/crates/wire/tests/records.rs
@@ -87,3 +87,24 @@
         Err(RecordFault::NotJson { .. })
     ));
 }
+
+/// An account named `müller` could be published, but no header can state it: each of its calls
+/// would be refused and nobody would see why.
+#[test]
+fn names_that_no_header_can_state_are_refused() {
+    let with_account = |name: &str| {
+        route(
+            1,
+            &format!(r#""accounts":["{name}"],"new_share_percent":0"#),
+        )
+    };
+
+    for refused in ["müller", "a/b", "a b", "a\\nb"] {
+        assert_eq!(
+            path_of(&with_account(refused)),
+            "spec.accounts[0]",
+            "{refused}"
+        );
+    }
+    parse_record(&with_account("members-1.app@x")).expect("a header can state this name");
+}
