--- /dev/null
+++ b/crates/cli/src/reports/records.rs
@@ -0,0 +1,46 @@
+use {
+    super::{fetch::fetch, table::Table},
+    crate::{entries::EntryList, errors::CliError},
+    whinlatch_wire::{
+        caller::RECORDS_REPORT_PATH,
+        ids::InstanceName,
+        report::{RecordState, RecordsReport},
+    },
+};
+
+/// The records: the revision in force, where, or why one was rejected.
+pub(crate) async fn show_records(entries: &EntryList, json: bool) -> Result<String, CliError> {
+    let (report, written) = fetch::<RecordsReport>(entries, RECORDS_REPORT_PATH).await?;
+    if json {
+        return Ok(format!("{written:#}"));
+    }
+    let mut table = Table::new(&["KEY", "REVISION", "IN FORCE", "HELD BY", "STATE"]);
+    for record in &report.records {
+        let in_force = record
+            .in_force
+            .map_or("-".to_owned(), |revision| revision.to_string());
+        let held_by: Vec<_> = record.instances.iter().map(InstanceName::as_str).collect();
+        let held_by = held_by.join(",");
+        table.row(&[
+            &record.key,
+            &record.revision,
+            &in_force,
+            &held_by,
+            &state(&record.state),
+        ]);
+    }
+    Ok(format!(
+        "{}{} holds revision {}\n",
+        table.to_text(),
+        report.instance,
+        report.newest
+    ))
+}
+
+fn state(state: &RecordState) -> String {
+    match state {
+        RecordState::InForce => "in force".to_owned(),
+        RecordState::Deleted => "deleted".to_owned(),
+        RecordState::Rejected { reason } => format!("rejected: {reason}"),
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,7 @@
+//! The command-line tool run as its users run it.
+
+mod ask;
+mod check;
+mod reports;
+mod support;
+mod usage;
