--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -6,6 +6,7 @@
 mod on_submit;
 mod on_target;
 mod on_tick;
+mod on_ticket;
 mod options;
 mod reports;
 
