--- a/crates/bench/src/policy/fleet_records.rs
+++ b/crates/bench/src/policy/fleet_records.rs
@@ -15,7 +15,7 @@
 /// Model that all requests ask for.
 pub const MODEL: &str = "rompe";
 /// Digest of the key that all callers present.
-pub const KEY_SHA256: &str = "k";
+pub const KEY_SHA256: &str = "8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a";
 /// Limit of an account that the mix doesn't limit.
 const NO_LIMIT: f64 = 1e12;
 
