--- /dev/null
+++ b/crates/wire/src/record/read.rs
@@ -0,0 +1,75 @@
+//! Reads the body of a record and reports every fault of it.
+
+mod account;
+mod policy;
+mod route;
+mod target;
+
+use {
+    self::{
+        account::read_account,
+        policy::read_policy,
+        route::{read_route_v1, read_route_v2},
+        target::read_target,
+    },
+    super::{NEWEST_SCHEMA, OLDEST_SCHEMA, RecordBody},
+    crate::conf::{
+        FaultKind,
+        reader::{Faults, ObjectReader, Place, choice, whole_u32},
+    },
+    std::ops::RangeInclusive,
+};
+
+/// Largest number that JSON tools keep exact.
+const MAX_COUNT: u64 = (1 << 53) - 1;
+/// Counts of things that there must be at least one of.
+const COUNT: RangeInclusive<u64> = 1..=MAX_COUNT;
+
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Route,
+    Account,
+    Target,
+    Policy,
+}
+
+const KINDS: [(&str, Kind); 4] = [
+    ("route", Kind::Route),
+    ("account", Kind::Account),
+    ("target", Kind::Target),
+    ("policy", Kind::Policy),
+];
+
+/// Reads `{ schema, kind, spec }`. An unknown schema is the only fault told, since its fields may
+/// have any meaning.
+pub(crate) fn read_record(place: &Place<'_>, faults: &mut Faults) -> Option<RecordBody> {
+    let mut object = ObjectReader::open(place, faults)?;
+    let schema = object.required("schema", "2", faults, whole_u32(0..=u32::MAX));
+    if let Some(found) = schema.filter(|it| !(OLDEST_SCHEMA..=NEWEST_SCHEMA).contains(it)) {
+        faults.add(place, FaultKind::UnknownSchema { found });
+        return None;
+    }
+    let kind = object.required("kind", "\"route\"", faults, |at, faults| {
+        choice(at, &KINDS, faults)
+    });
+    let body = object.required("spec", "{ … }", faults, |at, faults| {
+        read_spec(at, schema?, kind?, faults)
+    });
+    object.close(faults);
+    body
+}
+
+fn read_spec(
+    place: &Place<'_>,
+    schema: u32,
+    kind: Kind,
+    faults: &mut Faults,
+) -> Option<RecordBody> {
+    match kind {
+        Kind::Route if schema == 1 => read_route_v1(place, faults).map(RecordBody::Route),
+        Kind::Route => read_route_v2(place, faults).map(RecordBody::Route),
+        Kind::Account => read_account(place, faults).map(RecordBody::Account),
+        Kind::Target => read_target(place, faults).map(RecordBody::Target),
+        Kind::Policy => read_policy(place, faults).map(RecordBody::Policy),
+    }
+}
