--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -21,11 +21,11 @@
 };
 
 /// Asks once or many times, and prints what came of it.
-pub(crate) async fn run(options: AskOptions, entries: EntryList) -> Result<Exit, CliError> {
-    let question = Question::new(&options)?;
+pub(crate) async fn run(options: &AskOptions, entries: EntryList) -> Result<Exit, CliError> {
+    let question = Question::new(options)?;
     let asker = Asker::new(entries);
     if options.count > 1 {
-        return ask_many(&asker, &question, &options).await;
+        return ask_many(&asker, &question, options).await;
     }
     let progress = Progress::new(&question, options.progress || stderr().is_terminal());
     let question = question.numbered(1);
--- a/crates/cli/src/ask/asker.rs
+++ b/crates/cli/src/ask/asker.rs
@@ -132,7 +132,7 @@
             begin: Instant::now(),
             attempts: 0,
             tried: Vec::new(),
-            ticket: None,
+            ticket: question.ticket,
             end: None,
             broken: None,
         }
@@ -160,13 +160,7 @@
                     }
                 );
                 let end = End::own(OutcomeKind::Unknown, CONNECTION_LOST, &message);
-                (
-                    Some(entry),
-                    End {
-                        ticket: self.ticket,
-                        ..end
-                    },
-                )
+                (Some(entry), end)
             }
             (None, None) => {
                 let message = "no entry could be reached: check the addresses and that one runs";
@@ -179,8 +173,13 @@
         let begin = self.begin;
         let millis = |at: Instant| at.duration_since(begin).as_millis() as u64;
         let first_text_ms = output.first_text.map(millis);
-        let (question, attempts) = (self.question, self.attempts);
+        let (question, attempts, ticket) = (self.question, self.attempts, self.ticket);
         let (entry, end) = self.into_end();
+        // The ticket is what its holder needs to ask again, whatever the end.
+        let end = End {
+            ticket: ticket.or(end.ticket),
+            ..end
+        };
         Answer {
             number: question.number,
             end,
--- a/crates/cli/src/ask/output.rs
+++ b/crates/cli/src/ask/output.rs
@@ -79,6 +79,7 @@
             format!("{}: {}, {}", end.outcome, end.reason, end.message)
         }
     };
+    let ticket = end.ticket.filter(|_| end.outcome != OutcomeKind::Completed);
     let parts = [
         Some(head),
         end.request.map(|request| format!("request {request}")),
@@ -87,6 +88,7 @@
             .first_text_ms
             .map(|first| format!("first text after {first} ms")),
         Some(format!("ended after {} ms", answer.total_ms)),
+        ticket.map(|ticket| format!("ticket {ticket}")),
         end.retry_after_ms
             .map(|wait| format!("ask again in {wait} ms")),
     ];
--- a/crates/cli/src/ask/question.rs
+++ b/crates/cli/src/ask/question.rs
@@ -27,6 +27,8 @@
     pub number: u32,
     pub deadline: Duration,
     pub idempotency_key: String,
+    /// The ticket that the user has from an earlier ask.
+    pub ticket: Option<Ticket>,
     account: String,
     caller: Option<String>,
     key: Option<String>,
@@ -55,6 +57,7 @@
             number: 1,
             deadline: Duration::from_millis(options.deadline_ms),
             idempotency_key,
+            ticket: options.ticket,
             account,
             caller: options.caller.clone(),
             key,
@@ -175,6 +178,9 @@
     if options.count == 0 {
         return zero("--count");
     }
+    if options.ticket.is_some() && options.count > 1 {
+        return Err(CliError::TicketForMany);
+    }
     if options.concurrency == 0 {
         return zero("--concurrency");
     }
--- a/crates/cli/src/cli/options.rs
+++ b/crates/cli/src/cli/options.rs
@@ -1,7 +1,7 @@
 use {
     bpaf::{Bpaf, Parser, ShellComp, long},
     std::{net::SocketAddr, path::PathBuf},
-    whinlatch_wire::ids::RequestId,
+    whinlatch_wire::ids::{RequestId, Ticket},
 };
 
 const EXIT_CODES: &str = "Exit codes: 0 completed, or the files are good; 1 a daemon's answer \
@@ -14,7 +14,7 @@
 pub(crate) enum Command {
     /// Sends a prompt to a model, or calls a plain service
     #[bpaf(command)]
-    Ask(#[bpaf(external(ask_options))] AskOptions),
+    Ask(#[bpaf(external(boxed_ask_options))] Box<AskOptions>),
     /// Tells which entries to use and for how long
     #[bpaf(command)]
     Entries(#[bpaf(external(report_options))] ReportOptions),
@@ -75,9 +75,12 @@
     /// Time for the whole answer, in milliseconds
     #[bpaf(argument("MS"), fallback(60_000), display_fallback)]
     pub deadline_ms: u64,
-    /// The same key sent again never runs a service call twice; random if absent
+    /// Names a service call; the entry that gave its ticket gives it again; random if absent
     #[bpaf(argument("KEY"), optional)]
     pub idempotency_key: Option<String>,
+    /// Ticket of an earlier, unfinished ask, so that the call runs at most once
+    #[bpaf(argument("TICKET"), optional)]
+    pub ticket: Option<Ticket>,
     /// Requests to send; `{n}` in prompt, body and idempotency key becomes the request's number
     #[bpaf(argument("N"), fallback(1), display_fallback)]
     pub count: u32,
@@ -123,6 +126,10 @@
     },
 }
 
+fn boxed_ask_options() -> impl Parser<Box<AskOptions>> {
+    ask_options().map(Box::new)
+}
+
 fn entry() -> impl Parser<Vec<SocketAddr>> {
     long("entry")
         .help("Entry to ask first, IP:PORT; may be repeated. Else those of WHINLATCH_ENTRY")
--- a/crates/cli/src/cli/run.rs
+++ b/crates/cli/src/cli/run.rs
@@ -44,7 +44,7 @@
     match command {
         Command::Ask(options) => {
             let entries = EntryList::new(given(&options.entry)?);
-            ask::run(options, entries).await
+            ask::run(&options, entries).await
         }
         Command::Entries(options) => {
             print(&show_entries(&entry_list(&options)?, options.json).await?)
--- a/crates/cli/src/errors.rs
+++ b/crates/cli/src/errors.rs
@@ -45,6 +45,8 @@
     BadServiceName { name: String },
     #[error("{option} is 0: give at least 1")]
     Zero { option: &'static str },
+    #[error("--ticket is for one request: leave out --count")]
+    TicketForMany,
     #[error("{path} can't be read ({source}): check the path and its permissions")]
     File { path: PathBuf, source: io::Error },
     #[error("standard input can't be read as text ({0}): give UTF-8 text, or a file by option")]
@@ -79,6 +81,7 @@
             | Self::NotAscii { .. }
             | Self::BadServiceName { .. }
             | Self::Zero { .. }
+            | Self::TicketForMany
             | Self::File { .. }
             | Self::Stdin(_) => Exit::Usage,
         }
--- a/crates/cli/tests/cli/ask.rs
+++ b/crates/cli/tests/cli/ask.rs
@@ -151,6 +151,24 @@
         run.err
     );
     assert_eq!(other.received()[0].header("whinlatch-ticket"), Some(TICKET));
+    assert!(
+        run.err.contains(TICKET),
+        "whoever asks again needs the ticket: {}",
+        run.err
+    );
+}
+
+#[test]
+fn a_ticket_of_an_earlier_ask_is_sent_at_once() {
+    let entry = FakeEntry::start(&[], |_, _| printed_label());
+
+    let args = ["--service", "labels", "--body", "x", "--ticket", TICKET];
+    let run = ask_at(&[entry.address], &args);
+
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert_eq!(entry.received()[0].header("whinlatch-ticket"), Some(TICKET));
+    let many = [&args[..], &["--count", "2"]].concat();
+    assert_eq!(ask_at(&[entry.address], &many).code, 2);
 }
 
 /// A planner reads half a manifest: the daemon died in the middle of the stream. Taken for whole,
