--- a/crates/core/src/records/in_force.rs
+++ b/crates/core/src/records/in_force.rs
@@ -83,6 +83,14 @@
         self.targets.get(target)
     }
 
+    /// Key of the record that names a target.
+    pub fn key_of_target(&self, target: &TargetName) -> Option<&RecordKey> {
+        let mut places = self.by_key.iter();
+        let found =
+            places.find(|(_, place)| matches!(place, Place::Target(name) if name == target));
+        found.map(|(key, _)| key)
+    }
+
     /// All targets by name.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.values()
--- a/crates/core/src/records/record_store.rs
+++ b/crates/core/src/records/record_store.rs
@@ -2,7 +2,7 @@
     super::InForce,
     std::collections::BTreeMap,
     whinlatch_wire::{
-        ids::{InstanceName, RecordKey, Revision},
+        ids::{InstanceName, RecordKey, Revision, TargetName},
         peer::RecordSummary,
         record::{RecordEnvelope, RecordFault, parse_record},
         report::{RecordState, RecordStatus},
@@ -89,6 +89,12 @@
         self.newest
     }
 
+    /// Revision in force of the record that names a target.
+    pub fn revision_of_target(&self, target: &TargetName) -> Option<Revision> {
+        let key = self.in_force.key_of_target(target)?;
+        self.held.get(key)?.in_force
+    }
+
     /// Sums up what is held, to compare with a peer.
     pub fn summary(&self) -> RecordSummary {
         RecordSummary {
--- a/crates/wire/src/peer/news.rs
+++ b/crates/wire/src/peer/news.rs
@@ -129,6 +129,10 @@
     pub fingerprint: u64,
     /// Runs of targets that died while they ran it alone or as a suspect among others.
     pub deaths: Vec<Incarnation>,
-    /// How much longer this is remembered, in ms.
+    /// How much longer this is remembered, in ms. 0 says that the request completed since, so that
+    /// these deaths had another cause.
     pub keep_ms: u64,
+    /// Those of `deaths` at which nothing else was in flight.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub alone: Vec<Incarnation>,
 }
