--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,8 +1,12 @@
 //! The core: owns the aggregates and passes events to them.
 
 mod on_attempt;
+mod on_holdings;
+mod on_order;
 mod on_peer;
 mod on_platform;
+mod on_poison;
+mod on_stop;
 mod on_submit;
 mod on_target;
 mod on_tick;
@@ -18,9 +22,10 @@
         decisions::{Decision, DecisionBook, Part},
         event::Event,
         fleet::{Members, Targets},
+        orders::Orderer,
         peers::Links,
         records::RecordStore,
-        requests::{RequestTable, TicketBook},
+        requests::{HoldingWatch, PoisonBook, Refresh, RequestTable, RetryBudget, TicketBook},
         routing::Router,
         time::MonoMs,
     },
@@ -38,6 +43,9 @@
     started: MonoMs,
     last_event: MonoMs,
     leaving_since: Option<MonoMs>,
+    stopped: bool,
+    refresh: Option<Refresh>,
+    next_orders: MonoMs,
     rng: fastrand::Rng,
     records: RecordStore,
     members: Members,
@@ -47,6 +55,10 @@
     router: Router,
     requests: RequestTable,
     tickets: TicketBook,
+    retries: RetryBudget,
+    poison: PoisonBook,
+    holdings: HoldingWatch,
+    orderer: Orderer,
     book: DecisionBook,
     actions: Vec<Action>,
 }
@@ -54,11 +66,14 @@
 impl Core {
     /// State of a daemon that has just started.
     pub fn new(now: MonoMs, options: CoreOptions) -> Self {
+        let mut rng = fastrand::Rng::with_seed(options.seed);
         Self {
             started: now,
             last_event: now,
             leaving_since: None,
-            rng: fastrand::Rng::with_seed(options.seed),
+            stopped: false,
+            refresh: None,
+            next_orders: now,
             records: RecordStore::default(),
             members: Members::default(),
             targets: Targets::default(),
@@ -66,7 +81,12 @@
             platform: PlatformReader::new(now),
             router: Router,
             requests: RequestTable::default(),
-            tickets: TicketBook::new(options.incarnation),
+            tickets: TicketBook::new(options.incarnation, rng.u64(..)),
+            retries: RetryBudget::default(),
+            poison: PoisonBook::default(),
+            holdings: HoldingWatch::default(),
+            orderer: Orderer::default(),
+            rng,
             book: DecisionBook::default(),
             actions: Vec::new(),
             options,
@@ -75,19 +95,23 @@
 
     /// Takes in an event and returns what is to be done, in order.
     pub fn handle(&mut self, now: MonoMs, event: Event) -> Vec<Action> {
+        self.advance(now);
         match event {
             Event::Tick => self.on_tick(now),
             Event::Platform(event) => self.on_platform(now, event),
-            Event::PeerUp { hello } => self.on_peer_up(now, &hello),
+            Event::PeerUp { hello } => {
+                self.on_peer_up(now, &hello);
+                self.tell_leaving();
+            }
             Event::PeerFrame { from, frame } => self.on_peer_frame(now, from, &frame),
             Event::PeerDown { address, peer } => self.on_peer_down(address, peer),
             Event::Submit(submission) => self.on_submit(now, *submission),
             Event::Attempt { attempt, event } => self.on_attempt(now, attempt, event),
+            Event::ForwardEnded { request, end } => self.on_forward_ended(now, request, end),
             Event::CallerGone { request } => self.on_caller_gone(now, request),
             Event::Target { target, event } => self.on_target(now, &target, event),
             Event::Stop => self.on_stop(now),
         }
-        self.last_event = now;
         std::mem::take(&mut self.actions)
     }
 
@@ -126,6 +150,6 @@
             retry_after_ms,
             ticket: None,
         };
-        self.finish_with(now, outcome);
+        self.finish_with(now, &outcome);
     }
 }
--- a/crates/core/src/core/on_attempt.rs
+++ b/crates/core/src/core/on_attempt.rs
@@ -6,102 +6,124 @@
         action::{Action, TargetCall},
         decisions::Part,
         event::AttemptEvent,
-        requests::{Flight, TicketState},
+        requests::{AttemptEnd, Flight, Phase},
         time::MonoMs,
     },
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
         ids::{AttemptId, RequestId},
+        peer::TargetHealth,
         target::{CancelRequest, Refusal, RefusalReason},
     },
 };
 
 /// Attempts of one request, the first included.
 const MAX_ATTEMPTS: usize = 3;
+/// When a caller is told to come back after a failure that may pass, in ms.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 impl Core {
     pub(super) fn on_attempt(&mut self, now: MonoMs, attempt: AttemptId, event: AttemptEvent) {
+        // An attempt that is over has no request any more, and its late events end here.
         let Some(request) = self.requests.of_attempt(attempt) else {
             return;
         };
         match event {
-            AttemptEvent::FirstChunk => self.on_first_chunk(request),
-            AttemptEvent::Completed => {
-                self.end_attempt(attempt, true);
-                let message = "the answer is whole";
-                self.finish(
+            AttemptEvent::FirstChunk => self.requests.first_chunk(request),
+            AttemptEvent::Completed => self.on_completed(now, request, attempt),
+            AttemptEvent::NotSent => {
+                self.end_attempt(attempt, AttemptEnd::NotRun);
+                self.try_again(now, request, Reason::TargetLost, "nothing was sent");
+            }
+            AttemptEvent::Refused(refusal) if refusal.attempt == attempt => {
+                self.on_refused(now, request, &refusal);
+            }
+            // Guards against answers that cross on a reused connection: this refusal says nothing
+            // of the attempt that is in flight here, nor may it end the one that it names.
+            AttemptEvent::Refused(_) => {
+                self.stop_attempt(attempt);
+                self.try_again(
                     now,
                     request,
-                    OutcomeKind::Completed,
-                    Reason::Done,
-                    message,
-                    None,
+                    Reason::TargetFailed,
+                    "the answer was not its own",
                 );
             }
-            AttemptEvent::NotSent => {
-                self.end_attempt(attempt, false);
-                self.try_again(now, request, Reason::TargetLost, "nothing was sent");
-            }
-            AttemptEvent::Refused(refusal) => self.on_refused(now, request, &refusal),
             AttemptEvent::Broken { .. } => {
-                self.end_attempt(attempt, true);
+                self.broke_off(now, attempt);
+                self.end_attempt(attempt, AttemptEnd::MayHaveRun);
                 self.try_again(now, request, Reason::TargetLost, "the target broke off");
             }
             AttemptEvent::Silent { .. } => {
-                if let Some(flight) = self.end_attempt(attempt, true) {
-                    self.cancel(&flight);
-                }
+                self.broke_off(now, attempt);
+                self.stop_attempt(attempt);
                 self.try_again(now, request, Reason::TargetSilent, "the target is silent");
             }
             AttemptEvent::Failed { status } => {
-                self.end_attempt(attempt, true);
+                self.end_attempt(attempt, AttemptEnd::MayHaveRun);
                 let message = format!("the target failed with status {status}");
                 self.try_again(now, request, Reason::TargetFailed, &message);
             }
         }
     }
 
-    fn on_first_chunk(&mut self, request: RequestId) {
-        let flight = self
-            .requests
-            .get_mut(request)
-            .and_then(|entry| entry.flight.as_mut());
-        if let Some(flight) = flight {
-            flight.first_chunk = true;
-        }
+    fn on_completed(&mut self, now: MonoMs, request: RequestId, attempt: AttemptId) {
+        self.end_attempt(attempt, AttemptEnd::MayHaveRun);
+        self.absolve(request);
+        let message = "the answer is whole";
+        let kind = OutcomeKind::Completed;
+        self.finish(now, request, kind, Reason::Done, message, None);
     }
 
     fn on_refused(&mut self, now: MonoMs, request: RequestId, refusal: &Refusal) {
-        let Some(flight) = self.end_attempt(refusal.attempt, false) else {
+        let Some(flight) = self.end_attempt(refusal.attempt, AttemptEnd::NotRun) else {
             return;
         };
-        if refusal.reason == RefusalReason::Leaving {
-            let health = whinlatch_wire::peer::TargetHealth::Leaving;
-            if self
+        let health = TargetHealth::Leaving;
+        if refusal.reason == RefusalReason::Leaving
+            && self
                 .targets
                 .worsen(&flight.target, flight.incarnation, health)
-            {
-                self.leaves(now, &flight.target, flight.incarnation, "its refusal");
-            }
+        {
+            self.leaves(now, &flight.target, flight.incarnation, "its refusal");
+        }
+        let (reason, message) = told_of(refusal.reason);
+        self.try_again(now, request, reason, message);
+    }
+
+    pub(super) fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd) -> Option<Flight> {
+        let flight = self.requests.attempt_ended(attempt, end)?;
+        self.left_target(&flight);
+        Some(flight)
+    }
+
+    /// Ends an attempt that may go on at its target, and cancels it there.
+    fn stop_attempt(&mut self, attempt: AttemptId) {
+        if let Some(flight) = self.end_attempt(attempt, AttemptEnd::MayHaveRun) {
+            self.cancel(&flight);
         }
-        self.try_again(now, request, Reason::FleetFull, "the target refused");
     }
 
-    fn end_attempt(&mut self, attempt: AttemptId, ran: bool) -> Option<Flight> {
-        let flight = self.requests.attempt_ended(attempt, ran)?;
+    fn left_target(&mut self, flight: &Flight) {
         if let Some(state) = self.targets.get_mut(&flight.target) {
             state.in_flight = state.in_flight.saturating_sub(1);
         }
-        Some(flight)
     }
 
-    /// Routes the request once more if that is safe, else ends it.
+    /// Routes the request once more if that is safe and within the budget, else ends it with the
+    /// reason of its last failure.
     fn try_again(&mut self, now: MonoMs, request: RequestId, reason: Reason, message: &str) {
         let Some(entry) = self.requests.get(request) else {
             return;
         };
-        let safe = entry.idempotent || !entry.may_have_run;
-        if !safe || entry.tried.len() >= MAX_ATTEMPTS {
+        if !entry.may_dispatch() || entry.tried.len() >= MAX_ATTEMPTS {
+            self.give_up(now, request, reason, message);
+            return;
+        }
+        let per_mille = self.records.in_force().policy().retry_budget_per_mille;
+        if !self.retries.take(now, &entry.submission.account, per_mille) {
+            let text = "not tried again: the retry budget is spent".to_owned();
+            self.decide(now, Part::Requests, Some(request), text);
             self.give_up(now, request, reason, message);
             return;
         }
@@ -111,9 +133,50 @@
     }
 
     pub(super) fn on_caller_gone(&mut self, now: MonoMs, request: RequestId) {
+        let Some(entry) = self.requests.get(request) else {
+            return;
+        };
+        // A run that can't be had again isn't thrown away: its caller, or the one who passed it
+        // on, asks again with the ticket and gets the outcome.
+        let runs_once = !entry.idempotent && entry.flight().is_some();
+        if runs_once {
+            self.requests.caller_gone(request);
+            let text = "the caller went away, the run goes on".to_owned();
+            self.decide(now, Part::Requests, Some(request), text);
+            return;
+        }
         self.give_up(now, request, Reason::CallerGone, "the caller went away");
     }
 
+    /// Ends a request that has no whole answer, and cancels what is in flight.
+    pub(super) fn give_up(
+        &mut self,
+        now: MonoMs,
+        request: RequestId,
+        reason: Reason,
+        message: &str,
+    ) {
+        let Some(entry) = self.requests.get(request) else {
+            return;
+        };
+        let kind = self.kind_now(request);
+        let repeat =
+            kind == OutcomeKind::NotRun || entry.idempotent || may_ask_again(entry.phase());
+        let retry_after_ms = retry_after_ms(reason).filter(|_| repeat);
+        if let Some(flight) = entry.flight().cloned() {
+            self.cancel(&flight);
+        }
+        self.finish(now, request, kind, reason, message, retry_after_ms);
+    }
+
+    /// What may be said of a request that gets no further attempt.
+    pub(super) fn kind_now(&self, request: RequestId) -> OutcomeKind {
+        match self.requests.get(request) {
+            Some(entry) if entry.may_have_run() => OutcomeKind::Unknown,
+            _ => OutcomeKind::NotRun,
+        }
+    }
+
     /// Stops an attempt here and at its target.
     pub(super) fn cancel(&mut self, flight: &Flight) {
         self.act(Action::Abandon {
@@ -133,22 +196,63 @@
         });
     }
 
-    /// Ends a request with its final answer.
-    pub(super) fn finish_with(&mut self, now: MonoMs, outcome: Outcome) {
-        if let Some(entry) = self.requests.remove(outcome.request) {
-            if let Some(flight) = &entry.flight
-                && let Some(state) = self.targets.get_mut(&flight.target)
-            {
-                state.in_flight = state.in_flight.saturating_sub(1);
-            }
-            if let Some(ticket) = entry.submission.ticket {
-                self.tickets
-                    .set(now, ticket, TicketState::Ended(outcome.clone()));
-            }
+    /// Ends a request with its final answer, and those that wait for its outcome.
+    pub(super) fn finish_with(&mut self, now: MonoMs, outcome: &Outcome) {
+        let entry = self.requests.remove(outcome.request);
+        if let Some(flight) = entry.as_ref().and_then(|entry| entry.flight()) {
+            self.left_target(flight);
         }
-        self.book.close(&outcome);
+        self.book.close(outcome);
         let text = format!("ended {}: {}", outcome.outcome, outcome.message);
         self.decide(now, Part::Requests, Some(outcome.request), text);
-        self.act(Action::Finish(outcome));
+        self.act(Action::Finish(outcome.clone()));
+        if let Some(entry) = entry {
+            self.settle_ticket(now, &entry, outcome);
+        }
+    }
+}
+
+/// What the caller is told if no target takes the request.
+fn told_of(refusal: RefusalReason) -> (Reason, &'static str) {
+    match refusal {
+        RefusalReason::Full => (Reason::FleetFull, "the target is full"),
+        RefusalReason::Leaving => (Reason::NoTarget, "the target is about to leave"),
+        RefusalReason::OtherIncarnation => (Reason::NoTarget, "the target has restarted"),
+        RefusalReason::NotLoaded => (Reason::NoTarget, "the target has not loaded it"),
+        RefusalReason::Expired => (Reason::DeadlineReached, "the time was over at the target"),
+        RefusalReason::Invalid => (Reason::BadRequest, "the target finds the request invalid"),
+    }
+}
+
+/// Whether asking again helps though the outcome is not known: what runs may still be had.
+fn may_ask_again(phase: &Phase) -> bool {
+    matches!(phase, Phase::Attached | Phase::Forwarded)
+}
+
+fn retry_after_ms(reason: Reason) -> Option<u64> {
+    match reason {
+        Reason::NoRecords
+        | Reason::NoTarget
+        | Reason::DeadlineUnreachable
+        | Reason::AccountLimit
+        | Reason::FleetFull
+        | Reason::DeadlineReached
+        | Reason::TargetLost
+        | Reason::TargetSilent
+        | Reason::TargetFailed
+        | Reason::Paused => Some(RETRY_AFTER_MS),
+        Reason::Leaving => Some(0),
+        Reason::Done
+        | Reason::BadRequest
+        | Reason::TooLarge
+        | Reason::Unauthorized
+        | Reason::NotAllowed
+        | Reason::UnknownModel
+        | Reason::BadDeadline
+        | Reason::TicketNeeded
+        | Reason::TicketLost
+        | Reason::PromptTooLong
+        | Reason::Poison
+        | Reason::CallerGone => None,
     }
 }
--- a/crates/core/src/core/on_peer.rs
+++ b/crates/core/src/core/on_peer.rs
@@ -104,6 +104,11 @@
                 fresh.targets.push(target.clone());
             }
         }
+        for poison in &news.poison {
+            if self.poison.merge(now, poison) {
+                fresh.poison.push(poison.clone());
+            }
+        }
         self.links.spread(&fresh, Some(from));
     }
 
--- /dev/null
+++ b/crates/core/src/core/on_stop.rs
@@ -0,0 +1,65 @@
+//! The end of this daemon: tell the others, take nothing new, finish what is in flight.
+
+use {
+    super::Core,
+    crate::{action::Action, decisions::Part, time::MonoMs},
+    whinlatch_wire::{
+        caller::Reason,
+        ids::RequestId,
+        peer::{MemberNews, MemberState, News},
+    },
+};
+
+impl Core {
+    pub(super) fn on_stop(&mut self, now: MonoMs) {
+        if self.leaving_since.is_some() {
+            return;
+        }
+        self.leaving_since = Some(now);
+        self.decide(now, Part::Fleet, None, "this daemon is leaving".to_owned());
+        self.tell_leaving();
+    }
+
+    /// Tells linked peers that this daemon leaves, so that they no longer name it to callers.
+    pub(super) fn tell_leaving(&mut self) {
+        if self.leaving_since.is_none() {
+            return;
+        }
+        let own = MemberNews {
+            incarnation: self.options.incarnation,
+            instance: self.options.instance.clone(),
+            failure_domain: self.options.failure_domain.clone(),
+            caller_address: self.options.caller_address,
+            peer_address: self.options.peer_address,
+            version: 0,
+            state: MemberState::Leaving,
+        };
+        let members = vec![own];
+        let news = News {
+            members,
+            ..News::default()
+        };
+        self.links.spread(&news, None);
+    }
+
+    /// Whether new work is refused: callers have had the time to drop this daemon's address.
+    pub(super) fn refuses_new(&self, now: MonoMs) -> bool {
+        let ttl_ms = self.records.in_force().policy().entries_ttl_ms;
+        self.leaving_since
+            .is_some_and(|since| now.since(since) > ttl_ms)
+    }
+
+    pub(super) fn refuse_leaving(&mut self, now: MonoMs, request: RequestId) {
+        let message = "this daemon is about to leave: use another entry";
+        self.refuse(now, request, Reason::Leaving, message, Some(0));
+    }
+
+    /// Ends the daemon, once, when new work is refused and nothing is in flight.
+    pub(super) fn stop_if_idle(&mut self, now: MonoMs) {
+        if self.stopped || !self.refuses_new(now) || !self.requests.is_empty() {
+            return;
+        }
+        self.stopped = true;
+        self.act(Action::Stopped);
+    }
+}
--- a/crates/core/src/core/on_submit.rs
+++ b/crates/core/src/core/on_submit.rs
@@ -30,9 +30,9 @@
         self.book.open(now, request);
         if self.records.summary().count == 0 {
             let message = "this daemon holds no records yet: use another entry";
-            self.refuse(
+            self.refuse_at_door(
                 now,
-                request,
+                &submission,
                 Reason::NoRecords,
                 message,
                 Some(NO_TARGET_RETRY_MS),
@@ -42,49 +42,50 @@
         let (route, idempotent) = match authorize(self.records.in_force(), &submission) {
             Ok((_, route)) => (route.clone(), is_idempotent(route)),
             Err(refused) => {
-                self.refuse(now, request, refused.reason(), &refused.to_string(), None);
+                let message = refused.to_string();
+                self.refuse_at_door(now, &submission, refused.reason(), &message, None);
                 return;
             }
         };
         let max_deadline_ms = self.records.in_force().policy().max_deadline_ms;
         if submission.deadline_ms == 0 || submission.deadline_ms > max_deadline_ms {
             let message = format!("the deadline must be 1 to {max_deadline_ms} ms");
-            self.refuse(now, request, Reason::BadDeadline, &message, None);
+            self.refuse_at_door(now, &submission, Reason::BadDeadline, &message, None);
             return;
         }
-        let entry = Request {
-            accepted: now,
-            deadline: now + submission.deadline_ms,
-            idempotent,
-            route,
-            flight: None,
-            tried: Vec::new(),
-            may_have_run: false,
-            submission,
-        };
-        if idempotent {
+        let entry = Request::new(now, submission, idempotent, route);
+        if !idempotent {
+            self.submit_once(now, entry);
+        } else if self.refuses_new(now) {
+            self.refuse_leaving(now, request);
+        } else {
             self.requests.insert(entry);
             self.route(now, request);
-        } else {
-            self.submit_once(now, entry);
         }
     }
 
     /// Chooses a target and dispatches, or ends the request.
     pub(super) fn route(&mut self, now: MonoMs, request: RequestId) {
+        if !self.may_route(now, request) {
+            return;
+        }
+        let tried = self.to_avoid(now, request);
+        let alone = self.runs_alone(now, request);
         let Some(entry) = self.requests.get(request) else {
             return;
         };
         let ask = Ask {
             work: &entry.submission.work,
             route: &entry.route,
-            tried: &entry.tried,
+            tried: &tried,
+            alone,
         };
         let in_force = self.records.in_force();
         match self
             .router
             .choose(in_force, &self.targets, &ask, &mut self.rng)
         {
+            Ok(target) if self.must_wait_for(now, request, &target) => {}
             Ok(target) => self.dispatch(now, request, &target),
             Err(NoChoice::TooLong) => {
                 let message = NoChoice::TooLong.to_string();
@@ -99,14 +100,6 @@
         }
     }
 
-    /// What may be said of a request that gets no further attempt.
-    pub(super) fn kind_now(&self, request: RequestId) -> OutcomeKind {
-        match self.requests.get(request) {
-            Some(entry) if entry.may_have_run => OutcomeKind::Unknown,
-            _ => OutcomeKind::NotRun,
-        }
-    }
-
     fn dispatch(
         &mut self,
         now: MonoMs,
@@ -120,11 +113,13 @@
         let Some(incarnation) = state.incarnation else {
             return;
         };
-        state.in_flight += 1;
         let address = state.address;
         let Some(entry) = self.requests.get(request) else {
             return;
         };
+        if entry.tried.is_empty() {
+            self.retries.first(now, &entry.submission.account);
+        }
         let dispatch = Dispatch {
             request,
             attempt,
@@ -135,7 +130,7 @@
             send_before: (now + SEND_WITHIN_MS).min(entry.deadline),
             priority: USUAL_PRIORITY,
             version: None,
-            resume: entry.may_have_run,
+            resume: entry.may_have_run(),
             reservation: None,
             group: Vec::new(),
             keep_answer: entry.submission.ticket,
@@ -146,7 +141,10 @@
             incarnation,
             first_chunk: false,
         };
-        self.requests.dispatched(request, flight);
+        if !self.requests.dispatched(request, flight) {
+            return;
+        }
+        state.in_flight += 1;
         let text = format!("attempt {attempt} goes to {target}");
         self.decide(now, Part::Routing, Some(request), text);
         self.act(Action::Dispatch(Box::new(dispatch)));
--- a/crates/core/src/core/on_target.rs
+++ b/crates/core/src/core/on_target.rs
@@ -23,9 +23,9 @@
         match event {
             TargetEvent::Report(report) => self.on_report(now, target, report),
             TargetEvent::Unreachable => self.on_unreachable(now, target),
+            TargetEvent::State(state) => self.on_state(now, target, state),
+            TargetEvent::Ordered(verdict) => self.on_ordered(now, target, verdict),
             TargetEvent::Cache(_)
-            | TargetEvent::State(_)
-            | TargetEvent::Ordered(_)
             | TargetEvent::Reserved(_)
             | TargetEvent::ReserveRefused(_)
             | TargetEvent::ReserveLost(_) => {}
@@ -33,6 +33,7 @@
     }
 
     fn on_report(&mut self, now: MonoMs, target: &TargetName, report: LoadReport) {
+        self.watch_holdings(now, target, &report);
         let incarnation = report.incarnation;
         if self.targets.reported(now, target, report) {
             self.leaves(now, target, incarnation, "its own report");
@@ -40,6 +41,7 @@
     }
 
     fn on_unreachable(&mut self, now: MonoMs, target: &TargetName) {
+        self.orderer.unreachable(target);
         if self.targets.missed(target) {
             let text = format!("{target} gets nothing new: it answers no reads");
             self.decide(now, Part::Fleet, None, text);
--- a/crates/core/src/core/on_tick.rs
+++ b/crates/core/src/core/on_tick.rs
@@ -1,33 +1,45 @@
-//! Time: deadlines, heartbeats, reads that are due, a pause of the process, the end.
+//! Time: deadlines, heartbeats, reads that are due, a pause of the process.
 
 use {
     super::Core,
-    crate::{action::Action, decisions::Part, time::MonoMs},
-    whinlatch_wire::{
-        caller::{OutcomeKind, Reason},
-        ids::RequestId,
-    },
+    crate::{action::Action, decisions::Part, requests::Refresh, time::MonoMs},
+    whinlatch_wire::caller::Reason,
 };
 
 /// A gap between events after which the process is taken to have been paused, in ms.
 const PAUSE_MS: u64 = 2_000;
 
 impl Core {
-    pub(super) fn on_tick(&mut self, now: MonoMs) {
+    /// The moment by which the core must be called again, if it is before the next tick.
+    pub fn next_wake(&self) -> Option<MonoMs> {
+        self.requests.next_deadline()
+    }
+
+    /// Brings the core to `now`, before any event is looked at: the first event after a pause may
+    /// be any, and a deadline may pass between two ticks.
+    pub(super) fn advance(&mut self, now: MonoMs) {
         let gap_ms = now.since(self.last_event);
+        self.last_event = now;
+        self.expire(now);
         if gap_ms > PAUSE_MS {
-            let text = format!("the process was paused for {gap_ms} ms");
+            let text = format!("the process was paused for {gap_ms} ms: the view is stale");
             self.decide(now, Part::Fleet, None, text);
+            self.refresh = Some(Refresh::new(now));
+            self.orderer.forget();
         }
-        self.expire(now);
+    }
+
+    pub(super) fn on_tick(&mut self, now: MonoMs) {
         self.read_platform(now);
         self.read_reports(now);
         self.open_links(now);
         self.beat(now);
-        for ticket in self.tickets.forget_old(now) {
-            self.act(Action::ForgetAnswer { ticket });
-        }
-        self.stop_if_idle();
+        self.end_refresh(now);
+        self.settle_poison(now);
+        self.route_held(now);
+        self.give_orders(now);
+        self.forget_old(now);
+        self.stop_if_idle(now);
     }
 
     fn expire(&mut self, now: MonoMs) {
@@ -36,46 +48,32 @@
         }
     }
 
-    /// Ends a request that has no whole answer, and cancels what is in flight.
-    pub(super) fn give_up(
-        &mut self,
-        now: MonoMs,
-        request: RequestId,
-        reason: Reason,
-        message: &str,
-    ) {
-        let Some(entry) = self.requests.get(request) else {
+    /// Ends a refresh. What didn't answer is held to be gone until it does.
+    fn end_refresh(&mut self, now: MonoMs) {
+        let Some(refresh) = self.refresh else {
             return;
         };
-        let kind = if entry.may_have_run {
-            OutcomeKind::Unknown
-        } else {
-            OutcomeKind::NotRun
-        };
-        if let Some(flight) = entry.flight.clone() {
-            self.cancel(&flight);
-        }
-        self.finish(now, request, kind, reason, message, None);
-    }
-
-    pub(super) fn on_stop(&mut self, now: MonoMs) {
-        if self.leaving_since.is_some() {
+        if !refresh.is_over(now, &self.targets, &self.members) {
             return;
         }
-        self.leaving_since = Some(now);
-        self.decide(now, Part::Fleet, None, "this daemon is leaving".to_owned());
-        self.stop_if_idle();
+        for target in refresh.unheard(&self.targets) {
+            if let Some(state) = self.targets.get_mut(&target) {
+                state.incarnation = None;
+            }
+        }
+        self.refresh = None;
+        let text = format!("the view is fresh after {} ms", now.since(refresh.since()));
+        self.decide(now, Part::Fleet, None, text);
     }
 
-    /// Ends the daemon when callers have had time to drop its address and nothing is in flight.
-    fn stop_if_idle(&mut self) {
-        let Some(since) = self.leaving_since else {
-            return;
-        };
-        let ttl_ms = self.records.in_force().policy().entries_ttl_ms;
-        let forgotten = self.last_event.since(since) > ttl_ms;
-        if forgotten && self.requests.is_empty() {
-            self.act(Action::Stopped);
+    fn forget_old(&mut self, now: MonoMs) {
+        for ticket in self.tickets.forget_old(now) {
+            self.act(Action::ForgetAnswer { ticket });
         }
+        self.poison.forget_old(now);
+        self.retries.forget_idle(now);
+        let in_force = self.records.in_force();
+        self.holdings
+            .retain(|target| in_force.target(target).is_some());
     }
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -46,6 +46,13 @@
         /// What became of it.
         event: AttemptEvent,
     },
+    /// A request that was passed on to its ticket's home is over.
+    ForwardEnded {
+        /// The request.
+        request: RequestId,
+        /// How it ended.
+        end: ForwardEnd,
+    },
     /// The caller of a request closed its connection.
     CallerGone {
         /// The request.
@@ -62,6 +69,15 @@
     Stop,
 }
 
+/// What became of a request that was passed on to its ticket's home.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardEnd {
+    /// The home's answer was passed back whole.
+    Answered,
+    /// The home could not be reached, or its answer broke off.
+    Lost,
+}
+
 /// An answer of the platform.
 #[derive(Debug, Clone)]
 pub enum PlatformEvent {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,6 @@
 pub use {
     crate::core::{Core, CoreOptions},
     action::{Action, Dispatch, TargetCall},
-    event::{AttemptEvent, Event, PlatformEvent, Submission, TargetEvent, Work},
+    event::{AttemptEvent, Event, ForwardEnd, PlatformEvent, Submission, TargetEvent, Work},
     time::MonoMs,
 };
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -1,9 +1,27 @@
 //! Requests in flight, their attempts, and the tickets of those that may not be repeated.
 
+mod attempt_end;
+mod casualties;
+mod holdings;
+mod issued_keys;
+mod poison_book;
+mod refresh;
+mod request;
 mod request_table;
+mod retry_budget;
 mod ticket_book;
 
 pub use {
-    request_table::{Flight, Request, RequestTable},
-    ticket_book::{TicketBook, TicketState},
+    attempt_end::AttemptEnd,
+    holdings::{Fault, HoldingWatch, is_overdue},
+    poison_book::{Fate, PoisonBook, Standing},
+    refresh::Refresh,
+    request::{Flight, Phase, Request},
+    request_table::RequestTable,
+    retry_budget::RetryBudget,
+    ticket_book::{Claim, NoTicket, TicketBook},
+};
+use {
+    casualties::Casualties,
+    issued_keys::{IssuedKeys, KeyUse},
 };
--- /dev/null
+++ b/crates/core/src/requests/issued_keys.rs
@@ -0,0 +1,88 @@
+use {
+    super::NoTicket,
+    std::collections::HashMap,
+    whinlatch_wire::ids::{AccountName, Incarnation, Ticket},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Idempotency keys kept for one account.
+const MAX_PER_ACCOUNT: u32 = 50_000;
+/// Idempotency keys kept for all accounts.
+const MAX_IN_ALL: usize = 400_000;
+
+/// What an idempotency key stands for.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KeyUse {
+    pub(super) number: u64,
+    pub(super) fingerprint: u64,
+}
+
+impl KeyUse {
+    pub(super) fn ticket_for(
+        self,
+        home: Incarnation,
+        fingerprint: u64,
+    ) -> Result<Ticket, NoTicket> {
+        if self.fingerprint != fingerprint {
+            return Err(NoTicket::OtherRequest);
+        }
+        Ok(Ticket {
+            home,
+            number: self.number,
+        })
+    }
+}
+
+/// The idempotency keys whose tickets were used, for as long as the home lives.
+///
+/// Guards against a second run long after the first: were a key forgotten with its ticket, a
+/// caller that asks again would get a new ticket and a second label. The keys outlive the
+/// tickets, as hashes. When there are too many, new keys are refused; none is forgotten.
+#[derive(Debug)]
+pub(super) struct IssuedKeys {
+    secret: u64,
+    keys: HashMap<u64, KeyUse>,
+    per_account: HashMap<AccountName, u32>,
+}
+
+impl IssuedKeys {
+    pub(super) fn new(secret: u64) -> Self {
+        Self {
+            secret,
+            keys: HashMap::new(),
+            per_account: HashMap::new(),
+        }
+    }
+
+    /// Hash of a key within its account.
+    pub(super) fn hash_of(&self, account: &AccountName, key: &str) -> u64 {
+        let seed = xxh3_64_with_seed(account.as_str().as_bytes(), self.secret);
+        xxh3_64_with_seed(key.as_bytes(), seed)
+    }
+
+    pub(super) fn get(&self, key: u64) -> Option<KeyUse> {
+        self.keys.get(&key).copied()
+    }
+
+    pub(super) fn is_full(&self, account: &AccountName) -> bool {
+        let held = self.per_account.get(account).copied().unwrap_or(0);
+        held >= MAX_PER_ACCOUNT || self.keys.len() >= MAX_IN_ALL
+    }
+
+    pub(super) fn insert(&mut self, key: u64, account: &AccountName, known: KeyUse) {
+        self.keys.insert(key, known);
+        *self.per_account.entry(account.clone()).or_default() += 1;
+    }
+
+    pub(super) fn remove(&mut self, key: u64, account: &AccountName) {
+        if self.keys.remove(&key).is_none() {
+            return;
+        }
+        if let Some(held) = self.per_account.get_mut(account) {
+            *held -= 1;
+            if *held == 0 {
+                self.per_account.remove(account);
+            }
+        }
+    }
+}
--- a/crates/core/src/requests/request_table.rs
+++ b/crates/core/src/requests/request_table.rs
@@ -1,57 +1,25 @@
 use {
-    crate::{event::Submission, time::MonoMs},
-    std::collections::HashMap,
-    whinlatch_wire::{
-        ids::{AttemptId, Incarnation, RequestId, TargetName},
-        record::RouteRecord,
-    },
+    super::{AttemptEnd, Flight, Phase, Request},
+    crate::time::MonoMs,
+    std::collections::{BTreeSet, HashMap},
+    whinlatch_wire::ids::{AttemptId, RequestId, TargetName},
 };
 
-/// A request that has no final answer yet.
-#[derive(Debug, Clone)]
-pub struct Request {
-    /// What was asked for.
-    pub submission: Submission,
-    /// When it was taken in.
-    pub accepted: MonoMs,
-    /// When the whole answer is due.
-    pub deadline: MonoMs,
-    /// Whether it may be run more than once.
-    pub idempotent: bool,
-    /// The route that allowed it when it was taken in.
-    pub route: RouteRecord,
-    /// The attempt in flight, if any.
-    pub flight: Option<Flight>,
-    /// Targets that were tried, in order.
-    pub tried: Vec<TargetName>,
-    /// Whether any attempt may have begun to run.
-    pub may_have_run: bool,
-}
-
-/// An attempt in flight.
-#[derive(Debug, Clone)]
-pub struct Flight {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The target.
-    pub target: TargetName,
-    /// Its run.
-    pub incarnation: Incarnation,
-    /// Whether the first chunk came.
-    pub first_chunk: bool,
-}
-
 /// The requests that this daemon answers for.
 #[derive(Debug, Default)]
 pub struct RequestTable {
     by_id: HashMap<RequestId, Request>,
     by_attempt: HashMap<AttemptId, RequestId>,
+    by_deadline: BTreeSet<(MonoMs, RequestId)>,
+    held: BTreeSet<RequestId>,
 }
 
 impl RequestTable {
     /// Takes in a request.
     pub fn insert(&mut self, request: Request) {
-        self.by_id.insert(request.submission.request, request);
+        let id = request.submission.request;
+        self.by_deadline.insert((request.deadline, id));
+        self.by_id.insert(id, request);
     }
 
     /// A request by id.
@@ -59,53 +27,119 @@
         self.by_id.get(&request)
     }
 
-    /// A request by id, to change.
-    pub fn get_mut(&mut self, request: RequestId) -> Option<&mut Request> {
-        self.by_id.get_mut(&request)
-    }
-
-    /// The request of an attempt.
+    /// The request of an attempt in flight; `None` for the late events of one that is over.
     pub fn of_attempt(&self, attempt: AttemptId) -> Option<RequestId> {
         self.by_attempt.get(&attempt).copied()
     }
 
     /// Marks a request as dispatched. This comes before the first byte is written, so that
-    /// `not_run` is never said of a request whose bytes may be on their way.
-    pub fn dispatched(&mut self, request: RequestId, flight: Flight) {
+    /// `not_run` is never said of a request whose bytes may be on their way. Returns `false`, and
+    /// changes nothing, if no attempt may be dispatched.
+    pub fn dispatched(&mut self, request: RequestId, flight: Flight) -> bool {
         let Some(entry) = self.by_id.get_mut(&request) else {
-            return;
+            return false;
         };
-        entry.may_have_run = true;
-        entry.tried.push(flight.target.clone());
+        if !entry.may_dispatch() {
+            return false;
+        }
+        self.held.remove(&request);
         self.by_attempt.insert(flight.attempt, request);
-        entry.flight = Some(flight);
+        entry.begin(flight);
+        true
     }
 
-    /// Ends the attempt in flight. `ran` is false only if the target refused or nothing was sent.
-    pub fn attempt_ended(&mut self, attempt: AttemptId, ran: bool) -> Option<Flight> {
+    /// Notes that the first chunk came.
+    pub fn first_chunk(&mut self, request: RequestId) {
+        if let Some(Phase::InFlight(flight)) = self.by_id.get_mut(&request).map(|e| &mut e.phase) {
+            flight.first_chunk = true;
+        }
+    }
+
+    /// Ends the attempt in flight.
+    pub fn attempt_ended(&mut self, attempt: AttemptId, end: AttemptEnd) -> Option<Flight> {
         let request = self.by_attempt.remove(&attempt)?;
-        let entry = self.by_id.get_mut(&request)?;
-        if !ran {
-            entry.may_have_run = false;
+        self.by_id.get_mut(&request)?.end_attempt(end)
+    }
+
+    /// Keeps a queued request back until [`Self::held`] is routed again. Returns whether it was
+    /// not kept back before.
+    pub fn hold(&mut self, request: RequestId) -> bool {
+        match self.by_id.get_mut(&request) {
+            Some(entry) if matches!(entry.phase, Phase::Queued) => {
+                entry.phase = Phase::Held;
+                self.held.insert(request)
+            }
+            _ => false,
+        }
+    }
+
+    /// Requests that are kept back, in a fixed order.
+    pub fn held(&self) -> Vec<RequestId> {
+        self.held.iter().copied().collect()
+    }
+
+    /// Lets a request wait for the one that runs under its ticket.
+    pub fn attach(&mut self, mut request: Request) {
+        request.phase = Phase::Attached;
+        self.insert(request);
+    }
+
+    /// Lets a request wait for the answer of its ticket's home.
+    pub fn forward(&mut self, mut request: Request) {
+        request.phase = Phase::Forwarded;
+        self.insert(request);
+    }
+
+    /// Notes that the caller went away though the request goes on.
+    pub fn caller_gone(&mut self, request: RequestId) {
+        if let Some(entry) = self.by_id.get_mut(&request) {
+            entry.caller_gone = true;
         }
-        entry.flight.take()
     }
 
     /// Ends a request.
     pub fn remove(&mut self, request: RequestId) -> Option<Request> {
         let entry = self.by_id.remove(&request)?;
-        if let Some(flight) = &entry.flight {
+        self.by_deadline.remove(&(entry.deadline, request));
+        self.held.remove(&request);
+        if let Some(flight) = entry.flight() {
             self.by_attempt.remove(&flight.attempt);
         }
         Some(entry)
     }
 
-    /// Requests whose deadline has passed.
+    /// Requests whose deadline has passed, earliest first.
     pub fn overdue(&self, now: MonoMs) -> Vec<RequestId> {
-        self.by_id
+        self.by_deadline
             .iter()
-            .filter(|(_, entry)| entry.deadline <= now)
-            .map(|(request, _)| *request)
+            .take_while(|(deadline, _)| *deadline <= now)
+            .map(|(_, request)| *request)
+            .collect()
+    }
+
+    /// The next deadline.
+    pub fn next_deadline(&self) -> Option<MonoMs> {
+        self.by_deadline.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Requests with an attempt in flight.
+    pub fn in_flight(&self) -> impl Iterator<Item = &Request> {
+        self.by_attempt
+            .values()
+            .filter_map(|request| self.by_id.get(request))
+    }
+
+    /// Requests with an attempt in flight at a target.
+    pub fn at_target(&self, target: &TargetName) -> impl Iterator<Item = &Request> {
+        self.in_flight()
+            .filter(move |entry| entry.flight().is_some_and(|f| f.target == *target))
+    }
+
+    /// Targets with attempts in flight, each once.
+    pub fn targets_in_use(&self) -> BTreeSet<&TargetName> {
+        self.in_flight()
+            .filter_map(Request::flight)
+            .map(|flight| &flight.target)
             .collect()
     }
 
--- a/crates/core/src/routing/ask.rs
+++ b/crates/core/src/routing/ask.rs
@@ -11,8 +11,12 @@
     pub work: &'a Work,
     /// The route that allows it.
     pub route: &'a RouteRecord,
-    /// Targets that were tried already.
+    /// Targets that were tried already, or are to be avoided for another reason; none of them is
+    /// chosen if another target exists.
     pub tried: &'a [TargetName],
+    /// Whether the request may crash its target: one with nothing in flight is chosen if there is
+    /// one.
+    pub alone: bool,
 }
 
 /// Why there is no target.
--- /dev/null
+++ b/crates/core/tests/orders_engines.rs
@@ -0,0 +1,275 @@
+//! Orders to engines: what the records ask for, from one sender at a time, and safe from two.
+
+mod requests_fixture;
+
+use {
+    requests_fixture::{Bench, ENGINES, engine, envelope, records, run_of},
+    std::collections::BTreeMap,
+    whinlatch_core::{Action, Event, TargetCall, TargetEvent},
+    whinlatch_wire::{
+        ids::{Incarnation, Revision},
+        peer::{MemberState, News},
+        record::ServedModel,
+        target::{EngineMode, EngineState, Order, OrderVerdict},
+    },
+};
+
+/// Time that a fake engine takes to load, in ms.
+const LOAD_MS: u64 = 2_000;
+/// An engine that was changed by a late order is right again after this, in ms.
+const CORRECTED_MS: u64 = 2_000 + 2 * LOAD_MS;
+
+fn served(version: u32) -> Vec<ServedModel> {
+    vec![ServedModel {
+        model: "m".into(),
+        adapter: None,
+        version,
+    }]
+}
+
+/// An engine that ignores fences, as some do.
+struct Engine {
+    state: EngineState,
+    loads: Option<(u64, Vec<ServedModel>)>,
+}
+
+impl Engine {
+    fn order(&mut self, now: u64, order: &Order) -> OrderVerdict {
+        if self.state.busy {
+            return OrderVerdict::Busy;
+        }
+        self.state.fence = self.state.fence.max(order.fence);
+        if self.state.models == order.models {
+            return OrderVerdict::Holds;
+        }
+        self.state.busy = true;
+        self.state.orders_begun += 1;
+        self.loads = Some((now + LOAD_MS, order.models.clone()));
+        OrderVerdict::Begun
+    }
+
+    fn work(&mut self, now: u64) {
+        if let Some((_, models)) = self.loads.take_if(|(until, _)| *until <= now) {
+            self.state.models = models;
+            self.state.busy = false;
+        }
+    }
+}
+
+struct Fleet {
+    daemons: Vec<Bench>,
+    engines: BTreeMap<String, Engine>,
+    orders: Vec<(String, Order)>,
+    most_loading: usize,
+}
+
+fn fleet(daemons: u128) -> Fleet {
+    let engines = ENGINES.iter().map(|name| {
+        let state = EngineState {
+            incarnation: run_of(name),
+            models: served(1),
+            mode: EngineMode::Both,
+            busy: false,
+            fence: Revision(0),
+            orders_begun: 0,
+        };
+        ((*name).to_owned(), Engine { state, loads: None })
+    });
+    let daemons = (0xA..0xA + daemons).map(|own| {
+        let mut bench = Bench::empty(Incarnation(own));
+        bench.publish(records().iter());
+        for peer in (0xA..0xA + daemons).filter(|peer| *peer != own) {
+            bench.link(Incarnation(peer));
+        }
+        bench
+    });
+    Fleet {
+        daemons: daemons.collect(),
+        engines: engines.collect(),
+        orders: Vec::new(),
+        most_loading: 0,
+    }
+}
+
+impl Fleet {
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            for index in 0..self.daemons.len() {
+                self.daemons[index].now += 50;
+                self.daemons[index].report_all();
+                self.keep_links(index);
+                let actions = self.daemons[index].event(Event::Tick);
+                self.carry_out(index, &actions);
+            }
+            let now = self.daemons[0].now;
+            self.engines
+                .values_mut()
+                .for_each(|engine| engine.work(now));
+            let loading = self.engines.values().filter(|e| e.state.busy).count();
+            self.most_loading = self.most_loading.max(loading);
+        }
+    }
+
+    fn keep_links(&mut self, index: usize) {
+        let count = self.daemons.len() as u128;
+        for peer in (0xA..0xA + count).filter(|peer| *peer != 0xA + index as u128) {
+            self.daemons[index].news(Incarnation(peer), News::default());
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, actions: &[Action]) {
+        for (target, call) in requests_fixture::calls(actions) {
+            let now = self.daemons[0].now;
+            let Some(engine) = self.engines.get_mut(&target) else {
+                continue;
+            };
+            let event = match call {
+                TargetCall::State => TargetEvent::State(engine.state.clone()),
+                TargetCall::Order { order, send_before } => {
+                    assert!(send_before.0 > self.daemons[index].now, "sent though stale");
+                    self.orders.push((target.clone(), order.clone()));
+                    TargetEvent::Ordered(engine.order(now, &order))
+                }
+                _ => continue,
+            };
+            let target = target.as_str().into();
+            let more = self.daemons[index].event(Event::Target { target, event });
+            self.carry_out(index, &more);
+        }
+    }
+
+    fn publish(&mut self, index: usize, version: u32, revision: u64) {
+        let values = ENGINES.map(|name| engine(name, &[version]));
+        let page = ENGINES.iter().zip(&values);
+        let page = page.map(|(name, value)| envelope(name, revision, Some(value)));
+        self.daemons[index].publish_page(page.collect());
+    }
+
+    /// Each of two daemons holds the other to be dead.
+    fn split(&mut self) {
+        for (daemon, other) in self.daemons.iter_mut().zip([0xB, 0xA]) {
+            daemon.tell_member(Incarnation(0xC), Incarnation(other), MemberState::Dead);
+        }
+    }
+
+    fn versions(&self) -> Vec<u32> {
+        let versions = self
+            .engines
+            .values()
+            .map(|engine| engine.state.models[0].version);
+        versions.collect()
+    }
+}
+
+/// Operators publish version 2 and the engines go on serving version 1: nobody tells them.
+#[test]
+fn engines_reach_what_the_records_ask_for_with_one_order_each() {
+    let mut fleet = fleet(3);
+    for index in 0..3 {
+        fleet.publish(index, 2, 100);
+    }
+
+    fleet.pass(30_000);
+
+    assert_eq!(fleet.versions(), [2; 4]);
+    assert_eq!(fleet.orders.len(), ENGINES.len());
+    assert!(
+        fleet
+            .orders
+            .iter()
+            .all(|(_, order)| order.fence == Revision(100))
+    );
+}
+
+#[test]
+fn an_engine_that_has_what_it_should_gets_no_order() {
+    let mut fleet = fleet(2);
+
+    fleet.pass(10_000);
+
+    assert!(fleet.orders.is_empty());
+}
+
+/// An engine serves the old version for good. A daemon that was frozen sends its old order late,
+/// and the engine ignores fences.
+#[test]
+fn a_late_order_of_an_older_record_is_corrected_within_the_bound() {
+    let mut fleet = fleet(2);
+    fleet.publish(0, 2, 100);
+    fleet.publish(1, 2, 100);
+    fleet.pass(30_000);
+    let now = fleet.daemons[0].now;
+    let late = Order {
+        fence: Revision(9),
+        expect_incarnation: run_of("e1"),
+        models: served(1),
+        mode: EngineMode::Both,
+    };
+
+    let verdict = fleet
+        .engines
+        .get_mut("e1")
+        .expect("an engine")
+        .order(now, &late);
+    fleet.pass(CORRECTED_MS);
+
+    assert_eq!(verdict, OrderVerdict::Begun);
+    assert_eq!(fleet.versions(), [2; 4]);
+}
+
+/// Engines load and unload without end: a daemon that lacks the newest records orders the old
+/// version, one that has them the new, and the engines ignore fences.
+#[test]
+fn a_daemon_with_older_records_does_not_fight_one_with_newer() {
+    let mut fleet = fleet(2);
+    fleet.split();
+    fleet.publish(0, 2, 100);
+    fleet.publish(1, 1, 50);
+
+    fleet.pass(120_000);
+
+    assert_eq!(fleet.versions(), [2; 4]);
+    let begun: u64 = fleet.engines.values().map(|e| e.state.orders_begun).sum();
+    assert!(begun <= 2 * ENGINES.len() as u64, "{begun} orders");
+}
+
+#[test]
+fn two_daemons_that_both_rank_first_do_no_harm() {
+    let mut fleet = fleet(2);
+    fleet.split();
+    fleet.publish(0, 2, 100);
+    fleet.publish(1, 2, 100);
+
+    fleet.pass(30_000);
+
+    assert_eq!(fleet.versions(), [2; 4]);
+    let begun: u64 = fleet.engines.values().map(|e| e.state.orders_begun).sum();
+    assert_eq!(begun, ENGINES.len() as u64);
+}
+
+/// All engines fetch weights at once and the weight store's limit makes each of them slow.
+#[test]
+fn one_daemon_lets_one_engine_load_at_a_time() {
+    let mut fleet = fleet(1);
+    fleet.publish(0, 2, 100);
+
+    fleet.pass(30_000);
+
+    assert_eq!(fleet.versions(), [2; 4]);
+    assert_eq!(fleet.most_loading, 1);
+}
+
+#[test]
+fn a_woken_daemon_sends_no_order_before_it_has_read_the_state_again() {
+    let mut fleet = fleet(1);
+    fleet.pass(2_000);
+    fleet.publish(0, 2, 100);
+    fleet.daemons[0].now += 30_000;
+
+    let woken = fleet.daemons[0].event(Event::Tick);
+
+    let ordered = requests_fixture::calls(&woken)
+        .iter()
+        .any(|(_, call)| matches!(call, TargetCall::Order { .. }));
+    assert!(!ordered);
+}
--- /dev/null
+++ b/crates/core/tests/requests_truth.rs
@@ -0,0 +1,120 @@
+//! What callers are told of attempts that failed, and when.
+
+mod requests_fixture;
+
+use {
+    requests_fixture::{ENGINES, bench, dispatches, finished},
+    whinlatch_core::{AttemptEvent, Event},
+    whinlatch_wire::{
+        caller::{OutcomeKind, Reason},
+        target::{Refusal, RefusalReason},
+    },
+};
+
+/// A caller is told `not_run` of a prompt that an engine has run. The first engine breaks off in
+/// the midst of the answer, the next ones are full and refuse. The last refusal was taken for the
+/// whole truth.
+#[test]
+fn a_refusal_does_not_hide_an_earlier_attempt_that_may_have_run() {
+    let mut bench = bench();
+    let prompt = bench.prompt(1);
+    let mut actions = bench.submit(prompt);
+    let first = dispatches(&actions)[0].attempt;
+    actions = bench.attempt(first, AttemptEvent::Broken { chunks: 2 });
+
+    while let Some(next) = dispatches(&actions).first() {
+        actions = bench.refuse(next.attempt, RefusalReason::Full);
+    }
+
+    assert_eq!(finished(&actions)[0].outcome, OutcomeKind::Unknown);
+}
+
+#[test]
+fn only_refusals_and_unsent_attempts_are_told_as_not_run_with_a_time_to_come_back() {
+    let mut bench = bench();
+    let prompt = bench.prompt(1);
+    let mut actions = bench.submit(prompt);
+    let first = dispatches(&actions)[0].attempt;
+    actions = bench.attempt(first, AttemptEvent::NotSent);
+
+    while let Some(next) = dispatches(&actions).first() {
+        actions = bench.refuse(next.attempt, RefusalReason::Full);
+    }
+
+    let outcome = &finished(&actions)[0];
+    assert_eq!(
+        (outcome.outcome, outcome.reason),
+        (OutcomeKind::NotRun, Reason::FleetFull)
+    );
+    assert!(outcome.retry_after_ms.is_some());
+}
+
+/// A caller's request ends as refused though its engine works on it. Answers cross on a reused
+/// connection: the refusal of one attempt comes on the connection of another. The id in the
+/// refusal was believed over the connection's.
+#[test]
+fn a_crossed_refusal_ends_no_other_request() {
+    let mut bench = bench();
+    let (one, two) = (bench.prompt(1), bench.prompt(2));
+    let on_one = dispatches(&bench.submit(one.clone()))[0].attempt;
+    let on_two = dispatches(&bench.submit(two))[0].attempt;
+    let crossed = Refusal {
+        attempt: on_one,
+        reason: RefusalReason::Invalid,
+        retry_after_ms: None,
+    };
+
+    bench.attempt(on_two, AttemptEvent::Refused(crossed));
+    let actions = bench.attempt(on_one, AttemptEvent::Completed);
+
+    assert_eq!(finished(&actions)[0].request, one.request);
+    assert_eq!(finished(&actions)[0].outcome, OutcomeKind::Completed);
+}
+
+/// A request is sent to an engine after its caller's time is over. The daemon is busy, so the
+/// failure of the first attempt is read before the tick that would end the request.
+#[test]
+fn an_event_after_the_deadline_finds_the_request_ended() {
+    let mut bench = bench();
+    let prompt = bench.prompt(1);
+    let actions = bench.submit(prompt);
+    let attempt = dispatches(&actions)[0].attempt;
+    bench.pass(59_900);
+    bench.now += 200;
+
+    let actions = bench.attempt(attempt, AttemptEvent::NotSent);
+
+    assert!(dispatches(&actions).is_empty());
+    assert_eq!(finished(&actions)[0].reason, Reason::DeadlineReached);
+}
+
+#[test]
+fn a_cancelled_attempt_is_unknown_and_its_late_answer_is_dropped() {
+    let mut bench = bench();
+    let prompt = bench.prompt(1);
+    let request = prompt.request;
+    let attempt = dispatches(&bench.submit(prompt))[0].attempt;
+
+    let gone = bench.event(Event::CallerGone { request });
+    let late = bench.attempt(attempt, AttemptEvent::Completed);
+
+    assert_eq!(finished(&gone)[0].outcome, OutcomeKind::Unknown);
+    assert!(late.is_empty());
+}
+
+#[test]
+fn an_engine_that_refused_is_not_asked_again_while_another_exists() {
+    let mut bench = bench();
+    let prompt = bench.prompt(1);
+    let mut actions = bench.submit(prompt);
+    let mut tried = Vec::new();
+
+    while let Some(next) = dispatches(&actions).first() {
+        tried.push(next.target.clone());
+        actions = bench.refuse(next.attempt, RefusalReason::Full);
+    }
+
+    tried.sort();
+    tried.dedup();
+    assert!(tried.len() == 3 && ENGINES.len() > 3, "tried {tried:?}");
+}
