--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,6 +1,7 @@
 //! The core: owns the aggregates and passes events to them.
 
 mod on_attempt;
+mod on_group;
 mod on_holdings;
 mod on_order;
 mod on_peer;
@@ -24,6 +25,7 @@
         fleet::{Members, Targets},
         orders::Orderer,
         peers::Links,
+        placement::Groups,
         records::RecordStore,
         requests::{HoldingWatch, PoisonBook, Refresh, RequestTable, RetryBudget, TicketBook},
         routing::Router,
@@ -53,6 +55,7 @@
     links: Links,
     platform: PlatformReader,
     router: Router,
+    groups: Groups,
     requests: RequestTable,
     tickets: TicketBook,
     retries: RetryBudget,
@@ -80,6 +83,7 @@
             links: Links::default(),
             platform: PlatformReader::new(now),
             router: Router,
+            groups: Groups::default(),
             requests: RequestTable::default(),
             tickets: TicketBook::new(options.incarnation, rng.u64(..)),
             retries: RetryBudget::default(),
--- a/crates/core/src/core/on_attempt.rs
+++ b/crates/core/src/core/on_attempt.rs
@@ -98,7 +98,7 @@
     }
 
     /// Ends an attempt that may go on at its target, and cancels it there.
-    fn stop_attempt(&mut self, attempt: AttemptId) {
+    pub(super) fn stop_attempt(&mut self, attempt: AttemptId) {
         if let Some(flight) = self.end_attempt(attempt, AttemptEnd::MayHaveRun) {
             self.cancel(&flight);
         }
@@ -112,7 +112,13 @@
 
     /// Routes the request once more if that is safe and within the budget, else ends it with the
     /// reason of its last failure.
-    fn try_again(&mut self, now: MonoMs, request: RequestId, reason: Reason, message: &str) {
+    pub(super) fn try_again(
+        &mut self,
+        now: MonoMs,
+        request: RequestId,
+        reason: Reason,
+        message: &str,
+    ) {
         let Some(entry) = self.requests.get(request) else {
             return;
         };
@@ -198,6 +204,7 @@
 
     /// Ends a request with its final answer, and those that wait for its outcome.
     pub(super) fn finish_with(&mut self, now: MonoMs, outcome: &Outcome) {
+        self.release_group(outcome.request);
         let entry = self.requests.remove(outcome.request);
         if let Some(flight) = entry.as_ref().and_then(|entry| entry.flight()) {
             self.left_target(flight);
--- a/crates/core/src/core/on_holdings.rs
+++ b/crates/core/src/core/on_holdings.rs
@@ -41,10 +41,12 @@
     }
 
     fn fault_of(&self, holding: &Holding) -> Option<Fault> {
-        if holding.owner == self.options.incarnation
-            && !holding.reservation
-            && self.requests.of_attempt(holding.attempt).is_none()
-        {
+        let known = if holding.reservation {
+            self.groups.of_reservation(holding.attempt).is_some()
+        } else {
+            self.requests.of_attempt(holding.attempt).is_some()
+        };
+        if holding.owner == self.options.incarnation && !known {
             return Some(Fault::Over);
         }
         if is_overdue(holding) {
--- a/crates/core/src/core/on_submit.rs
+++ b/crates/core/src/core/on_submit.rs
@@ -87,10 +87,7 @@
         {
             Ok(target) if self.must_wait_for(now, request, &target) => {}
             Ok(target) => self.dispatch(now, request, &target),
-            Err(NoChoice::TooLong) => {
-                let message = NoChoice::TooLong.to_string();
-                self.give_up(now, request, Reason::PromptTooLong, &message);
-            }
+            Err(NoChoice::TooLong) => self.place(now, request),
             Err(NoChoice::NoneLive) => {
                 let message = NoChoice::NoneLive.to_string();
                 let retry = Some(NO_TARGET_RETRY_MS);
@@ -100,7 +97,7 @@
         }
     }
 
-    fn dispatch(
+    pub(super) fn dispatch(
         &mut self,
         now: MonoMs,
         request: RequestId,
@@ -120,6 +117,7 @@
         if entry.tried.is_empty() {
             self.retries.first(now, &entry.submission.account);
         }
+        let group = self.groups.get(request);
         let dispatch = Dispatch {
             request,
             attempt,
@@ -131,8 +129,8 @@
             priority: USUAL_PRIORITY,
             version: None,
             resume: entry.may_have_run(),
-            reservation: None,
-            group: Vec::new(),
+            reservation: group.and_then(|group| group.reservation_at(target)),
+            group: group.map_or_else(Vec::new, |group| group.members(target)),
             keep_answer: entry.submission.ticket,
         };
         let flight = Flight {
--- a/crates/core/src/core/on_target.rs
+++ b/crates/core/src/core/on_target.rs
@@ -25,10 +25,14 @@
             TargetEvent::Unreachable => self.on_unreachable(now, target),
             TargetEvent::State(state) => self.on_state(now, target, state),
             TargetEvent::Ordered(verdict) => self.on_ordered(now, target, verdict),
-            TargetEvent::Cache(_)
-            | TargetEvent::Reserved(_)
-            | TargetEvent::ReserveRefused(_)
-            | TargetEvent::ReserveLost(_) => {}
+            TargetEvent::Reserved(reservation) => self.on_reserved(now, target, reservation),
+            TargetEvent::ReserveRefused(reservation) => {
+                self.on_not_reserved(now, target, reservation, "refuses to set memory aside");
+            }
+            TargetEvent::ReserveLost(reservation) => {
+                self.on_not_reserved(now, target, reservation, "didn't answer a reservation");
+            }
+            TargetEvent::Cache(_) => {}
         }
     }
 
--- a/crates/core/src/core/on_tick.rs
+++ b/crates/core/src/core/on_tick.rs
@@ -37,6 +37,7 @@
         self.end_refresh(now);
         self.settle_poison(now);
         self.route_held(now);
+        self.tend_groups(now);
         self.give_orders(now);
         self.forget_old(now);
         self.stop_if_idle(now);
