--- a/crates/core/src/core/on_group.rs
+++ b/crates/core/src/core/on_group.rs
@@ -21,13 +21,16 @@
     pub(super) fn place(&mut self, now: MonoMs, request: RequestId) {
         let tries = self.groups.get(request).map_or(0, |group| group.tries);
         self.release_group(request);
+        let avoided = self.to_avoid(now, request);
+        let alone = self.runs_alone(now, request);
         let Some(entry) = self.requests.get(request) else {
             return;
         };
         let ask = Ask {
             work: &entry.submission.work,
             route: &entry.route,
-            tried: &entry.tried,
+            tried: &avoided,
+            alone,
         };
         let provider = draw_provider(&ask.route.providers, &mut self.rng);
         match choose_group(self.records.in_force(), &self.targets, &ask, provider) {
@@ -131,6 +134,10 @@
 
     /// Dispatches to the engine of the group that has the least to do.
     fn run_group(&mut self, now: MonoMs, request: RequestId) {
+        if !self.may_route(now, request) {
+            self.release_group(request);
+            return;
+        }
         let Some(group) = self.groups.get(request) else {
             return;
         };
@@ -171,13 +178,12 @@
 
     /// A renewal failed: the engine was replaced or the hold ended, so the prompt can't be whole.
     fn on_part_lost(&mut self, now: MonoMs, request: RequestId, text: &str) {
-        let flight = self.requests.get(request).and_then(|e| e.flight.clone());
-        let Some(flight) = flight else {
+        let flight = self.requests.get(request).and_then(|e| e.flight());
+        let Some(attempt) = flight.map(|flight| flight.attempt) else {
             self.place(now, request);
             return;
         };
-        self.end_attempt(flight.attempt, true);
-        self.cancel(&flight);
+        self.stop_attempt(attempt);
         self.try_again(now, request, Reason::TargetLost, text);
     }
 
@@ -192,6 +198,8 @@
     pub(super) fn tend_groups(&mut self, now: MonoMs) {
         for due in self.groups.due(now) {
             match due {
+                // A stale view chooses no engines; what is held is renewed all the same.
+                DueGroup::Try(_) if self.refresh.is_some() => {}
                 DueGroup::Try(request) => self.place(now, request),
                 DueGroup::Unanswered(request) => {
                     let tries = self.groups.get(request).map_or(0, |group| group.tries);
