--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -1,26 +1,19 @@
-//! Control at size: what each peer, target, record and change costs.
+//! Control at size: what each peer, target, record, change and open stream costs.
+//!
+//! The measurements drive the real core through direct calls and encode every frame with the real
+//! codec. Time is virtual and there is no model of a network: a message arrives one round later.
 
-use {
-    bpaf::{Parser, long},
-    std::process::ExitCode,
-};
-
-/// Options of the measurement.
-#[derive(Debug)]
-pub struct CapacityArgs {
-    json: bool,
-}
+mod args;
+mod clock;
+mod fit;
+mod fleet;
+mod heap;
+mod measure;
+mod report;
+mod run;
+mod size;
 
-/// Reads the options.
-pub fn capacity_args() -> impl Parser<CapacityArgs> {
-    long("json")
-        .help("Print JSON")
-        .switch()
-        .map(|json| CapacityArgs { json })
-}
-
-/// Runs the measurement.
-pub fn run(args: &CapacityArgs) -> ExitCode {
-    eprintln!("nothing is measured yet (json: {})", args.json);
-    ExitCode::FAILURE
-}
+pub use {
+    args::{CapacityArgs, capacity_args},
+    run::run,
+};
--- /dev/null
+++ b/crates/bench/src/capacity/args.rs
@@ -0,0 +1,28 @@
+use {
+    bpaf::{Parser, construct, long},
+    std::path::PathBuf,
+};
+
+/// Options of the measurement.
+#[derive(Debug)]
+pub struct CapacityArgs {
+    /// Print JSON.
+    pub json: bool,
+    /// Measure only what is the same in each run: bytes, frames, reads and rounds.
+    pub exact: bool,
+    /// Folder for a picture of each slope.
+    pub plot: Option<PathBuf>,
+}
+
+/// Reads the options.
+pub fn capacity_args() -> impl Parser<CapacityArgs> {
+    let json = long("json").help("Print JSON").switch();
+    let exact = long("exact")
+        .help("Measure only bytes, frames, reads and rounds, at small sizes")
+        .switch();
+    let plot = long("plot")
+        .help("Write a picture of each slope into this folder")
+        .argument::<PathBuf>("DIR")
+        .optional();
+    construct!(CapacityArgs { json, exact, plot })
+}
--- /dev/null
+++ b/crates/bench/src/capacity/fleet.rs
@@ -0,0 +1,19 @@
+//! Cores that are driven by direct calls: each message arrives one round after it was sent.
+
+mod counters;
+mod daemon;
+mod deliver;
+mod links;
+mod network;
+mod published;
+mod reads;
+mod target_calls;
+
+pub use {
+    counters::Counters,
+    daemon::{core_of, hello_of},
+    network::{Fleet, FleetOptions},
+    published::{Published, PublishedSize, account_key_sha256, target_name},
+    reads::cut_pages,
+    target_calls::report_of,
+};
--- /dev/null
+++ b/crates/bench/src/capacity/fleet/daemon.rs
@@ -0,0 +1,81 @@
+use {
+    super::{
+        Counters,
+        published::{caller_address, domain_of, instance_of, peer_address},
+    },
+    crate::capacity::size::REGIONS,
+    whinlatch_core::{Core, CoreOptions, MonoMs},
+    whinlatch_wire::{
+        ids::{Incarnation, Revision},
+        peer::{Hello, PEER_PROTOCOL},
+    },
+};
+
+/// Daemons that a new one is told of in its settings.
+const SEED_PEERS: usize = 3;
+
+/// A core and what stands around it.
+#[derive(Debug)]
+pub(super) struct Daemon {
+    pub(super) core: Core,
+    pub(super) hello: Hello,
+    pub(super) region: usize,
+    pub(super) alive: bool,
+    pub(super) reads_platform: bool,
+    pub(super) watch: Option<Watch>,
+    pub(super) counters: Counters,
+}
+
+/// A read of records that waits for news.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Watch {
+    pub(super) after: Revision,
+    pub(super) expires: MonoMs,
+}
+
+impl Daemon {
+    /// A daemon that starts now.
+    pub(super) fn new(now: MonoMs, number: usize, run: u64) -> Self {
+        Self {
+            core: core_of(now, number, run),
+            hello: hello_of(number, run),
+            region: number % REGIONS,
+            alive: true,
+            reads_platform: true,
+            watch: None,
+            counters: Counters::default(),
+        }
+    }
+}
+
+/// A core that starts now. `run` differs for each run on one instance.
+pub fn core_of(now: MonoMs, number: usize, run: u64) -> Core {
+    let options = CoreOptions {
+        instance: instance_of(number),
+        failure_domain: domain_of(number),
+        incarnation: incarnation_of(number, run),
+        caller_address: caller_address(number),
+        peer_address: peer_address(number),
+        seed_peers: (0..SEED_PEERS).map(peer_address).collect(),
+        seed: number as u64 + 1,
+    };
+    Core::new(now, options)
+}
+
+/// What a daemon says of itself when a link opens.
+pub fn hello_of(number: usize, run: u64) -> Hello {
+    let incarnation = incarnation_of(number, run);
+    Hello {
+        protocol: PEER_PROTOCOL,
+        instance: instance_of(number),
+        incarnation,
+        failure_domain: domain_of(number),
+        caller_address: caller_address(number),
+        peer_address: peer_address(number),
+        nonce: incarnation.0,
+    }
+}
+
+fn incarnation_of(number: usize, run: u64) -> Incarnation {
+    Incarnation((u128::from(run) << 64) | (number as u128 + 1))
+}
--- /dev/null
+++ b/crates/bench/src/capacity/measure/peers.rs
@@ -0,0 +1,68 @@
+//! Slopes over the number of daemons.
+
+use {
+    super::per_second::{PerSecond, at_rest},
+    crate::capacity::{
+        fit::Point,
+        fleet::{FleetOptions, Published, PublishedSize},
+        report::{Figure, Report, Slope},
+        size::{BUDGET_BYTES_PER_S, BUDGET_CPU_MS_PER_S, DAEMONS, PLATFORM_READS_PER_S},
+    },
+};
+
+/// Daemons in the fleets that are measured.
+pub const SIZES: [usize; 4] = [8, 32, 128, 350];
+/// Daemons in the fleets that are measured for the exact figures.
+pub const EXACT_SIZES: [usize; 3] = [4, 8, 16];
+/// Targets, few enough that they don't matter beside the peers.
+const TARGETS: usize = 20;
+/// Client accounts.
+const ACCOUNTS: usize = 100;
+
+/// A fleet of so many daemons with few targets and accounts.
+pub fn options(daemons: usize) -> FleetOptions {
+    let size = PublishedSize {
+        daemons,
+        targets: TARGETS,
+        accounts: ACCOUNTS,
+    };
+    FleetOptions::new(daemons, Published::of(size))
+}
+
+/// Measures fleets of several sizes at rest.
+pub fn measure(sizes: &[usize]) -> Report {
+    let measured: Vec<(usize, PerSecond)> = sizes
+        .iter()
+        .map(|daemons| (*daemons, at_rest(options(*daemons))))
+        .collect();
+    let points = |value: fn(&PerSecond) -> f64| -> Vec<Point> {
+        measured
+            .iter()
+            .map(|(daemons, spent)| Point {
+                x: *daemons as f64,
+                y: value(spent),
+            })
+            .collect()
+    };
+    let slope = |name, unit, value| Slope::new(name, "daemon", unit, DAEMONS as f64, points(value));
+    let slopes = vec![
+        slope("peers.links", "links", |s: &PerSecond| s.links),
+        slope("peers.frames_out", "frames/s", |s| s.frames_out),
+        slope("peers.bytes_out", "B/s", |s| s.peer_bytes_out).against(BUDGET_BYTES_PER_S),
+        slope("peers.bytes_both_ways", "B/s", |s| {
+            s.peer_bytes_out + s.peer_bytes_in
+        })
+        .against(BUDGET_BYTES_PER_S),
+        slope("peers.platform_bytes", "B/s", |s| s.platform_bytes).against(BUDGET_BYTES_PER_S),
+        slope("peers.cpu", "ms/s", |s| s.cpu_ms).against(BUDGET_CPU_MS_PER_S),
+    ];
+    let figures = measured.iter().map(|(daemons, spent)| {
+        let reads = spent.reads * *daemons as f64;
+        Figure::new(format!("peers.{daemons}.platform_reads"), reads, "reads/s")
+            .against(PLATFORM_READS_PER_S as f64)
+    });
+    Report {
+        figures: figures.collect(),
+        slopes,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/capacity/report/text.rs
@@ -0,0 +1,66 @@
+use super::{Figure, Report, Slope};
+
+/// Prints a report as two tables.
+pub fn print(report: &Report) {
+    println!(
+        "{:<28} {:>8} {:>14} {:>11} {:>12} {:>7} {:>12} {:>10}  points",
+        "slope", "per", "slope", "error", "at 0", "r2", "at size", "budget"
+    );
+    for slope in &report.slopes {
+        print_slope(slope);
+    }
+    println!(
+        "\n{:<44} {:>14} {:<12} {:>10}",
+        "figure", "value", "unit", "limit"
+    );
+    for figure in &report.figures {
+        print_figure(figure);
+    }
+}
+
+fn print_slope(slope: &Slope) {
+    let points: Vec<String> = slope
+        .points
+        .iter()
+        .map(|point| format!("{}:{}", short(point.x), short(point.y)))
+        .collect();
+    println!(
+        "{:<28} {:>8} {:>14} {:>11} {:>12} {:>7.4} {:>12} {:>10}  {} [{}]",
+        slope.name,
+        slope.per,
+        short(slope.fit.slope),
+        short(slope.fit.slope_error),
+        short(slope.fit.intercept),
+        slope.fit.r2,
+        short(slope.design_y),
+        slope.budget.map_or(String::new(), short),
+        points.join(" "),
+        slope.unit,
+    );
+}
+
+fn print_figure(figure: &Figure) {
+    println!(
+        "{:<44} {:>14} {:<12} {:>10}",
+        figure.name,
+        short(figure.value),
+        figure.unit,
+        figure.limit.map_or(String::new(), short),
+    );
+}
+
+/// A number with four digits that matter.
+fn short(value: f64) -> String {
+    let size = value.abs();
+    if size >= 1_000.0 || value.fract() == 0.0 {
+        return format!("{value:.0}");
+    }
+    let digits = if size >= 100.0 {
+        1
+    } else if size >= 1.0 {
+        3
+    } else {
+        6
+    };
+    format!("{value:.digits$}")
+}
