--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -3,6 +3,7 @@
 mod on_attempt;
 mod on_peer;
 mod on_platform;
+mod on_records;
 mod on_submit;
 mod on_target;
 mod on_tick;
@@ -17,16 +18,16 @@
         decisions::{Decision, DecisionBook, Part},
         event::Event,
         fleet::{Members, Targets},
-        peers::Links,
-        records::RecordStore,
+        peers::{Links, RecordPulls},
+        records::{PlatformReader, RecordStore},
         requests::{RequestTable, TicketBook},
         routing::Router,
         time::MonoMs,
     },
-    on_platform::PlatformReader,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
         ids::{AttemptId, RequestId},
+        platform::InstanceList,
     },
 };
 
@@ -42,7 +43,9 @@
     members: Members,
     targets: Targets,
     links: Links,
+    pulls: RecordPulls,
     platform: PlatformReader,
+    list: Option<InstanceList>,
     router: Router,
     requests: RequestTable,
     tickets: TicketBook,
@@ -62,7 +65,9 @@
             members: Members::default(),
             targets: Targets::default(),
             links: Links::default(),
+            pulls: RecordPulls::default(),
             platform: PlatformReader::new(now),
+            list: None,
             router: Router,
             requests: RequestTable::default(),
             tickets: TicketBook::new(options.incarnation),
--- a/crates/core/src/core/on_peer.rs
+++ b/crates/core/src/core/on_peer.rs
@@ -5,9 +5,8 @@
     crate::{action::Action, decisions::Part, time::MonoMs},
     std::{collections::BTreeSet, net::SocketAddr},
     whinlatch_wire::{
-        ids::{Incarnation, Revision},
-        peer::{Hello, News, PeerFrame, RecordPull, RecordSummary},
-        record::RecordEnvelope,
+        ids::Incarnation,
+        peer::{Hello, News, PeerFrame},
     },
 };
 
@@ -25,68 +24,29 @@
         self.links.closed(peer);
         if let Some(peer) = peer {
             self.members.unlinked(peer);
+            self.pulls.closed(peer);
         }
     }
 
     pub(super) fn on_peer_frame(&mut self, now: MonoMs, from: Incarnation, frame: &PeerFrame) {
         self.members.heard(now, from);
+        if !frame.records.is_empty() {
+            self.on_peer_records(now, from, &frame.records);
+        }
         if let Some(heartbeat) = &frame.heartbeat {
             self.links.holds(from, &heartbeat.records);
-            self.compare_records(from, &heartbeat.records);
+            self.compare_records(now, from, &heartbeat.records);
         }
         if let Some(pull) = &frame.pull {
             self.answer_pull(from, pull);
         }
-        if !frame.records.is_empty() {
-            self.merge_records(now, &frame.records, "a peer");
-        }
-        self.take_news(now, from, &frame.news);
-    }
-
-    /// Asks for all records if the peer holds others. Both sides do, so both end with the join.
-    fn compare_records(&mut self, peer: Incarnation, theirs: &RecordSummary) {
-        if *theirs == self.records.summary() || theirs.count == 0 {
-            return;
+        if let Some(listing) = &frame.listing {
+            self.on_listing(now, from, listing);
         }
-        let pull = RecordPull {
-            after: Some(Revision::default()),
-            buckets: Vec::new(),
-        };
-        let frame = PeerFrame {
-            pull: Some(pull),
-            ..PeerFrame::default()
-        };
-        self.act(Action::Send {
-            to: peer,
-            frame: Box::new(frame),
-        });
-    }
-
-    fn answer_pull(&mut self, peer: Incarnation, pull: &RecordPull) {
-        let records = self.records.after(pull.after.unwrap_or_default());
-        let frame = PeerFrame {
-            records,
-            ..PeerFrame::default()
-        };
-        self.act(Action::Send {
-            to: peer,
-            frame: Box::new(frame),
-        });
-    }
-
-    /// Sends new records to all linked peers at once.
-    pub(super) fn push_records(&mut self, fresh: &[RecordEnvelope]) {
-        let peers: Vec<Incarnation> = self.links.peers().collect();
-        for to in peers {
-            let frame = PeerFrame {
-                records: fresh.to_vec(),
-                ..PeerFrame::default()
-            };
-            self.act(Action::Send {
-                to,
-                frame: Box::new(frame),
-            });
+        if frame.pull_done {
+            self.on_pull_done(now, from);
         }
+        self.take_news(now, from, &frame.news);
     }
 
     fn take_news(&mut self, now: MonoMs, from: Incarnation, news: &News) {
@@ -110,22 +70,18 @@
     pub(super) fn beat(&mut self, now: MonoMs) {
         let summary = self.records.summary();
         for (to, frame) in self.links.beats(now, &summary) {
-            self.act(Action::Send {
-                to,
-                frame: Box::new(frame),
-            });
+            self.send(to, frame);
         }
     }
 
     pub(super) fn open_links(&mut self, now: MonoMs) {
         let own = self.options.peer_address;
         let mut wanted: BTreeSet<SocketAddr> = self.options.seed_peers.iter().copied().collect();
-        if let Some(list) = self.platform.list() {
+        if let Some(list) = &self.list {
             wanted.extend(list.daemons.iter().map(|daemon| daemon.peer_address));
         }
-        // Of two daemons the one with the lower address opens the link, so that there is one.
-        wanted.retain(|address| *address > own);
-        for address in self.links.to_open(now, &wanted) {
+        wanted.remove(&own);
+        for address in self.links.to_open(now, own, &wanted) {
             self.act(Action::Link { address });
         }
     }
--- /dev/null
+++ b/crates/core/src/core/on_records.rs
@@ -0,0 +1,202 @@
+//! Agreement on the records with other daemons: comparison, pulls and pushes.
+
+use {
+    super::Core,
+    crate::{action::Action, decisions::Part, records, records::Merge, time::MonoMs},
+    whinlatch_wire::{
+        ids::Incarnation,
+        peer::{PeerFrame, RecordListing, RecordPull, RecordSummary},
+        record::RecordEnvelope,
+    },
+};
+
+/// Bytes of records in one frame; a larger record goes alone. Far below the frame's limit, so that
+/// heartbeats don't wait long behind one.
+const FRAME_BYTES: usize = 256 * 1_024;
+/// Bytes of records in the answer to one pull. The peer asks again for the rest, so that a fast
+/// sender can't fill a slow link's queue.
+const ANSWER_BYTES: usize = 1_024 * 1_024;
+/// Bytes of new records that are pushed on at once. More is left to pulls: a daemon that starts
+/// would else push all that it reads to peers that hold it already.
+const PUSH_BYTES: usize = 64 * 1_024;
+
+impl Core {
+    /// Begins a pull if the peer holds others. Both sides do, so both end with the join.
+    pub(super) fn compare_records(
+        &mut self,
+        now: MonoMs,
+        peer: Incarnation,
+        theirs: &RecordSummary,
+    ) {
+        let own = self.records.summary();
+        if !self.pulls.begin(now, peer, &own, theirs) {
+            return;
+        }
+        let buckets = self.records.buckets().digests().to_vec();
+        self.pull(
+            peer,
+            RecordPull {
+                buckets,
+                ..RecordPull::default()
+            },
+        );
+    }
+
+    fn pull(&mut self, peer: Incarnation, pull: RecordPull) {
+        self.send(
+            peer,
+            PeerFrame {
+                pull: Some(pull),
+                ..PeerFrame::default()
+            },
+        );
+    }
+
+    pub(super) fn answer_pull(&mut self, peer: Incarnation, pull: &RecordPull) {
+        if !pull.buckets.is_empty() {
+            let stamps = self.records.listing(&pull.buckets);
+            self.links.holds_buckets(peer, &pull.buckets);
+            self.send(
+                peer,
+                PeerFrame {
+                    listing: Some(RecordListing { stamps }),
+                    ..PeerFrame::default()
+                },
+            );
+        }
+        if pull.keys.is_empty() {
+            return;
+        }
+        let records = self.records.of_keys(&pull.keys, ANSWER_BYTES);
+        for records in frames_of(records) {
+            self.send(
+                peer,
+                PeerFrame {
+                    records,
+                    ..PeerFrame::default()
+                },
+            );
+        }
+        self.send(
+            peer,
+            PeerFrame {
+                pull_done: true,
+                ..PeerFrame::default()
+            },
+        );
+    }
+
+    pub(super) fn on_listing(&mut self, now: MonoMs, peer: Incarnation, listing: &RecordListing) {
+        let wanted = self.records.wanted(&listing.stamps);
+        let keys = self.pulls.listed(now, peer, wanted);
+        self.pull_keys_or_settle(peer, keys);
+    }
+
+    pub(super) fn on_pull_done(&mut self, now: MonoMs, peer: Incarnation) {
+        let keys = self.pulls.answered(now, peer);
+        self.pull_keys_or_settle(peer, keys);
+    }
+
+    fn pull_keys_or_settle(&mut self, peer: Incarnation, keys: Vec<u64>) {
+        if keys.is_empty() {
+            let theirs = self.links.summary_of(peer);
+            self.pulls.settle(peer, self.records.summary(), theirs);
+            return;
+        }
+        self.pull(
+            peer,
+            RecordPull {
+                keys,
+                ..RecordPull::default()
+            },
+        );
+    }
+
+    pub(super) fn on_peer_records(
+        &mut self,
+        now: MonoMs,
+        from: Incarnation,
+        records: &[RecordEnvelope],
+    ) {
+        self.merge_records(now, records, Some(from));
+        for envelope in records {
+            self.pulls.got(now, from, records::key_hash(&envelope.key));
+        }
+    }
+
+    /// Merges records from the platform or from a peer, and tells the other peers at once what was
+    /// new.
+    pub(super) fn merge_records(
+        &mut self,
+        now: MonoMs,
+        records: &[RecordEnvelope],
+        from: Option<Incarnation>,
+    ) {
+        let source = match from {
+            Some(_) => "a peer",
+            None => "the platform",
+        };
+        let mut fresh = Vec::new();
+        for envelope in records {
+            let (key, revision) = (&envelope.key, envelope.revision);
+            let text = match self.records.merge(envelope) {
+                Merge::Old => continue,
+                Merge::InForce => format!("{key} is in force at {revision} from {source}"),
+                Merge::Rejected(fault) => format!("{key} is rejected at {revision}: {fault}"),
+            };
+            self.decide(now, Part::Records, None, text);
+            fresh.push(envelope.clone());
+        }
+        if fresh.is_empty() {
+            return;
+        }
+        self.targets.follow(self.records.in_force());
+        self.follow_known_list(now);
+        self.push_records(&fresh, from);
+    }
+
+    fn push_records(&mut self, fresh: &[RecordEnvelope], except: Option<Incarnation>) {
+        let bytes: usize = fresh.iter().map(records::size).sum();
+        if bytes > PUSH_BYTES {
+            return;
+        }
+        let peers: Vec<Incarnation> = self
+            .links
+            .peers()
+            .filter(|peer| Some(*peer) != except)
+            .collect();
+        for to in peers {
+            self.send(
+                to,
+                PeerFrame {
+                    records: fresh.to_vec(),
+                    ..PeerFrame::default()
+                },
+            );
+        }
+    }
+
+    pub(super) fn send(&mut self, to: Incarnation, frame: PeerFrame) {
+        self.act(Action::Send {
+            to,
+            frame: Box::new(frame),
+        });
+    }
+}
+
+/// Splits records over frames of bounded size.
+fn frames_of(records: Vec<RecordEnvelope>) -> Vec<Vec<RecordEnvelope>> {
+    let mut frames: Vec<Vec<RecordEnvelope>> = Vec::new();
+    let mut bytes = FRAME_BYTES;
+    for envelope in records {
+        bytes += records::size(&envelope);
+        match frames.last_mut() {
+            Some(frame) if bytes <= FRAME_BYTES => frame.push(envelope),
+            _ => {
+                bytes = records::size(&envelope);
+                frames.push(vec![envelope]);
+            }
+        }
+    }
+    frames
+}
--- a/crates/core/src/core/reports.rs
+++ b/crates/core/src/core/reports.rs
@@ -100,20 +100,24 @@
 
     /// The records and where they are in force.
     pub fn records_report(&self) -> RecordsReport {
-        let summary = self.records.summary();
+        RecordsReport {
+            instance: self.options.instance.clone(),
+            newest: self.records.newest(),
+            records: self.records.statuses(|bucket| self.holders(bucket)),
+        }
+    }
+
+    /// Instances known to hold the same records as this one in a bucket, this one among them.
+    fn holders(&self, bucket: usize) -> Vec<InstanceName> {
         let mut holders: Vec<InstanceName> = self
             .links
-            .in_agreement(&summary)
+            .in_agreement(&self.records, bucket)
             .filter_map(|peer| self.members.get(peer))
             .map(|member| member.news.instance.clone())
             .collect();
         holders.push(self.options.instance.clone());
         holders.sort();
-        RecordsReport {
-            instance: self.options.instance.clone(),
-            newest: self.records.newest(),
-            records: self.records.statuses(&holders),
-        }
+        holders
     }
 
     /// Why a request went where it did.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -3,9 +3,11 @@
 mod members;
 mod target_state;
 mod targets;
+mod watchers;
 
 pub use {
     members::{Member, Members},
     target_state::TargetState,
     targets::Targets,
+    watchers::Watchers,
 };
--- a/crates/core/src/fleet/members.rs
+++ b/crates/core/src/fleet/members.rs
@@ -84,6 +84,12 @@
         self.by_incarnation.get(&incarnation)
     }
 
+    /// The daemons that are held to be alive.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        self.iter()
+            .filter(|member| member.news.state == MemberState::Alive)
+    }
+
     /// All daemons known, the dead ones that are still remembered among them.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.by_incarnation.values()
--- a/crates/core/src/peers/links.rs
+++ b/crates/core/src/peers/links.rs
@@ -1,5 +1,5 @@
 use {
-    crate::time::MonoMs,
+    crate::{records::RecordStore, time::MonoMs},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -14,12 +14,21 @@
 pub const HEARTBEAT_MS: u64 = 500;
 /// Time between attempts to open one link, in ms.
 const RELINK_MS: u64 = 1_000;
+/// Time that the side with the higher address leaves to the other before it opens a link itself.
+const OPEN_ANYWAY_MS: u64 = 2_000;
 
 /// The open links, and those being opened.
 #[derive(Debug, Default)]
 pub struct Links {
     open: BTreeMap<Incarnation, Link>,
-    tried: BTreeMap<SocketAddr, MonoMs>,
+    unlinked: BTreeMap<SocketAddr, Unlinked>,
+}
+
+/// A wanted link that isn't open.
+#[derive(Debug)]
+struct Unlinked {
+    since: MonoMs,
+    tried: Option<MonoMs>,
 }
 
 #[derive(Debug)]
@@ -29,6 +38,8 @@
     next_beat: MonoMs,
     pending: News,
     summary: RecordSummary,
+    /// The peer's bucket digests, as it told them with its last pull.
+    buckets: Vec<u64>,
 }
 
 impl Links {
@@ -42,6 +53,7 @@
                 next_beat: now,
                 pending: News::default(),
                 summary: RecordSummary::default(),
+                buckets: Vec::new(),
             },
         );
     }
@@ -54,22 +66,37 @@
     }
 
     /// Addresses of `wanted` to which a link should be opened now.
-    pub fn to_open(&mut self, now: MonoMs, wanted: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+    ///
+    /// Of two daemons the one with the lower address opens the link, so that there is one. The
+    /// other does after a while: the first may not know it or be unable to reach it, and the two
+    /// would stay unlinked for good.
+    pub fn to_open(
+        &mut self,
+        now: MonoMs,
+        own: SocketAddr,
+        wanted: &BTreeSet<SocketAddr>,
+    ) -> Vec<SocketAddr> {
         let open: BTreeSet<SocketAddr> = self.open.values().map(|link| link.address).collect();
-        let due: Vec<SocketAddr> = wanted
-            .iter()
-            .filter(|address| !open.contains(address))
-            .filter(|address| {
-                self.tried
-                    .get(address)
-                    .is_none_or(|t| now.since(*t) >= RELINK_MS)
-            })
-            .copied()
-            .collect();
-        for address in &due {
-            self.tried.insert(*address, now);
+        self.unlinked
+            .retain(|address, _| wanted.contains(address) && !open.contains(address));
+        for address in wanted.difference(&open) {
+            let unlinked = Unlinked {
+                since: now,
+                tried: None,
+            };
+            self.unlinked.entry(*address).or_insert(unlinked);
         }
-        due
+        self.unlinked
+            .iter_mut()
+            .filter(|(address, unlinked)| {
+                **address > own || now.since(unlinked.since) >= OPEN_ANYWAY_MS
+            })
+            .filter(|(_, unlinked)| unlinked.tried.is_none_or(|t| now.since(t) >= RELINK_MS))
+            .map(|(address, unlinked)| {
+                unlinked.tried = Some(now);
+                *address
+            })
+            .collect()
     }
 
     /// Queues news for all links but the one it came from.
@@ -121,11 +148,32 @@
         self.open.keys().copied()
     }
 
-    /// Peers that hold the same records as `summary` says.
-    pub fn in_agreement(&self, summary: &RecordSummary) -> impl Iterator<Item = Incarnation> {
+    /// Notes the digests of a peer's buckets.
+    pub fn holds_buckets(&mut self, peer: Incarnation, digests: &[u64]) {
+        if let Some(link) = self.open.get_mut(&peer) {
+            link.buckets = digests.to_vec();
+        }
+    }
+
+    /// What a peer held of the records when it last said so.
+    pub fn summary_of(&self, peer: Incarnation) -> RecordSummary {
+        let link = self.open.get(&peer);
+        link.map(|link| link.summary.clone()).unwrap_or_default()
+    }
+
+    /// Peers known to hold the same in a bucket: all of it agrees, or this bucket did when the
+    /// peer last told its digests.
+    pub fn in_agreement(
+        &self,
+        records: &RecordStore,
+        bucket: usize,
+    ) -> impl Iterator<Item = Incarnation> {
+        let own = records.summary();
         self.open
             .iter()
-            .filter(move |(_, link)| link.summary == *summary)
+            .filter(move |(_, link)| {
+                link.summary == own || records.buckets().agrees(bucket, &link.buckets)
+            })
             .map(|(peer, _)| *peer)
     }
 }
--- a/crates/core/src/records/in_force.rs
+++ b/crates/core/src/records/in_force.rs
@@ -1,5 +1,6 @@
 use {
-    std::collections::{BTreeMap, HashMap},
+    super::claims::Claims,
+    std::collections::{BTreeMap, BTreeSet, HashMap},
     whinlatch_wire::{
         ids::{
             AccountName, AdapterName, CallerName, ModelName, RecordKey, ServiceName, TargetName,
@@ -10,13 +11,15 @@
     },
 };
 
-/// The records in force, indexed for decisions.
+/// The records in force, indexed for decisions. Where several name one account or target, the one
+/// with the lowest key is in force.
 #[derive(Debug, Default)]
 pub struct InForce {
     by_key: HashMap<RecordKey, Place>,
     routes: BTreeMap<RecordKey, RouteRecord>,
-    accounts: HashMap<AccountName, AccountRecord>,
-    targets: BTreeMap<TargetName, TargetRecord>,
+    accounts: Claims<AccountName, AccountRecord>,
+    targets: Claims<TargetName, TargetRecord>,
+    target_names: BTreeSet<TargetName>,
     policies: BTreeMap<RecordKey, PolicyRecord>,
     default_policy: PolicyRecord,
 }
@@ -42,12 +45,13 @@
             }
             RecordBody::Account(account) => {
                 let name = account.account.clone();
-                self.accounts.insert(name.clone(), account);
+                self.accounts.insert(name.clone(), key, account);
                 Place::Account(name)
             }
             RecordBody::Target(target) => {
                 let name = target.target.clone();
-                self.targets.insert(name.clone(), target);
+                self.targets.insert(name.clone(), key, target);
+                self.target_names.insert(name.clone());
                 Place::Target(name)
             }
             RecordBody::Policy(policy) => {
@@ -62,12 +66,19 @@
         match self.by_key.remove(key) {
             None => {}
             Some(Place::Route) => drop(self.routes.remove(key)),
-            Some(Place::Account(name)) => drop(self.accounts.remove(&name)),
-            Some(Place::Target(name)) => drop(self.targets.remove(&name)),
+            Some(Place::Account(name)) => self.accounts.remove(&name, key),
+            Some(Place::Target(name)) => self.take_target_out(&name, key),
             Some(Place::Policy) => drop(self.policies.remove(key)),
         }
     }
 
+    fn take_target_out(&mut self, name: &TargetName, key: &RecordKey) {
+        self.targets.remove(name, key);
+        if self.targets.get(name).is_none() {
+            self.target_names.remove(name);
+        }
+    }
+
     /// The account of a name.
     pub fn account(&self, account: &AccountName) -> Option<&AccountRecord> {
         self.accounts.get(account)
@@ -85,7 +96,9 @@
 
     /// All targets by name.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
-        self.targets.values()
+        self.target_names
+            .iter()
+            .filter_map(|name| self.targets.get(name))
     }
 
     /// The policy in force: that of the lowest key, else the default.
--- /dev/null
+++ b/crates/core/tests/peers_suite/main.rs
@@ -0,0 +1,10 @@
+//! Several cores under one clock of numbers: records, membership and links under failure.
+
+mod daemons;
+mod fleet;
+mod platform;
+mod records_exchange;
+mod records_in_force;
+mod records_late_start;
+mod records_platform;
+mod values;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -10,7 +10,7 @@
 
 pub use {
     codec::{MAX_FRAME_BYTES, PeerCodecError, decode_frame, encode_frame},
-    frame::{Heartbeat, PeerFrame, RecordPull, RecordSummary},
+    frame::{Heartbeat, PeerFrame, RecordListing, RecordPull, RecordStamp, RecordSummary},
     hello::{Hello, HelloProof, PEER_PROTOCOL, prove, verify},
     news::{
         AccountUse, MemberNews, MemberState, News, PoisonNews, TargetHealth, TargetLoad, TargetNews,
--- a/crates/wire/src/peer/frame.rs
+++ b/crates/wire/src/peer/frame.rs
@@ -23,9 +23,15 @@
     /// Asks for records.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub pull: Option<RecordPull>,
+    /// Answers a pull by buckets.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listing: Option<RecordListing>,
     /// Records, tombstones among them.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<RecordEnvelope>,
+    /// Whether this is the last frame of the answer to a pull by keys.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub pull_done: bool,
 }
 
 /// Sent at a fixed pace on each link, both ways.
@@ -48,13 +54,54 @@
     pub digest: u64,
 }
 
-/// Asks for records that the sender may lack.
+/// Asks for records that the sender may lack: first by buckets, then by the keys that the listing
+/// showed to be of use.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct RecordPull {
     /// All records after this revision.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub after: Option<Revision>,
-    /// Digests of the sender's buckets; records of buckets that differ are wanted.
+    /// Digests of the sender's buckets; a listing of those that differ is wanted.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub buckets: Vec<u64>,
+    /// Hashes of keys; all that is held of these keys is wanted.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub keys: Vec<u64>,
+}
+
+/// What the sender holds in the buckets whose digests differ from those of a pull.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RecordListing {
+    /// A stamp for each record held, tombstones included.
+    pub stamps: Vec<RecordStamp>,
+}
+
+/// Stands for one record. Travels as an array, since a listing may hold many.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "(u64, Revision, u32)", into = "(u64, Revision, u32)")]
+pub struct RecordStamp {
+    /// Hash of the key.
+    pub key_hash: u64,
+    /// Revision.
+    pub revision: Revision,
+    /// Part of the hash of the value; 0 for a tombstone.
+    pub value_hash: u32,
+}
+
+impl From<(u64, Revision, u32)> for RecordStamp {
+    fn from((key_hash, revision, value_hash): (u64, Revision, u32)) -> Self {
+        Self {
+            key_hash,
+            revision,
+            value_hash,
+        }
+    }
+}
+
+impl From<RecordStamp> for (u64, Revision, u32) {
+    fn from(stamp: RecordStamp) -> Self {
+        (stamp.key_hash, stamp.revision, stamp.value_hash)
+    }
 }
