--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -7,6 +7,7 @@
 mod on_peer;
 mod on_platform;
 mod on_poison;
+mod on_records;
 mod on_stop;
 mod on_submit;
 mod on_target;
@@ -24,17 +25,17 @@
         event::Event,
         fleet::{Members, Targets},
         orders::Orderer,
-        peers::Links,
+        peers::{Links, RecordPulls},
         placement::Groups,
-        records::RecordStore,
+        records::{PlatformReader, RecordStore},
         requests::{HoldingWatch, PoisonBook, Refresh, RequestTable, RetryBudget, TicketBook},
         routing::Router,
         time::MonoMs,
     },
-    on_platform::PlatformReader,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
         ids::{AttemptId, RequestId},
+        platform::InstanceList,
     },
 };
 
@@ -53,7 +54,9 @@
     members: Members,
     targets: Targets,
     links: Links,
+    pulls: RecordPulls,
     platform: PlatformReader,
+    list: Option<InstanceList>,
     router: Router,
     groups: Groups,
     requests: RequestTable,
@@ -81,7 +84,9 @@
             members: Members::default(),
             targets: Targets::default(),
             links: Links::default(),
+            pulls: RecordPulls::default(),
             platform: PlatformReader::new(now),
+            list: None,
             router: Router,
             groups: Groups::default(),
             requests: RequestTable::default(),
