--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod heap;
 mod measure;
+mod repair;
 mod report;
 mod run;
 mod size;
--- a/crates/bench/src/capacity/fleet.rs
+++ b/crates/bench/src/capacity/fleet.rs
@@ -13,7 +13,10 @@
     counters::Counters,
     daemon::{core_of, hello_of},
     network::{Fleet, FleetOptions},
-    published::{Published, PublishedSize, account_key_sha256, target_name},
+    published::{
+        Published, PublishedSize, account_key, account_key_sha256, account_value, envelope,
+        target_name,
+    },
     reads::cut_pages,
     target_calls::report_of,
 };
--- a/crates/bench/src/capacity/measure/changes.rs
+++ b/crates/bench/src/capacity/measure/changes.rs
@@ -62,7 +62,7 @@
             slope("changes.cpu", "ms", cpu),
             slope("changes.bytes_both_ways", "B", bytes),
         ],
-        figures: Vec::new(),
+        ..Report::default()
     }
 }
 
@@ -103,6 +103,7 @@
             slope("spread.bytes_both_ways", "B", bytes),
         ],
         figures,
+        ..Report::default()
     }
 }
 
--- a/crates/bench/src/capacity/measure/faults.rs
+++ b/crates/bench/src/capacity/measure/faults.rs
@@ -55,6 +55,7 @@
             slope("faults.start_bytes", start),
         ],
         figures,
+        ..Report::default()
     }
 }
 
--- a/crates/bench/src/capacity/measure/peers.rs
+++ b/crates/bench/src/capacity/measure/peers.rs
@@ -64,5 +64,6 @@
     Report {
         figures: figures.collect(),
         slopes,
+        ..Report::default()
     }
 }
--- a/crates/bench/src/capacity/measure/records.rs
+++ b/crates/bench/src/capacity/measure/records.rs
@@ -75,7 +75,7 @@
             slope("records.rest_cpu", "ms/s", cpu).against(BUDGET_CPU_MS_PER_S),
             slope("records.rest_bytes", "B/s", rest_bytes).against(BUDGET_BYTES_PER_S),
         ],
-        figures: Vec::new(),
+        ..Report::default()
     };
     report.figures.push(Figure::new(
         "records.peer_bytes_per_record",
@@ -132,7 +132,7 @@
         figure("memory.all_resident", all.resident_bytes),
     ];
     Report {
-        slopes: Vec::new(),
         figures,
+        ..Report::default()
     }
 }
--- a/crates/bench/src/capacity/measure/requests.rs
+++ b/crates/bench/src/capacity/measure/requests.rs
@@ -41,12 +41,12 @@
     let rate = REQUESTS_PER_S / DAEMONS as f64;
     let per_s_ms = cost.cpu_ns as f64 / REQUESTS as f64 * rate / NS_PER_MS;
     Report {
-        slopes: Vec::new(),
         figures: vec![
             Figure::new("requests.cpu", each_us, "us"),
             Figure::new("requests.cpu_at_size", per_s_ms, "ms/s"),
             Figure::new("requests.completed", cost.dispatched as f64, "requests"),
         ],
+        ..Report::default()
     }
 }
 
--- a/crates/bench/src/capacity/measure/streams.rs
+++ b/crates/bench/src/capacity/measure/streams.rs
@@ -64,7 +64,7 @@
             Slope::new("streams.tick_cpu", "stream", "ms/s", own, cpu).against(BUDGET_CPU_MS_PER_S),
             report_bytes(),
         ],
-        figures: Vec::new(),
+        ..Report::default()
     }
 }
 
--- a/crates/bench/src/capacity/measure/targets.rs
+++ b/crates/bench/src/capacity/measure/targets.rs
@@ -44,7 +44,7 @@
                 .against(BUDGET_BYTES_PER_S),
             slope("targets.cpu", "ms/s", |s| s.cpu_ms).against(BUDGET_CPU_MS_PER_S),
         ],
-        figures: Vec::new(),
+        ..Report::default()
     }
 }
 
--- a/crates/bench/src/capacity/report/slope.rs
+++ b/crates/bench/src/capacity/report/slope.rs
@@ -1,5 +1,8 @@
 use {
-    crate::capacity::fit::{Fit, Point},
+    crate::capacity::{
+        fit::{Fit, Point},
+        repair::Repair,
+    },
     serde::Serialize,
 };
 
@@ -92,6 +95,9 @@
     pub slopes: Vec<Slope>,
     /// Numbers that were measured at one size.
     pub figures: Vec<Figure>,
+    /// How each way of repair did.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub repairs: Vec<Repair>,
 }
 
 impl Report {
@@ -99,5 +105,6 @@
     pub fn add(&mut self, other: Self) {
         self.slopes.extend(other.slopes);
         self.figures.extend(other.figures);
+        self.repairs.extend(other.repairs);
     }
 }
--- a/crates/bench/src/capacity/report/text.rs
+++ b/crates/bench/src/capacity/report/text.rs
@@ -1,4 +1,7 @@
-use super::{Figure, Report, Slope};
+use {
+    super::{Figure, Report, Slope},
+    crate::capacity::repair::Repair,
+};
 
 /// Prints a report as two tables.
 pub fn print(report: &Report) {
@@ -16,6 +19,29 @@
     for figure in &report.figures {
         print_figure(figure);
     }
+    if !report.repairs.is_empty() {
+        print_repairs(&report.repairs);
+    }
+}
+
+fn print_repairs(repairs: &[Repair]) {
+    println!(
+        "\n{:<20} {:>6} {:<10} {:<5} {:>10} {:>5} {:>9} {:>7}",
+        "repair", "differ", "keys", "held", "bytes", "legs", "cpu ms", "missed"
+    );
+    for repair in repairs {
+        println!(
+            "{:<20} {:>6} {:<10} {:<5} {:>10} {:>5} {:>9.2} {:>7}",
+            repair.way,
+            repair.differences,
+            format!("{:?}", repair.spread),
+            format!("{:?}", repair.holder),
+            repair.bytes,
+            repair.legs,
+            repair.cpu_ms,
+            repair.missed,
+        );
+    }
 }
 
 fn print_slope(slope: &Slope) {
--- a/crates/bench/src/capacity/run.rs
+++ b/crates/bench/src/capacity/run.rs
@@ -12,7 +12,7 @@
     let report = if args.exact {
         measure::exact()
     } else {
-        measure::all()
+        measure::all(args.only)
     };
     show(&report, args.json);
     let Some(folder) = &args.plot else {
