--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -87,6 +87,7 @@
     let poison = (any::<u64>(), prop::collection::vec(incarnation(), 0..3)).prop_map(
         |(fingerprint, deaths)| PoisonNews {
             fingerprint,
+            alone: deaths.clone(),
             deaths,
             keep_ms: 1,
         },
