--- a/crates/core/src/core/on_order.rs
+++ b/crates/core/src/core/on_order.rs
@@ -33,7 +33,11 @@
         }
         self.next_orders = now + LOOK_EVERY_MS;
         let duties = self.duties();
-        for step in self.orderer.steps(now, &duties) {
+        let records = &self.records;
+        let steps = self
+            .orderer
+            .steps(now, &duties, |target| records.revision_of_target(target));
+        for step in steps {
             match step {
                 Step::Read(target) => self.call(target, TargetCall::State),
                 Step::Order(target, order) => self.send_order(now, target, order),
@@ -88,21 +92,10 @@
         in_force
             .targets()
             .filter(|record| first_of(&orderers, record.target.as_str(), 1) == [own])
-            .filter_map(|record| self.duty_of(record))
+            .filter_map(duty_of)
             .collect()
     }
 
-    fn duty_of(&self, record: &TargetRecord) -> Option<Duty> {
-        let TargetRole::Engine { models, .. } = &record.role else {
-            return None;
-        };
-        Some(Duty {
-            target: record.target.clone(),
-            fence: self.records.revision_of_target(&record.target)?,
-            models: models.clone(),
-        })
-    }
-
     /// Other daemons that are held to be alive.
     pub(super) fn alive_peers(&self) -> Vec<Incarnation> {
         self.members
@@ -112,3 +105,13 @@
             .collect()
     }
 }
+
+fn duty_of(record: &TargetRecord) -> Option<Duty> {
+    let TargetRole::Engine { models, .. } = &record.role else {
+        return None;
+    };
+    Some(Duty {
+        target: record.target.clone(),
+        models: models.clone(),
+    })
+}
--- a/crates/core/src/core/on_poison.rs
+++ b/crates/core/src/core/on_poison.rs
@@ -3,6 +3,7 @@
 use {
     super::Core,
     crate::{
+        action::Action,
         decisions::Part,
         fleet::Targets,
         requests::{Fate, Request, Standing},
@@ -11,7 +12,7 @@
     whinlatch_wire::{
         caller::Reason,
         ids::{AttemptId, Incarnation, RequestId, TargetName},
-        peer::{News, PoisonNews, TargetHealth},
+        peer::{News, PeerFrame, PoisonNews, TargetHealth},
     },
 };
 
@@ -70,6 +71,7 @@
         self.tell_poison(news);
     }
 
+    /// Tells linked peers at once: the caller may send it to one of them in the next moment.
     fn tell_poison(&mut self, poison: Vec<PoisonNews>) {
         if poison.is_empty() {
             return;
@@ -78,7 +80,15 @@
             poison,
             ..News::default()
         };
-        self.links.spread(&news, None);
+        let peers: Vec<Incarnation> = self.links.peers().collect();
+        for to in peers {
+            let frame = PeerFrame {
+                news: news.clone(),
+                ..PeerFrame::default()
+            };
+            let frame = Box::new(frame);
+            self.act(Action::Send { to, frame });
+        }
     }
 
     /// Whether a request may be routed now. If not, it is held, or ended as poison.
--- a/crates/core/src/core/on_tick.rs
+++ b/crates/core/src/core/on_tick.rs
@@ -8,6 +8,8 @@
 
 /// A gap between events after which the process is taken to have been paused, in ms.
 const PAUSE_MS: u64 = 2_000;
+/// Time between two looks for what may be forgotten, in ms.
+const SWEEP_EVERY_MS: u64 = 1_000;
 
 impl Core {
     /// The moment by which the core must be called again, if it is before the next tick.
@@ -71,6 +73,10 @@
         for ticket in self.tickets.forget_old(now) {
             self.act(Action::ForgetAnswer { ticket });
         }
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_EVERY_MS;
         self.poison.forget_old(now);
         self.retries.forget_idle(now);
         let in_force = self.records.in_force();
--- a/crates/core/src/orders/orderer.rs
+++ b/crates/core/src/orders/orderer.rs
@@ -22,8 +22,6 @@
 pub struct Duty {
     /// The engine.
     pub target: TargetName,
-    /// Highest revision that the state follows from.
-    pub fence: Revision,
     /// What it must have loaded, and nothing else.
     pub models: Vec<ServedModel>,
 }
@@ -57,8 +55,14 @@
 }
 
 impl Orderer {
-    /// What is to be done now about the engines of `duties`.
-    pub fn steps(&mut self, now: MonoMs, duties: &[Duty]) -> Vec<Step> {
+    /// What is to be done now about the engines of `duties`. `fence_of` gives the revision that an
+    /// engine's duty follows from; it is asked for only where the engine's state differs.
+    pub fn steps(
+        &mut self,
+        now: MonoMs,
+        duties: &[Duty],
+        fence_of: impl Fn(&TargetName) -> Option<Revision>,
+    ) -> Vec<Step> {
         self.follow(duties);
         let mut steps = Vec::new();
         let mut loading = self.loading(now);
@@ -67,7 +71,7 @@
                 continue;
             };
             if loading < LOADING_AT_ONCE
-                && let Some(order) = engine.next_order(now, duty)
+                && let Some(order) = engine.next_order(now, duty, &fence_of)
             {
                 loading += 1;
                 engine.ordered(now);
@@ -128,14 +132,23 @@
 }
 
 impl Engine {
-    fn next_order(&self, now: MonoMs, duty: &Duty) -> Option<Order> {
+    fn next_order(
+        &self,
+        now: MonoMs,
+        duty: &Duty,
+        fence_of: impl Fn(&TargetName) -> Option<Revision>,
+    ) -> Option<Order> {
         let (read, state) = self.state.as_ref()?;
         let fresh = now.since(*read) <= FRESH_MS;
-        if !fresh || state.busy || state.fence > duty.fence || holds(state, duty) {
+        if !fresh || state.busy || holds(state, duty) {
+            return None;
+        }
+        let fence = fence_of(&duty.target)?;
+        if state.fence > fence {
             return None;
         }
         Some(Order {
-            fence: duty.fence,
+            fence,
             expect_incarnation: state.incarnation,
             models: duty.models.clone(),
             mode: EngineMode::Both,
