--- a/crates/core/src/core/on_tick.rs
+++ b/crates/core/src/core/on_tick.rs
@@ -12,9 +12,12 @@
 const SWEEP_EVERY_MS: u64 = 1_000;
 
 impl Core {
-    /// The moment by which the core must be called again, if it is before the next tick.
-    pub fn next_wake(&self) -> Option<MonoMs> {
-        self.requests.next_deadline()
+    /// The exact moment of the next deadline, or `now` if one has passed. Called then, the core
+    /// ends the request with no delay; ticks end it within one tick.
+    pub fn next_wake(&self, now: MonoMs) -> Option<MonoMs> {
+        self.requests
+            .next_deadline()
+            .map(|deadline| deadline.max(now))
     }
 
     /// Brings the core to `now`, before any event is looked at: the first event after a pause may
--- a/crates/core/tests/requests_holdings.rs
+++ b/crates/core/tests/requests_holdings.rs
@@ -106,6 +106,15 @@
     );
 }
 
+#[test]
+fn an_own_reservation_that_no_group_knows_is_released() {
+    let mut bench = bench();
+
+    let freed = freed(&mut bench, 2_000, &holding(HOME, 0, true));
+
+    assert!(matches!(freed[0], TargetCall::Release(_)));
+}
+
 /// The daemon that ranks highest for an engine can't reach it, and nobody else frees its memory.
 #[test]
 fn every_daemon_frees_an_overdue_holding_in_the_end() {
