--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,8 @@
-//! Measurements of whinlatch in virtual time: decisions under load, and control at size.
+//! Measurements of whinlatch: decisions under load and control at size in virtual time, and the
+//! daemon as a process.
 
 mod capacity;
+mod path;
 mod policy;
 
 use {
@@ -13,6 +15,7 @@
 enum Command {
     Policy(policy::PolicyArgs),
     Capacity(capacity::CapacityArgs),
+    Path(path::PathArgs),
 }
 
 fn parser() -> OptionParser<Command> {
@@ -26,14 +29,20 @@
         .to_options()
         .descr("Measures what control costs for each peer, target, record and change.")
         .command("capacity");
-    construct!([policy, capacity])
+    let path = path::path_args()
+        .map(Command::Path)
         .to_options()
-        .descr("Measurements of whinlatch in virtual time.")
+        .descr("Measures the daemon as a process: added time, rate, memory, idle share.")
+        .command("path");
+    construct!([policy, capacity, path])
+        .to_options()
+        .descr("Measurements of whinlatch.")
 }
 
 fn main() -> ExitCode {
     match parser().run() {
         Command::Policy(args) => policy::run(&args),
         Command::Capacity(args) => capacity::run(&args),
+        Command::Path(args) => path::run(&args),
     }
 }
--- /dev/null
+++ b/crates/bench/src/path/measure.rs
@@ -0,0 +1,8 @@
+//! The single measurements.
+
+mod added;
+mod idle;
+mod rate;
+mod streams;
+
+pub use {added::added, idle::idle, rate::rate, streams::streams};
--- /dev/null
+++ b/crates/bench/src/path/run.rs
@@ -0,0 +1,38 @@
+use {
+    super::{args::PathArgs, errors::PathError, figures::Figures, measure, report, setup::Setup},
+    std::process::ExitCode,
+};
+
+/// Runs the measurement.
+pub fn run(args: &PathArgs) -> ExitCode {
+    match async_std::task::block_on(measured(args)) {
+        Ok(figures) => {
+            show(&figures, args.json);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn measured(args: &PathArgs) -> Result<Figures, PathError> {
+    let mut setup = Setup::start(args).await?;
+    let fresh = setup.daemon_use().held()?;
+    Ok(Figures {
+        added: measure::added(&setup, args.requests).await?,
+        rate: measure::rate(&setup, args).await?,
+        streams: measure::streams(&setup, args.streams, fresh).await?,
+        idle: measure::idle(&mut setup).await?,
+    })
+}
+
+fn show(figures: &Figures, json: bool) {
+    if json {
+        let text = serde_json::to_string_pretty(figures).expect("figures are plain data");
+        println!("{text}");
+    } else {
+        report::print(figures);
+    }
+}
