--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,5 +1,6 @@
 //! The core: owns the aggregates and passes events to them.
 
+mod links;
 mod on_attempt;
 mod on_peer;
 mod on_platform;
@@ -24,6 +25,7 @@
         routing::Router,
         time::MonoMs,
     },
+    links::Wanted,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
         ids::{AttemptId, RequestId},
@@ -46,6 +48,7 @@
     pulls: RecordPulls,
     platform: PlatformReader,
     list: Option<InstanceList>,
+    wanted: Wanted,
     router: Router,
     requests: RequestTable,
     tickets: TicketBook,
@@ -62,12 +65,13 @@
             leaving_since: None,
             rng: fastrand::Rng::with_seed(options.seed),
             records: RecordStore::default(),
-            members: Members::default(),
+            members: Members::new(options.as_news()),
             targets: Targets::default(),
             links: Links::default(),
             pulls: RecordPulls::default(),
             platform: PlatformReader::new(now),
             list: None,
+            wanted: Wanted::default(),
             router: Router,
             requests: RequestTable::default(),
             tickets: TicketBook::new(options.incarnation),
--- a/crates/core/src/core/on_peer.rs
+++ b/crates/core/src/core/on_peer.rs
@@ -1,35 +1,53 @@
-//! Other daemons: links, heartbeats, news and records.
+//! Other daemons: links, heartbeats and news.
 
 use {
     super::Core,
-    crate::{action::Action, decisions::Part, time::MonoMs},
-    std::{collections::BTreeSet, net::SocketAddr},
+    crate::{decisions::Part, fleet::Told, time::MonoMs},
+    std::net::SocketAddr,
     whinlatch_wire::{
         ids::Incarnation,
-        peer::{Hello, News, PeerFrame},
+        peer::{Hello, MemberNews, MemberStamp, News, PeerFrame},
     },
 };
 
 impl Core {
     pub(super) fn on_peer_up(&mut self, now: MonoMs, hello: &Hello) {
-        self.members.linked(now, hello);
-        self.links
-            .opened(now, hello.incarnation, hello.peer_address);
+        let peer = hello.incarnation;
+        let superseded = self.members.linked(now, hello);
+        self.links.opened(now, peer, hello.peer_address);
+        self.pulls.closed(peer);
         let text = format!("link to {} is open", hello.instance);
         self.decide(now, Part::Peers, None, text);
+        self.tell_members(superseded);
+        self.introduce(peer);
         self.beat(now);
     }
 
+    /// Tells a newly linked peer of all daemons, and all others of it.
+    fn introduce(&mut self, peer: Incarnation) {
+        let others = self.members.iter().map(|member| &member.news);
+        let known: Vec<MemberNews> = others.chain([self.members.own()]).cloned().collect();
+        let (of_peer, members): (Vec<_>, Vec<_>) = known
+            .iter()
+            .cloned()
+            .partition(|news| news.incarnation == peer);
+        self.links.tell(peer, &of_members(members));
+        // What is held against the peer itself is told too: it may contradict.
+        self.links.tell(peer, &of_members(of_peer.clone()));
+        self.links.spread(&of_members(of_peer), Some(peer));
+    }
+
     pub(super) fn on_peer_down(&mut self, _address: SocketAddr, peer: Option<Incarnation>) {
         self.links.closed(peer);
         if let Some(peer) = peer {
-            self.members.unlinked(peer);
+            self.members.unlinked(peer, false);
             self.pulls.closed(peer);
         }
     }
 
     pub(super) fn on_peer_frame(&mut self, now: MonoMs, from: Incarnation, frame: &PeerFrame) {
         self.members.heard(now, from);
+        self.links.heard(now, from);
         if !frame.records.is_empty() {
             self.on_peer_records(now, from, &frame.records);
         }
@@ -46,14 +64,29 @@
         if frame.pull_done {
             self.on_pull_done(now, from);
         }
+        if !frame.alive.is_empty() {
+            self.on_stamps(now, from, &frame.alive);
+        }
         self.take_news(now, from, &frame.news);
     }
 
+    fn on_stamps(&mut self, now: MonoMs, from: Incarnation, stamps: &[MemberStamp]) {
+        let lacking = self.members.take_stamps(now, stamps);
+        self.links.tell(from, &of_members(lacking));
+    }
+
     fn take_news(&mut self, now: MonoMs, from: Incarnation, news: &News) {
         let mut fresh = News::default();
         for member in &news.members {
-            if member.incarnation != self.options.incarnation && self.members.merge(now, member) {
-                fresh.members.push(member.clone());
+            match self.members.merge(now, member) {
+                Told::Known => {}
+                Told::News => fresh.members.push(member.clone()),
+                Told::Refuted => self.tell_members(vec![self.members.own().clone()]),
+                Told::Superseded => {
+                    let text = "another run has taken this one's place".to_owned();
+                    self.decide(now, Part::Fleet, None, text);
+                    self.on_stop(now);
+                }
             }
         }
         for target in &news.targets {
@@ -67,22 +100,47 @@
         self.links.spread(&fresh, Some(from));
     }
 
+    fn tell_members(&mut self, members: Vec<MemberNews>) {
+        self.links.spread(&of_members(members), None);
+    }
+
+    /// Judges who is silent, and tells what changed.
+    fn judge_members(&mut self, now: MonoMs) {
+        let mut told = self.members.tick(now);
+        for news in &told {
+            let text = format!("{} is held to be {:?}", news.instance, news.state);
+            self.decide(now, Part::Fleet, None, text);
+        }
+        if self.leaving_since.is_some() {
+            told.extend(self.members.leave());
+        }
+        self.tell_members(told);
+    }
+
     pub(super) fn beat(&mut self, now: MonoMs) {
+        self.notice_pause(now);
+        self.judge_members(now);
         let summary = self.records.summary();
+        let stamps_to = self.links.stamps_to(now);
+        if let Some(to) = stamps_to {
+            let alive = self.members.stamps(now);
+            self.send(
+                to,
+                PeerFrame {
+                    alive,
+                    ..PeerFrame::default()
+                },
+            );
+        }
         for (to, frame) in self.links.beats(now, &summary) {
             self.send(to, frame);
         }
     }
+}
 
-    pub(super) fn open_links(&mut self, now: MonoMs) {
-        let own = self.options.peer_address;
-        let mut wanted: BTreeSet<SocketAddr> = self.options.seed_peers.iter().copied().collect();
-        if let Some(list) = &self.list {
-            wanted.extend(list.daemons.iter().map(|daemon| daemon.peer_address));
-        }
-        wanted.remove(&own);
-        for address in self.links.to_open(now, own, &wanted) {
-            self.act(Action::Link { address });
-        }
+fn of_members(members: Vec<MemberNews>) -> News {
+    News {
+        members,
+        ..News::default()
     }
 }
--- a/crates/core/src/core/options.rs
+++ b/crates/core/src/core/options.rs
@@ -1,6 +1,9 @@
 use {
     std::net::SocketAddr,
-    whinlatch_wire::ids::{FailureDomain, Incarnation, InstanceName},
+    whinlatch_wire::{
+        ids::{FailureDomain, Incarnation, InstanceName},
+        peer::{MemberNews, MemberState},
+    },
 };
 
 /// What a daemon knows of itself when it starts.
@@ -21,3 +24,18 @@
     /// Seed of all chance.
     pub seed: u64,
 }
+
+impl CoreOptions {
+    /// What a daemon that has just started tells of itself.
+    pub(crate) fn as_news(&self) -> MemberNews {
+        MemberNews {
+            incarnation: self.incarnation,
+            instance: self.instance.clone(),
+            failure_domain: self.failure_domain.clone(),
+            caller_address: self.caller_address,
+            peer_address: self.peer_address,
+            version: 0,
+            state: MemberState::Alive,
+        }
+    }
+}
--- a/crates/core/src/core/reports.rs
+++ b/crates/core/src/core/reports.rs
@@ -6,7 +6,7 @@
     whinlatch_wire::{
         caller::{Entries, Entry},
         ids::{InstanceName, RequestId},
-        peer::MemberState,
+        platform::ListedState,
         record::TargetRole,
         report::{
             DecisionReport, PeerStatus, PlatformStatus, RecordsReport, StatusReport, TargetStatus,
@@ -14,28 +14,53 @@
     },
 };
 
+/// Most addresses that a caller is told.
+const MOST_ENTRIES: usize = 16;
+
 impl Core {
-    /// The addresses that callers may use.
+    /// The addresses that callers may use: those of this failure domain first, each part shuffled so
+    /// that callers spread. None that is leaving, suspected or dead, by news or by the list, nor one
+    /// to which a link should be open and isn't.
     pub fn entries(&self) -> Entries {
         let own = Entry {
             address: self.options.caller_address,
             failure_domain: self.options.failure_domain.clone(),
         };
+        let own = self.leaving_since.is_none().then_some(own);
         let others = self
             .members
-            .iter()
-            .filter(|member| member.news.state == MemberState::Alive && member.linked)
+            .alive()
+            .filter(|member| member.linked || !self.wanted.contains(member.news.peer_address))
+            .filter(|member| !self.is_listed_leaving(&member.news.instance))
             .map(|member| Entry {
                 address: member.news.caller_address,
                 failure_domain: member.news.failure_domain.clone(),
             });
-        let own = self.leaving_since.is_none().then_some(own);
+        let mut entries: Vec<Entry> = own.into_iter().chain(others).collect();
+        let seed = self.options.incarnation.0 as u64 ^ self.last_event.0;
+        fastrand::Rng::with_seed(seed).shuffle(&mut entries);
+        let (mut near, mut far): (Vec<Entry>, Vec<Entry>) = entries
+            .into_iter()
+            .partition(|entry| entry.failure_domain == self.options.failure_domain);
+        // Some stand elsewhere, in case the whole failure domain goes.
+        far.truncate(
+            MOST_ENTRIES
+                .saturating_sub(near.len())
+                .max(MOST_ENTRIES / 2),
+        );
+        near.truncate(MOST_ENTRIES - far.len());
+        near.extend(far);
         Entries {
-            entries: own.into_iter().chain(others).collect(),
+            entries: near,
             ttl_ms: self.records.in_force().policy().entries_ttl_ms,
         }
     }
 
+    fn is_listed_leaving(&self, instance: &InstanceName) -> bool {
+        let mut listed = self.list.iter().flat_map(|list| &list.daemons);
+        listed.any(|daemon| daemon.instance == *instance && daemon.state == ListedState::Leaving)
+    }
+
     /// The state of this daemon.
     pub fn status(&self, now: MonoMs) -> StatusReport {
         StatusReport {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -6,7 +6,7 @@
 mod watchers;
 
 pub use {
-    members::{Member, Members},
+    members::{Member, Members, Told},
     target_state::TargetState,
     targets::Targets,
     watchers::Watchers,
--- a/crates/core/src/peers/links.rs
+++ b/crates/core/src/peers/links.rs
@@ -1,4 +1,5 @@
 use {
+    super::link::Link,
     crate::{records::RecordStore, time::MonoMs},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -12,16 +13,26 @@
 
 /// Time between heartbeats, in ms.
 pub const HEARTBEAT_MS: u64 = 500;
+/// Silence after which a link is closed and a fresh one tried, in ms: three heartbeats. Something
+/// between two ends may lose track of a connection, which then stays silent for good while a new
+/// one works; so silence is held against the link before it is held against the peer.
+const SILENT_MS: u64 = 3 * HEARTBEAT_MS;
 /// Time between attempts to open one link, in ms.
 const RELINK_MS: u64 = 1_000;
 /// Time that the side with the higher address leaves to the other before it opens a link itself.
 const OPEN_ANYWAY_MS: u64 = 2_000;
+/// Time after which a link that neither side wants is closed, in ms.
+const SURPLUS_MS: u64 = 30_000;
+/// Time between two tellings of all that are alive, each over the next link, in ms.
+const STAMPS_EVERY_MS: u64 = 5_000;
 
 /// The open links, and those being opened.
 #[derive(Debug, Default)]
 pub struct Links {
     open: BTreeMap<Incarnation, Link>,
     unlinked: BTreeMap<SocketAddr, Unlinked>,
+    stamped: MonoMs,
+    last_stamped: Option<Incarnation>,
 }
 
 /// A wanted link that isn't open.
@@ -31,31 +42,12 @@
     tried: Option<MonoMs>,
 }
 
-#[derive(Debug)]
-struct Link {
-    address: SocketAddr,
-    beats: u64,
-    next_beat: MonoMs,
-    pending: News,
-    summary: RecordSummary,
-    /// The peer's bucket digests, as it told them with its last pull.
-    buckets: Vec<u64>,
-}
-
 impl Links {
-    /// Notes an open link.
+    /// Notes an open link. A second one to the same peer takes the place of the first on both
+    /// sides: the first may be one of which something between them has lost track.
     pub fn opened(&mut self, now: MonoMs, peer: Incarnation, address: SocketAddr) {
-        self.open.insert(
-            peer,
-            Link {
-                address,
-                beats: 0,
-                next_beat: now,
-                pending: News::default(),
-                summary: RecordSummary::default(),
-                buckets: Vec::new(),
-            },
-        );
+        self.open.insert(peer, Link::new(now, address));
+        self.unlinked.remove(&address);
     }
 
     /// Notes a closed link, or one that didn't open.
@@ -65,6 +57,58 @@
         }
     }
 
+    /// Notes that something came over a link.
+    pub fn heard(&mut self, now: MonoMs, peer: Incarnation) {
+        if let Some(link) = self.open.get_mut(&peer) {
+            link.heard = now;
+        }
+    }
+
+    /// This daemon was paused; that it heard nothing is its own fault.
+    pub fn doubt_all(&mut self, now: MonoMs) {
+        for link in self.open.values_mut() {
+            link.heard = now;
+        }
+    }
+
+    /// Peers whose links fell silent, to be closed and opened afresh.
+    pub fn silent(&self, now: MonoMs) -> Vec<Incarnation> {
+        self.open
+            .iter()
+            .filter(|(_, link)| now.since(link.heard) > SILENT_MS)
+            .map(|(peer, _)| *peer)
+            .collect()
+    }
+
+    /// Peers whose links neither side has wanted for a while.
+    pub fn surplus(&mut self, now: MonoMs, wanted: &BTreeSet<SocketAddr>) -> Vec<Incarnation> {
+        let mut surplus = Vec::new();
+        for (peer, link) in &mut self.open {
+            if wanted.contains(&link.address) {
+                link.surplus_since = None;
+                continue;
+            }
+            let since = *link.surplus_since.get_or_insert(now);
+            if now.since(since) > SURPLUS_MS {
+                surplus.push(*peer);
+            }
+        }
+        surplus
+    }
+
+    /// The link over which all that are alive are told now, if it is time.
+    pub fn stamps_to(&mut self, now: MonoMs) -> Option<Incarnation> {
+        if now.since(self.stamped) < STAMPS_EVERY_MS {
+            return None;
+        }
+        let last = self.last_stamped;
+        let next = self.open.keys().find(|peer| Some(**peer) > last);
+        let next = *next.or_else(|| self.open.keys().next())?;
+        self.stamped = now;
+        self.last_stamped = Some(next);
+        Some(next)
+    }
+
     /// Addresses of `wanted` to which a link should be opened now.
     ///
     /// Of two daemons the one with the lower address opens the link, so that there is one. The
@@ -99,6 +143,15 @@
             .collect()
     }
 
+    /// A link to this address fell silent: a fresh one is tried by both sides at once.
+    pub fn open_at_once(&mut self, now: MonoMs, address: SocketAddr) {
+        let unlinked = Unlinked {
+            since: MonoMs(now.0.saturating_sub(OPEN_ANYWAY_MS)),
+            tried: None,
+        };
+        self.unlinked.insert(address, unlinked);
+    }
+
     /// Queues news for all links but the one it came from.
     pub fn spread(&mut self, news: &News, except: Option<Incarnation>) {
         let links = self
@@ -106,31 +159,36 @@
             .iter_mut()
             .filter(|(peer, _)| Some(**peer) != except);
         for (_, link) in links {
-            link.pending.members.extend(news.members.iter().cloned());
-            link.pending.targets.extend(news.targets.iter().cloned());
-            link.pending.loads.extend(news.loads.iter().cloned());
-            link.pending.accounts.extend(news.accounts.iter().cloned());
-            link.pending.poison.extend(news.poison.iter().cloned());
+            link.news.put(news);
+        }
+    }
+
+    /// Queues news for one link.
+    pub fn tell(&mut self, peer: Incarnation, news: &News) {
+        if let Some(link) = self.open.get_mut(&peer) {
+            link.news.put(news);
         }
     }
 
-    /// Heartbeats that are due, with the news that waits.
+    /// Heartbeats that are due, with the news that waits. News of members, leaving targets and
+    /// requests that bring down targets goes at once: it has a few hops to go within seconds.
     pub fn beats(&mut self, now: MonoMs, records: &RecordSummary) -> Vec<(Incarnation, PeerFrame)> {
         self.open
             .iter_mut()
-            .filter(|(_, link)| link.next_beat <= now)
+            .filter(|(_, link)| link.next_beat <= now || link.news.is_urgent())
             .map(|(peer, link)| {
-                link.beats += 1;
-                link.next_beat = now + HEARTBEAT_MS;
-                let heartbeat = Heartbeat {
-                    number: link.beats,
-                    records: records.clone(),
-                };
-                let frame = PeerFrame {
-                    heartbeat: Some(heartbeat),
-                    news: std::mem::take(&mut link.pending),
+                let mut frame = PeerFrame {
+                    news: link.news.take(),
                     ..PeerFrame::default()
                 };
+                if link.next_beat <= now {
+                    link.beats += 1;
+                    link.next_beat = now + HEARTBEAT_MS;
+                    frame.heartbeat = Some(Heartbeat {
+                        number: link.beats,
+                        records: records.clone(),
+                    });
+                }
                 (*peer, frame)
             })
             .collect()
@@ -143,6 +201,16 @@
         }
     }
 
+    /// Links that are open.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether no link is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// Peers with open links.
     pub fn peers(&self) -> impl Iterator<Item = Incarnation> {
         self.open.keys().copied()
--- a/crates/core/tests/peers_suite/main.rs
+++ b/crates/core/tests/peers_suite/main.rs
@@ -2,6 +2,8 @@
 
 mod daemons;
 mod fleet;
+mod members_view;
+mod peers_links;
 mod platform;
 mod records_exchange;
 mod records_in_force;
--- a/crates/core/tests/peers_suite/records_late_start.rs
+++ b/crates/core/tests/peers_suite/records_late_start.rs
@@ -60,3 +60,13 @@
     let held = status(&fleet, late, "targets/a").expect("held");
     assert_eq!(held.revision, Revision(2));
 }
+
+// Each of the daemons holds the same, so the summaries agree and no one asks any more.
+#[test]
+fn daemons_that_hold_an_invalid_newest_revision_agree() {
+    let (fleet, late) = late_starter_after("{ broken");
+
+    let status = status(&fleet, late, "targets/a").expect("held");
+
+    assert_eq!(status.instances.len(), 3);
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,6 +13,7 @@
     frame::{Heartbeat, PeerFrame, RecordListing, RecordPull, RecordStamp, RecordSummary},
     hello::{Hello, HelloProof, PEER_PROTOCOL, prove, verify},
     news::{
-        AccountUse, MemberNews, MemberState, News, PoisonNews, TargetHealth, TargetLoad, TargetNews,
+        AccountUse, MemberNews, MemberStamp, MemberState, News, PoisonNews, TargetHealth,
+        TargetLoad, TargetNews,
     },
 };
--- a/crates/wire/src/peer/frame.rs
+++ b/crates/wire/src/peer/frame.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Hello, HelloProof, News},
+    super::{Hello, HelloProof, MemberStamp, News},
     crate::{ids::Revision, record::RecordEnvelope},
     serde::{Deserialize, Serialize},
 };
@@ -20,6 +20,9 @@
     /// News that is passed on.
     #[serde(skip_serializing_if = "News::is_empty")]
     pub news: News,
+    /// All daemons that the sender holds to be alive. What it lacks is told in answer.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub alive: Vec<MemberStamp>,
     /// Asks for records.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub pull: Option<RecordPull>,
--- a/crates/wire/src/peer/news.rs
+++ b/crates/wire/src/peer/news.rs
@@ -69,6 +69,41 @@
     pub state: MemberState,
 }
 
+/// A daemon's state in few bytes, so that all can be told of all. Travels as an array.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
+pub struct MemberStamp {
+    /// First half of the incarnation.
+    pub short: u64,
+    /// Version of the newest statement about it.
+    pub version: u64,
+    /// Grows while the daemon is alive.
+    pub beat: u64,
+}
+
+impl MemberStamp {
+    /// The half of an incarnation that stands for it.
+    pub fn short_of(incarnation: Incarnation) -> u64 {
+        (incarnation.0 >> 64) as u64
+    }
+}
+
+impl From<(u64, u64, u64)> for MemberStamp {
+    fn from((short, version, beat): (u64, u64, u64)) -> Self {
+        Self {
+            short,
+            version,
+            beat,
+        }
+    }
+}
+
+impl From<MemberStamp> for (u64, u64, u64) {
+    fn from(stamp: MemberStamp) -> Self {
+        (stamp.short, stamp.version, stamp.beat)
+    }
+}
+
 /// What a run of a target is held to be. Later values win over earlier ones and never go back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
