--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,5 +1,6 @@
 //! The core: owns the aggregates and passes events to them.
 
+mod links;
 mod on_attempt;
 mod on_group;
 mod on_holdings;
@@ -32,6 +33,7 @@
         routing::Router,
         time::MonoMs,
     },
+    links::Wanted,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
         ids::{AttemptId, RequestId},
@@ -58,6 +60,7 @@
     pulls: RecordPulls,
     platform: PlatformReader,
     list: Option<InstanceList>,
+    wanted: Wanted,
     router: Router,
     groups: Groups,
     requests: RequestTable,
@@ -83,12 +86,13 @@
             next_orders: now,
             next_sweep: now,
             records: RecordStore::default(),
-            members: Members::default(),
+            members: Members::new(options.as_news()),
             targets: Targets::default(),
             links: Links::default(),
             pulls: RecordPulls::default(),
             platform: PlatformReader::new(now),
             list: None,
+            wanted: Wanted::default(),
             router: Router,
             groups: Groups::default(),
             requests: RequestTable::default(),
