--- a/crates/core/src/core/on_submit.rs
+++ b/crates/core/src/core/on_submit.rs
@@ -7,14 +7,13 @@
         admission::{authorize, is_idempotent},
         decisions::Part,
         event::Submission,
-        requests::{Flight, Request, TicketState},
+        requests::{Flight, Request},
         routing::{Ask, NoChoice},
         time::MonoMs,
     },
     whinlatch_wire::{
-        caller::{Outcome, OutcomeKind, Reason},
-        ids::{RequestId, Ticket},
-        peer::MemberState,
+        caller::{OutcomeKind, Reason},
+        ids::RequestId,
     },
 };
 
@@ -31,9 +30,9 @@
         self.book.open(now, request);
         if self.records.summary().count == 0 {
             let message = "this daemon holds no records yet: use another entry";
-            self.refuse(
+            self.refuse_at_door(
                 now,
-                request,
+                &submission,
                 Reason::NoRecords,
                 message,
                 Some(NO_TARGET_RETRY_MS),
@@ -43,135 +42,52 @@
         let (route, idempotent) = match authorize(self.records.in_force(), &submission) {
             Ok((_, route)) => (route.clone(), is_idempotent(route)),
             Err(refused) => {
-                self.refuse(now, request, refused.reason(), &refused.to_string(), None);
+                let message = refused.to_string();
+                self.refuse_at_door(now, &submission, refused.reason(), &message, None);
                 return;
             }
         };
         let max_deadline_ms = self.records.in_force().policy().max_deadline_ms;
         if submission.deadline_ms == 0 || submission.deadline_ms > max_deadline_ms {
             let message = format!("the deadline must be 1 to {max_deadline_ms} ms");
-            self.refuse(now, request, Reason::BadDeadline, &message, None);
+            self.refuse_at_door(now, &submission, Reason::BadDeadline, &message, None);
             return;
         }
-        let entry = Request {
-            accepted: now,
-            deadline: now + submission.deadline_ms,
-            idempotent,
-            route,
-            flight: None,
-            tried: Vec::new(),
-            may_have_run: false,
-            submission,
-        };
-        if idempotent {
+        let entry = Request::new(now, submission, idempotent, route);
+        if !idempotent {
+            self.submit_once(now, entry);
+        } else if self.refuses_new(now) {
+            self.refuse_leaving(now, request);
+        } else {
             self.requests.insert(entry);
             self.route(now, request);
-        } else {
-            self.submit_once(now, entry);
         }
     }
 
-    /// Takes in a request that may not be repeated: only the home of its ticket may run it.
-    fn submit_once(&mut self, now: MonoMs, entry: Request) {
-        let request = entry.submission.request;
-        let Some(ticket) = entry.submission.ticket else {
-            self.hand_out_ticket(now, &entry);
-            return;
-        };
-        if ticket.home != self.options.incarnation {
-            self.pass_to_home(
-                now,
-                request,
-                ticket,
-                entry.submission.forwarded_by.is_some(),
-            );
-            return;
-        }
-        match self.tickets.state(ticket).cloned() {
-            Some(TicketState::Issued) => {
-                self.tickets
-                    .set(now, ticket, TicketState::InFlight(request));
-                self.requests.insert(entry);
-                self.route(now, request);
-            }
-            Some(TicketState::InFlight(_)) => {
-                let message = "the ticket's request is still in flight: ask again with it";
-                self.answer_unknown(now, request, Reason::TicketLost, message);
-            }
-            Some(TicketState::Ended(mut outcome)) => {
-                outcome.request = request;
-                self.act(Action::Replay {
-                    request,
-                    ticket,
-                    outcome,
-                });
-            }
-            None => {
-                let message = "this daemon has forgotten the ticket: the request may have run";
-                self.answer_unknown(now, request, Reason::TicketLost, message);
-            }
-        }
-    }
-
-    fn hand_out_ticket(&mut self, now: MonoMs, entry: &Request) {
-        let submission = &entry.submission;
-        let key = submission.idempotency_key.as_deref();
-        let ticket = self.tickets.issue(now, &submission.account, key);
-        self.finish_with(
-            now,
-            Outcome {
-                request: submission.request,
-                outcome: OutcomeKind::NotRun,
-                reason: Reason::TicketNeeded,
-                message: "this may not be repeated: send it again with this ticket".to_owned(),
-                retry_after_ms: Some(0),
-                ticket: Some(ticket),
-            },
-        );
-    }
-
-    fn pass_to_home(&mut self, now: MonoMs, request: RequestId, ticket: Ticket, forwarded: bool) {
-        let home = self.members.get(ticket.home);
-        let alive = home.filter(|member| member.news.state != MemberState::Dead && !forwarded);
-        let Some(member) = alive else {
-            let message = "the ticket's home is gone: the request may have run";
-            self.answer_unknown(now, request, Reason::TicketLost, message);
-            return;
-        };
-        let to = member.news.caller_address;
-        self.decide(
-            now,
-            Part::Requests,
-            Some(request),
-            format!("passed to its home {to}"),
-        );
-        self.act(Action::Forward {
-            request,
-            to,
-            home: ticket.home,
-        });
-    }
-
     /// Chooses a target and dispatches, or ends the request.
     pub(super) fn route(&mut self, now: MonoMs, request: RequestId) {
+        if !self.may_route(now, request) {
+            return;
+        }
+        let tried = self.to_avoid(now, request);
+        let alone = self.runs_alone(now, request);
         let Some(entry) = self.requests.get(request) else {
             return;
         };
         let ask = Ask {
             work: &entry.submission.work,
             route: &entry.route,
-            tried: &entry.tried,
+            tried: &tried,
+            alone,
         };
         let in_force = self.records.in_force();
         match self
             .router
             .choose(in_force, &self.targets, &ask, &mut self.rng)
         {
+            Ok(target) if self.must_wait_for(now, request, &target) => {}
             Ok(target) => self.dispatch(now, request, &target),
-            Err(NoChoice::TooLong) => {
-                let message = NoChoice::TooLong.to_string();
-                self.give_up(now, request, Reason::PromptTooLong, &message);
-            }
+            Err(NoChoice::TooLong) => self.place(now, request),
             Err(NoChoice::NoneLive) => {
                 let message = NoChoice::NoneLive.to_string();
                 let retry = Some(NO_TARGET_RETRY_MS);
@@ -181,15 +97,7 @@
         }
     }
 
-    /// What may be said of a request that gets no further attempt.
-    pub(super) fn kind_now(&self, request: RequestId) -> OutcomeKind {
-        match self.requests.get(request) {
-            Some(entry) if entry.may_have_run => OutcomeKind::Unknown,
-            _ => OutcomeKind::NotRun,
-        }
-    }
-
-    fn dispatch(
+    pub(super) fn dispatch(
         &mut self,
         now: MonoMs,
         request: RequestId,
@@ -202,11 +110,14 @@
         let Some(incarnation) = state.incarnation else {
             return;
         };
-        state.in_flight += 1;
         let address = state.address;
         let Some(entry) = self.requests.get(request) else {
             return;
         };
+        if entry.tried.is_empty() {
+            self.retries.first(now, &entry.submission.account);
+        }
+        let group = self.groups.get(request);
         let dispatch = Dispatch {
             request,
             attempt,
@@ -217,9 +128,9 @@
             send_before: (now + SEND_WITHIN_MS).min(entry.deadline),
             priority: USUAL_PRIORITY,
             version: None,
-            resume: entry.may_have_run,
-            reservation: None,
-            group: Vec::new(),
+            resume: entry.may_have_run(),
+            reservation: group.and_then(|group| group.reservation_at(target)),
+            group: group.map_or_else(Vec::new, |group| group.members(target)),
             keep_answer: entry.submission.ticket,
         };
         let flight = Flight {
@@ -228,7 +139,10 @@
             incarnation,
             first_chunk: false,
         };
-        self.requests.dispatched(request, flight);
+        if !self.requests.dispatched(request, flight) {
+            return;
+        }
+        state.in_flight += 1;
         let text = format!("attempt {attempt} goes to {target}");
         self.decide(now, Part::Routing, Some(request), text);
         self.act(Action::Dispatch(Box::new(dispatch)));
@@ -251,8 +165,4 @@
             retry_after_ms,
         );
     }
-
-    fn answer_unknown(&mut self, now: MonoMs, request: RequestId, reason: Reason, message: &str) {
-        self.finish(now, request, OutcomeKind::Unknown, reason, message, None);
-    }
 }
--- a/crates/core/src/core/on_target.rs
+++ b/crates/core/src/core/on_target.rs
@@ -23,16 +23,21 @@
         match event {
             TargetEvent::Report(report) => self.on_report(now, target, report),
             TargetEvent::Unreachable => self.on_unreachable(now, target),
-            TargetEvent::Cache(_)
-            | TargetEvent::State(_)
-            | TargetEvent::Ordered(_)
-            | TargetEvent::Reserved(_)
-            | TargetEvent::ReserveRefused(_)
-            | TargetEvent::ReserveLost(_) => {}
+            TargetEvent::State(state) => self.on_state(now, target, state),
+            TargetEvent::Ordered(verdict) => self.on_ordered(now, target, verdict),
+            TargetEvent::Reserved(reservation) => self.on_reserved(now, target, reservation),
+            TargetEvent::ReserveRefused(reservation) => {
+                self.on_not_reserved(now, target, reservation, "refuses to set memory aside");
+            }
+            TargetEvent::ReserveLost(reservation) => {
+                self.on_not_reserved(now, target, reservation, "didn't answer a reservation");
+            }
+            TargetEvent::Cache(_) => {}
         }
     }
 
     fn on_report(&mut self, now: MonoMs, target: &TargetName, report: LoadReport) {
+        self.watch_holdings(now, target, &report);
         let incarnation = report.incarnation;
         if self.targets.reported(now, target, report) {
             self.leaves(now, target, incarnation, "its own report");
@@ -40,6 +45,7 @@
     }
 
     fn on_unreachable(&mut self, now: MonoMs, target: &TargetName) {
+        self.orderer.unreachable(target);
         if self.targets.missed(target) {
             let text = format!("{target} gets nothing new: it answers no reads");
             self.decide(now, Part::Fleet, None, text);
