--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -13,28 +13,35 @@
     async_channel::{Receiver, Sender},
     futures::{
         FutureExt,
-        future::{self},
-        select_biased,
+        future::{self, BoxFuture},
+        pin_mut, select_biased,
     },
-    std::sync::Arc,
-    whinlatch_core::{AttemptEvent, Dispatch, MonoMs, Submission},
+    http_types::Response,
+    std::{net::SocketAddr, sync::Arc},
+    whinlatch_core::{AttemptEvent, Dispatch, ForwardEnd, MonoMs, Submission},
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
-        ids::Ticket,
+        ids::{AttemptId, Ticket},
         target::{ServiceAnswer, StreamChunk},
     },
 };
 
+/// What an exchange waits for besides instructions.
+enum Running {
+    Nothing,
+    Attempt(Attempt),
+    Forward(BoxFuture<'static, Option<Response>>),
+}
+
 /// One caller's request from its submission to its last byte. It carries out what the control
 /// thread decides about the request and reports what comes of it.
-#[derive(Debug)]
 pub struct Exchange {
     shared: Arc<Shared>,
     submission: Submission,
     work: Arc<AttemptWork>,
     key: SecretHeader,
     accepted: MonoMs,
-    attempt: Option<Attempt>,
+    running: Running,
     keep_answer: Option<Ticket>,
     passed: u64,
     stream: Option<ChunkSender>,
@@ -46,6 +53,7 @@
 enum Happened {
     Instructed(Instruction),
     Stepped(Option<Step>),
+    Forwarded(Option<Response>),
     CallerGone,
     ControlGone,
 }
@@ -61,7 +69,7 @@
         work: Arc::new(read.work),
         key: read.key,
         accepted,
-        attempt: None,
+        running: Running::Nothing,
         keep_answer: None,
         passed: 0,
         stream: None,
@@ -72,6 +80,20 @@
     answer
 }
 
+impl Running {
+    async fn next(&mut self) -> Happened {
+        match self {
+            Self::Nothing => future::pending().await,
+            Self::Attempt(attempt) => Happened::Stepped(attempt.next().await),
+            Self::Forward(answer) => Happened::Forwarded(answer.await),
+        }
+    }
+
+    fn is_attempt(&self, id: AttemptId) -> bool {
+        matches!(self, Self::Attempt(attempt) if attempt.id() == id)
+    }
+}
+
 impl Exchange {
     async fn run(mut self) {
         let submission = self.submission.clone();
@@ -81,6 +103,7 @@
             let over = match happened {
                 Happened::Instructed(instruction) => self.carry_out(instruction).await,
                 Happened::Stepped(step) => self.take(step).await,
+                Happened::Forwarded(answer) => self.end_forward(answer).await,
                 Happened::CallerGone => Err(CallerGone),
                 Happened::ControlGone => self.finish(self.control_gone()).await.map(|()| true),
             };
@@ -100,18 +123,15 @@
             Some(stream) => stream.gone().left_future(),
             None => self.caller.closed().right_future(),
         };
-        let step = match &mut self.attempt {
-            Some(attempt) => attempt.next().left_future(),
-            None => future::pending().right_future(),
-        };
+        let step = self.running.next();
         let (instructed, gone, step) = (instructions.recv().fuse(), gone.fuse(), step.fuse());
-        futures::pin_mut!(instructed, gone, step);
+        pin_mut!(instructed, gone, step);
         select_biased! {
             instruction = instructed => {
                 instruction.map_or(Happened::ControlGone, Happened::Instructed)
             }
             () = gone => Happened::CallerGone,
-            step = step => Happened::Stepped(step),
+            happened = step => happened,
         }
     }
 
@@ -120,12 +140,11 @@
         match instruction {
             Instruction::Dispatch(dispatch) => self.dispatch(*dispatch),
             Instruction::Abandon(attempt) => {
-                self.attempt.take_if(|running| running.id() == attempt);
-            }
-            Instruction::Forward { to } => {
-                self.forward(to).await?;
-                return Ok(true);
+                if self.running.is_attempt(attempt) {
+                    self.running = Running::Nothing;
+                }
             }
+            Instruction::Forward { to } => self.forward(to),
             Instruction::Replay { ticket, outcome } => {
                 self.replay(ticket, outcome).await?;
                 return Ok(true);
@@ -140,7 +159,7 @@
 
     fn dispatch(&mut self, dispatch: Dispatch) {
         self.keep_answer = dispatch.keep_answer;
-        self.attempt = Some(Attempt::begin(
+        self.running = Running::Attempt(Attempt::begin(
             Arc::clone(&self.shared),
             Arc::new(dispatch),
             Arc::clone(&self.work),
@@ -149,9 +168,10 @@
     }
 
     async fn take(&mut self, step: Option<Step>) -> Result<bool, CallerGone> {
-        let Some(attempt) = self.attempt.as_ref().map(Attempt::id) else {
+        let Running::Attempt(running) = &self.running else {
             return Ok(false);
         };
+        let attempt = running.id();
         match step {
             Some(Step::Chunk(chunk)) => {
                 let first = self.passed == 0;
@@ -209,17 +229,17 @@
         self.answer = Some(answer);
     }
 
-    async fn end_attempt(&mut self, attempt: whinlatch_wire::ids::AttemptId, event: AttemptEvent) {
-        self.attempt = None;
+    async fn end_attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        self.running = Running::Nothing;
         self.report(attempt, event).await;
     }
 
-    async fn report(&mut self, attempt: whinlatch_wire::ids::AttemptId, event: AttemptEvent) {
+    async fn report(&mut self, attempt: AttemptId, event: AttemptEvent) {
         self.shared.control.attempt(attempt, event).await;
     }
 
     async fn finish(&mut self, outcome: Outcome) -> Result<(), CallerGone> {
-        self.attempt = None;
+        self.running = Running::Nothing;
         self.note(&outcome);
         if let Some(stream) = self.stream.take() {
             return stream.end(&outcome).await;
@@ -232,7 +252,7 @@
         }
     }
 
-    async fn forward(&mut self, to: std::net::SocketAddr) -> Result<(), CallerGone> {
+    fn forward(&mut self, to: SocketAddr) {
         let spent_ms = self.shared.clock.now().since(self.accepted);
         let forward = Forward {
             submission: &self.submission,
@@ -241,14 +261,26 @@
             left_ms: self.submission.deadline_ms.saturating_sub(spent_ms),
             to,
         };
-        let passed = forward.run(&self.shared);
-        let gone = self.caller.closed();
-        futures::pin_mut!(passed, gone);
-        match future::select(passed, gone).await {
-            future::Either::Left((answer, _)) => self.answer_with(answer),
-            // Its connection to the home closes too, and the home learns that the caller is gone.
-            future::Either::Right(((), _)) => Err(CallerGone),
-        }
+        let answer = forward.begin(Arc::clone(&self.shared));
+        self.running = Running::Forward(answer.boxed());
+    }
+
+    /// The home's answer goes to the caller; without one the core has the last word.
+    async fn end_forward(&mut self, answer: Option<Response>) -> Result<bool, CallerGone> {
+        self.running = Running::Nothing;
+        let end = match answer {
+            Some(_) => ForwardEnd::Answered,
+            None => ForwardEnd::Lost,
+        };
+        let request = self.submission.request;
+        self.shared.control.forward_ended(request, end).await;
+        let Some(answer) = answer else {
+            return Ok(false);
+        };
+        let ms = self.shared.clock.now().since(self.accepted);
+        self.shared.metrics.note_passed(&answer, ms);
+        self.answer_with(Answer::Passed(answer))?;
+        Ok(true)
     }
 
     async fn replay(&mut self, ticket: Ticket, outcome: Outcome) -> Result<(), CallerGone> {
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -1,16 +1,16 @@
 use {
-    super::{answer::Answer, submission::SecretHeader},
+    super::submission::SecretHeader,
     crate::{
         clock::timeout,
         shared::Shared,
         targets::{AttemptWork, connect, read_body},
     },
     http_types::{Method, Request, Response, Url},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
     whinlatch_core::Submission,
     whinlatch_wire::caller::{
-        ACCOUNT_HEADER, CALLER_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, OUTCOME_HEADER, Outcome,
-        OutcomeKind, REASON_HEADER, REQUEST_HEADER, Reason, SERVICES_PREFIX, TICKET_HEADER,
+        ACCOUNT_HEADER, CALLER_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, OUTCOME_HEADER,
+        REASON_HEADER, REQUEST_HEADER, SERVICES_PREFIX, TICKET_HEADER,
     },
 };
 
@@ -41,31 +41,20 @@
 }
 
 impl Forward<'_> {
-    /// Passes the request on and the answer back. Without an answer the outcome is `unknown`, also
-    /// if nothing was written now: the home may have run the ticket earlier.
-    pub async fn run(&self, shared: &Shared) -> Answer {
-        let answered = timeout(shared.clock.as_ref(), self.left_ms, self.ask(shared)).await;
-        match answered.flatten() {
-            Some(response) => Answer::Passed(response),
-            None => Answer::ended(self.unknown()),
+    /// Passes the request on. Dropped, the answer closes its connection, and the home learns that
+    /// the caller is gone.
+    pub fn begin(
+        &self,
+        shared: Arc<Shared>,
+    ) -> impl Future<Output = Option<Response>> + Send + 'static {
+        let request = self.request(&shared);
+        let (to, left_ms) = (self.to, self.left_ms);
+        async move {
+            let answer = ask(&shared, request?, to);
+            timeout(shared.clock.as_ref(), left_ms, answer).await?
         }
     }
 
-    async fn ask(&self, shared: &Shared) -> Option<Response> {
-        let request = self.request(shared)?;
-        let stream = connect(shared.clock.as_ref(), self.to).await.ok()?;
-        let mut answer = async_h1::connect(stream, request).await.ok()?;
-        let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.ok()?;
-        let mut response = Response::new(answer.status());
-        response.set_body(body);
-        for field in PASSED_FIELDS {
-            if let Some(value) = answer.header(field) {
-                response.insert_header(field, value.last().as_str());
-            }
-        }
-        Some(response)
-    }
-
     fn request(&self, shared: &Shared) -> Option<Request> {
         let AttemptWork::Call { service, body, .. } = self.work else {
             return None;
@@ -88,17 +77,18 @@
         }
         Some(request)
     }
+}
 
-    fn unknown(&self) -> Outcome {
-        Outcome {
-            request: self.submission.request,
-            outcome: OutcomeKind::Unknown,
-            reason: Reason::TicketLost,
-            message: "the ticket's home gives no answer: the request may have run, ask again \
-                      with the same ticket"
-                .to_owned(),
-            retry_after_ms: None,
-            ticket: self.submission.ticket,
+async fn ask(shared: &Shared, request: Request, to: SocketAddr) -> Option<Response> {
+    let stream = connect(shared.clock.as_ref(), to).await.ok()?;
+    let mut answer = async_h1::connect(stream, request).await.ok()?;
+    let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.ok()?;
+    let mut response = Response::new(answer.status());
+    response.set_body(body);
+    for field in PASSED_FIELDS {
+        if let Some(value) = answer.header(field) {
+            response.insert_header(field, value.last().as_str());
         }
     }
+    Some(response)
 }
--- a/crates/daemon/src/control/control_handle.rs
+++ b/crates/daemon/src/control/control_handle.rs
@@ -2,7 +2,7 @@
     super::{ControlMessage, Instruction, Query},
     async_channel::{Receiver, Sender},
     thiserror::Error,
-    whinlatch_core::{AttemptEvent, Event, PlatformEvent, Submission, TargetEvent},
+    whinlatch_core::{AttemptEvent, Event, ForwardEnd, PlatformEvent, Submission, TargetEvent},
     whinlatch_wire::{
         caller::Entries,
         ids::{AttemptId, RequestId, TargetName},
@@ -60,6 +60,12 @@
             .await;
     }
 
+    /// Reports how the home of a request's ticket answered.
+    pub async fn forward_ended(&self, request: RequestId, end: ForwardEnd) {
+        let event = Event::ForwardEnded { request, end };
+        self.send(ControlMessage::Event(event)).await;
+    }
+
     /// Reports that a caller went away.
     pub async fn caller_gone(&self, request: RequestId) {
         self.send(ControlMessage::Event(Event::CallerGone { request }))
--- a/crates/daemon/src/control/hands.rs
+++ b/crates/daemon/src/control/hands.rs
@@ -21,9 +21,9 @@
         match action {
             Action::Dispatch(dispatch) => self.requests.dispatch(dispatch),
             Action::Finish(outcome) => self.requests.finish(outcome),
-            Action::Forward { request, to, .. } => self
-                .requests
-                .hand_over(request, Instruction::Forward { to }),
+            Action::Forward { request, to, .. } => {
+                self.requests.instruct(request, Instruction::Forward { to });
+            }
             Action::Replay {
                 request,
                 ticket,
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -73,9 +73,10 @@
         }
     }
 
-    /// The control thread never waits for traffic: a task that is gone has dropped its receiver,
-    /// and one whose queue were full would lose its sender and answer `unknown`.
-    fn instruct(&mut self, request: RequestId, instruction: Instruction) {
+    /// Gives a request an instruction. The control thread never waits for
+    /// traffic: a task that is gone has dropped its receiver, and one whose queue were full would
+    /// lose its sender and answer `unknown`.
+    pub fn instruct(&mut self, request: RequestId, instruction: Instruction) {
         let Some(task) = self.tasks.get(&request) else {
             return;
         };
--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -1,9 +1,11 @@
 use {
+    crate::callers::reason_name,
+    http_types::Response,
     prometheus::{
         Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
         Registry, TextEncoder,
     },
-    whinlatch_wire::caller::Outcome,
+    whinlatch_wire::caller::{OUTCOME_HEADER, Outcome, REASON_HEADER},
 };
 
 /// Buckets of durations of requests, in seconds: a short reply to a prompt of a million tokens.
@@ -126,11 +128,24 @@
 
     /// Counts a request that ended after `ms`.
     pub fn note_request(&self, outcome: &Outcome, ms: u64) {
-        let kind = outcome.outcome.as_str();
-        let reason = crate::callers::reason_name(outcome.reason);
-        self.requests.with_label_values(&[kind, &reason]).inc();
+        let reason = reason_name(outcome.reason);
+        self.note(outcome.outcome.as_str(), &reason, ms);
+    }
+
+    /// Counts a request that ended after `ms` with the answer of its ticket's home.
+    pub fn note_passed(&self, answer: &Response, ms: u64) {
+        let field = |name| {
+            answer
+                .header(name)
+                .map_or("", |value| value.last().as_str())
+        };
+        self.note(field(OUTCOME_HEADER), field(REASON_HEADER), ms);
+    }
+
+    fn note(&self, outcome: &str, reason: &str, ms: u64) {
+        self.requests.with_label_values(&[outcome, reason]).inc();
         self.durations
-            .with_label_values(&[kind])
+            .with_label_values(&[outcome])
             .observe(ms as f64 / MS_PER_S);
     }
 
