--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -30,12 +30,12 @@
         /// The answer.
         answer: Arc<ServiceAnswer>,
         /// The outcome.
-        outcome: Outcome,
+        outcome: Box<Outcome>,
     },
     /// An outcome without an answer.
     Ended(Refusal),
     /// The answer of the ticket's home.
-    Passed(Response),
+    Passed(Box<Response>),
     /// A page for operators or callers.
     Page {
         /// HTTP status.
@@ -52,7 +52,7 @@
     pub fn ended(outcome: Outcome) -> Self {
         Self::Ended(Refusal {
             status: outcome.reason.http_status(),
-            outcome,
+            outcome: Box::new(outcome),
         })
     }
 
@@ -74,7 +74,7 @@
                 response
             }
             Self::Ended(refusal) => ended_response(&refusal),
-            Self::Passed(response) => response,
+            Self::Passed(response) => *response,
             Self::Page {
                 status: code,
                 media,
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -96,13 +96,11 @@
         return Incoming::Refused(body_too_large(max_bytes));
     }
     let whole = read.is_ok() && expected.is_none_or(|length| length == body.len());
-    match whole {
-        true => Incoming::Request(Box::new(request), body),
-        false => {
-            let message = "the request ends within its body: send it whole";
-            Incoming::Refused(Refusal::new(Reason::BadRequest, message))
-        }
+    if whole {
+        return Incoming::Request(Box::new(request), body);
     }
+    let message = "the request ends within its body: send it whole";
+    Incoming::Refused(Refusal::new(Reason::BadRequest, message))
 }
 
 fn body_too_large(max_bytes: u64) -> Refusal {
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -246,7 +246,10 @@
         }
         match self.answer.take() {
             Some(answer) if outcome.outcome == OutcomeKind::Completed => {
-                self.answer_with(Answer::Service { answer, outcome })
+                self.answer_with(Answer::Service {
+                    answer,
+                    outcome: Box::new(outcome),
+                })
             }
             _ => self.answer_with(Answer::ended(outcome)),
         }
@@ -279,7 +282,7 @@
         };
         let ms = self.shared.clock.now().since(self.accepted);
         self.shared.metrics.note_passed(&answer, ms);
-        self.answer_with(Answer::Passed(answer))?;
+        self.answer_with(Answer::Passed(Box::new(answer)))?;
         Ok(true)
     }
 
@@ -289,9 +292,12 @@
         match kept {
             Some(answer) => {
                 self.note(&outcome);
-                self.answer_with(Answer::Service { answer, outcome })
+                self.answer_with(Answer::Service {
+                    answer,
+                    outcome: Box::new(outcome),
+                })
             }
-            None if completed => self.finish(answer_forgotten(outcome)).await,
+            None if completed => self.finish(answer_forgotten(&outcome)).await,
             None => self.finish(outcome).await,
         }
     }
@@ -321,13 +327,13 @@
 }
 
 /// The run is over and completed, but its answer went to make room for others.
-fn answer_forgotten(outcome: Outcome) -> Outcome {
+fn answer_forgotten(outcome: &Outcome) -> Outcome {
     Outcome {
         outcome: OutcomeKind::Unknown,
         reason: Reason::TicketLost,
         message: "the request ran once and completed, but its answer is no longer kept: don't \
                   send it anew"
             .to_owned(),
-        ..outcome
+        ..outcome.clone()
     }
 }
--- a/crates/daemon/src/callers/listener.rs
+++ b/crates/daemon/src/callers/listener.rs
@@ -60,9 +60,10 @@
     }
     let shared = Arc::clone(shared);
     task::spawn(async move {
-        match before < limit {
-            true => connection::serve_connection(shared, stream).await,
-            false => connection::refuse(&shared, &stream, too_many(limit)).await,
+        if before < limit {
+            connection::serve_connection(shared, stream).await;
+        } else {
+            connection::refuse(&shared, &stream, too_many(limit)).await;
         }
         drop(counted);
     });
--- a/crates/daemon/src/callers/refusal.rs
+++ b/crates/daemon/src/callers/refusal.rs
@@ -12,7 +12,7 @@
     /// HTTP status.
     pub status: u16,
     /// Outcome for the caller.
-    pub outcome: Outcome,
+    pub outcome: Box<Outcome>,
 }
 
 impl Refusal {
@@ -25,14 +25,14 @@
     pub fn with_status(status: u16, reason: Reason, message: impl Into<String>) -> Self {
         Self {
             status,
-            outcome: Outcome {
+            outcome: Box::new(Outcome {
                 request: RequestId(random_u128()),
                 outcome: OutcomeKind::NotRun,
                 reason,
                 message: message.into(),
                 retry_after_ms: None,
                 ticket: None,
-            },
+            }),
         }
     }
 
--- a/crates/daemon/src/callers/request_head.rs
+++ b/crates/daemon/src/callers/request_head.rs
@@ -16,6 +16,8 @@
 const LIBRARY_MAX_HEAD_BYTES: u64 = 8_191;
 /// Most header fields that the HTTP library takes.
 const LIBRARY_MAX_FIELDS: usize = 128;
+/// Lines of a head that are no fields: the first, the empty one and what follows it.
+const LINES_BESIDE_FIELDS: usize = 3;
 /// Bytes read at once.
 const READ_BYTES: usize = 4_096;
 /// HTTP status of a head that is too large.
@@ -64,7 +66,8 @@
 }
 
 fn check_fields(head: &[u8]) -> Result<(), NoHead> {
-    let fields = head.iter().filter(|byte| **byte == b'\n').count() - 2;
+    let lines = head.split(|byte| *byte == b'\n').count();
+    let fields = lines.saturating_sub(LINES_BESIDE_FIELDS);
     if fields <= LIBRARY_MAX_FIELDS {
         return Ok(());
     }
--- a/crates/daemon/src/clock/paused_clock.rs
+++ b/crates/daemon/src/clock/paused_clock.rs
@@ -50,10 +50,7 @@
         let (wake, woken) = async_channel::bounded(1);
         let until_us = state.now_us + ms * US_PER_MS;
         state.sleepers.retain(|sleeper| !sleeper.wake.is_closed());
-        state.sleepers.push(Sleeper {
-            until_us,
-            wake: wake,
-        });
+        state.sleepers.push(Sleeper { until_us, wake });
         Some(woken)
     }
 }
--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -5,13 +5,16 @@
         Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
         Registry, TextEncoder,
     },
-    whinlatch_wire::caller::{OUTCOME_HEADER, Outcome, REASON_HEADER},
+    serde::de::DeserializeOwned,
+    whinlatch_wire::caller::{OUTCOME_HEADER, Outcome, OutcomeKind, REASON_HEADER, Reason},
 };
 
 /// Buckets of durations of requests, in seconds: a short reply to a prompt of a million tokens.
 const DURATION_BUCKETS_S: [f64; 14] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 120.0, 600.0,
 ];
+/// Label of an outcome or reason that the ticket's home didn't tell.
+const NOT_TOLD: &str = "not_told";
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1_000.0;
 /// Microseconds in a second.
@@ -134,12 +137,11 @@
 
     /// Counts a request that ended after `ms` with the answer of its ticket's home.
     pub fn note_passed(&self, answer: &Response, ms: u64) {
-        let field = |name| {
-            answer
-                .header(name)
-                .map_or("", |value| value.last().as_str())
-        };
-        self.note(field(OUTCOME_HEADER), field(REASON_HEADER), ms);
+        let outcome: Option<OutcomeKind> = known(answer, OUTCOME_HEADER);
+        let reason: Option<Reason> = known(answer, REASON_HEADER);
+        let outcome = outcome.map_or(NOT_TOLD, OutcomeKind::as_str);
+        let reason = reason.map_or_else(|| NOT_TOLD.to_owned(), reason_name);
+        self.note(outcome, &reason, ms);
     }
 
     fn note(&self, outcome: &str, reason: &str, ms: u64) {
@@ -181,7 +183,8 @@
 
     /// Notes how many links are open.
     pub fn set_peer_links(&self, links: usize) {
-        self.peer_links.set(links as i64);
+        self.peer_links
+            .set(i64::try_from(links).unwrap_or(i64::MAX));
     }
 
     /// Counts a peer that was turned away.
@@ -206,6 +209,13 @@
     }
 }
 
+/// Reads a header whose values are a closed set: whatever else another process writes there must
+/// not become a label, of which there would be no end.
+fn known<T: DeserializeOwned>(answer: &Response, header: &str) -> Option<T> {
+    let text = answer.header(header)?.last().as_str();
+    serde_json::from_value(text.into()).ok()
+}
+
 fn seconds(name: &str, help: &str) -> HistogramOpts {
     HistogramOpts::new(name, help).buckets(DURATION_BUCKETS_S.to_vec())
 }
--- a/crates/daemon/src/peers/handshake.rs
+++ b/crates/daemon/src/peers/handshake.rs
@@ -112,8 +112,9 @@
     let proved = frame
         .proof
         .is_some_and(|proof| verify(key, own.nonce, theirs.incarnation, &proof));
-    match proved {
-        true => Ok(()),
-        false => Err(HandshakeError::Unproved),
+    if proved {
+        Ok(())
+    } else {
+        Err(HandshakeError::Unproved)
     }
 }
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -102,7 +102,7 @@
 async fn keep(shared: &Shared, hello: Hello, halves: Halves, address: SocketAddr) {
     let link = LinkId(random_u64());
     let peer = hello.incarnation;
-    let (frames, waiting) = async_channel::bounded(WAITING_FRAMES);
+    let (frames, queue) = async_channel::bounded(WAITING_FRAMES);
     let up = ControlMessage::LinkUp {
         link,
         hello,
@@ -111,7 +111,7 @@
     shared.control.send(up).await;
     let (sender, receiver) = halves;
     {
-        let writing = write_frames(shared, sender, waiting);
+        let writing = write_frames(shared, sender, queue);
         let reading = read_frames(shared, receiver, link, peer);
         pin_mut!(writing, reading);
         select(writing, reading).await;
@@ -145,8 +145,8 @@
     peer: whinlatch_wire::ids::Incarnation,
 ) {
     loop {
-        let received = receive_frame(&mut receiver);
-        let frame = match timeout(shared.clock.as_ref(), SILENCE_MS, received).await {
+        let next = receive_frame(&mut receiver);
+        let frame = match timeout(shared.clock.as_ref(), SILENCE_MS, next).await {
             Some(Ok(frame)) => Box::new(frame),
             Some(Err(error)) => return log::debug!("peers: {error}"),
             None => return,
--- a/crates/daemon/src/targets/generate.rs
+++ b/crates/daemon/src/targets/generate.rs
@@ -25,7 +25,8 @@
 ) -> Result<(), AttemptEvent> {
     let mut liveness = Liveness::new(shared, dispatch, true);
     let body = body(shared, dispatch, work, first_chunk)?;
-    let sent = send(shared, dispatch, GENERATE_PATH, &body);
+    // Boxed, as the memory for reading a head is not needed while chunks come.
+    let sent = Box::pin(send(shared, dispatch, GENERATE_PATH, &body));
     let response = liveness
         .watch(sent)
         .await
@@ -102,9 +103,12 @@
     let gate = Gate::new(Arc::clone(&shared.clock), dispatch.send_before);
     async_h1::connect(gate.guard(stream), request)
         .await
-        .map_err(|_broken| match gate.passed() {
-            true => AttemptEvent::Broken { chunks: 0 },
-            false => AttemptEvent::NotSent,
+        .map_err(|_broken| {
+            if gate.passed() {
+                AttemptEvent::Broken { chunks: 0 }
+            } else {
+                AttemptEvent::NotSent
+            }
         })
 }
 
--- a/crates/daemon/src/targets/json_call.rs
+++ b/crates/daemon/src/targets/json_call.rs
@@ -127,9 +127,10 @@
 }
 
 fn lost_or_not_sent(gate: &Gate) -> CallError {
-    match gate.passed() {
-        true => CallError::Lost,
-        false => CallError::NotSent,
+    if gate.passed() {
+        CallError::Lost
+    } else {
+        CallError::NotSent
     }
 }
 
--- a/crates/daemon/src/targets/liveness.rs
+++ b/crates/daemon/src/targets/liveness.rs
@@ -100,10 +100,10 @@
             return Ok(());
         }
         self.without_it += 1;
-        match self.without_it < REPORTS_WITHOUT_IT {
-            true => Ok(()),
-            false => Err(Lost::Broken),
+        if self.without_it < REPORTS_WITHOUT_IT {
+            return Ok(());
         }
+        Err(Lost::Broken)
     }
 
     /// Reports list what runs and only count what waits.
--- a/crates/daemon/src/targets/service_call.rs
+++ b/crates/daemon/src/targets/service_call.rs
@@ -22,7 +22,7 @@
     work: &AttemptWork,
     steps: &Sender<Step>,
 ) -> Result<(), AttemptEvent> {
-    let answered = answer(shared, dispatch, work);
+    let answered = Box::pin(answer(shared, dispatch, work));
     let answer = Liveness::new(shared, dispatch, false)
         .watch(answered)
         .await
