--- a/crates/core/src/fleet/members/member.rs
+++ b/crates/core/src/fleet/members/member.rs
@@ -26,6 +26,8 @@
     pub news: MemberNews,
     /// When it was last heard from, over its link or through others.
     pub heard: MonoMs,
+    /// Silence up to here is this daemon's own fault: it was paused.
+    pub(super) excused: MonoMs,
     /// Whether a link to it is open.
     pub linked: bool,
     /// Whether its silence is judged here by the link: from the time the link opened until it was
@@ -52,6 +54,7 @@
         Self {
             news: news.clone(),
             heard: now,
+            excused: now,
             linked: false,
             watched: false,
             beat: 0,
@@ -85,10 +88,15 @@
         self.since = now;
     }
 
+    /// How long it has been silent by a fault of its own or of the path to it, in ms.
+    pub(super) fn silent_ms(&self, now: MonoMs) -> u64 {
+        now.since(self.heard.max(self.excused))
+    }
+
     /// Judges the member's silence. `doubt` lengthens what this daemon grants to others when it has
     /// reason to mistrust itself.
     pub(super) fn judge(&self, now: MonoMs, doubt: u64) -> Verdict {
-        let silent_ms = now.since(self.heard);
+        let silent_ms = self.silent_ms(now);
         let in_state_ms = now.since(self.since);
         let allowed_ms = if self.watched {
             SUSPECT_AFTER_MS * (1 + doubt)
--- a/crates/core/tests/peers_suite/peers_links.rs
+++ b/crates/core/tests/peers_suite/peers_links.rs
@@ -222,6 +222,7 @@
         target: format!("target-{target}").as_str().into(),
         in_flight: number as u32,
         prefill_left_ms: 0,
+        long_left_ms: 0,
     };
 
     for number in (1..=100_000).chain([5]) {
