--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -17,7 +17,7 @@
         select_biased,
     },
     std::sync::Arc,
-    whinlatch_core::{AttemptEvent, Dispatch, MonoMs, Submission},
+    whinlatch_core::{AttemptEvent, Dispatch, ForwardEnd, MonoMs, Submission},
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
         ids::Ticket,
@@ -122,10 +122,7 @@
             Instruction::Abandon(attempt) => {
                 self.attempt.take_if(|running| running.id() == attempt);
             }
-            Instruction::Forward { to } => {
-                self.forward(to).await?;
-                return Ok(true);
-            }
+            Instruction::Forward { to } => return self.forward(to).await,
             Instruction::Replay { ticket, outcome } => {
                 self.replay(ticket, outcome).await?;
                 return Ok(true);
@@ -232,7 +229,9 @@
         }
     }
 
-    async fn forward(&mut self, to: std::net::SocketAddr) -> Result<(), CallerGone> {
+    /// Returns whether the exchange is over. Where the home gave no answer, the control thread
+    /// decides what the caller is told.
+    async fn forward(&mut self, to: std::net::SocketAddr) -> Result<bool, CallerGone> {
         let spent_ms = self.shared.clock.now().since(self.accepted);
         let forward = Forward {
             submission: &self.submission,
@@ -244,11 +243,21 @@
         let passed = forward.run(&self.shared);
         let gone = self.caller.closed();
         futures::pin_mut!(passed, gone);
-        match future::select(passed, gone).await {
-            future::Either::Left((answer, _)) => self.answer_with(answer),
+        let answer = match future::select(passed, gone).await {
+            future::Either::Left((answer, _)) => answer,
             // Its connection to the home closes too, and the home learns that the caller is gone.
-            future::Either::Right(((), _)) => Err(CallerGone),
-        }
+            future::Either::Right(((), _)) => return Err(CallerGone),
+        };
+        let request = self.submission.request;
+        let end = answer
+            .as_ref()
+            .map_or(ForwardEnd::Lost, |_| ForwardEnd::Answered);
+        self.shared.control.forward_ended(request, end).await;
+        let Some(answer) = answer else {
+            return Ok(false);
+        };
+        self.answer_with(answer)?;
+        Ok(true)
     }
 
     async fn replay(&mut self, ticket: Ticket, outcome: Outcome) -> Result<(), CallerGone> {
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -9,8 +9,8 @@
     std::net::SocketAddr,
     whinlatch_core::Submission,
     whinlatch_wire::caller::{
-        ACCOUNT_HEADER, CALLER_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, OUTCOME_HEADER, Outcome,
-        OutcomeKind, REASON_HEADER, REQUEST_HEADER, Reason, SERVICES_PREFIX, TICKET_HEADER,
+        ACCOUNT_HEADER, CALLER_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, OUTCOME_HEADER,
+        REASON_HEADER, REQUEST_HEADER, SERVICES_PREFIX, TICKET_HEADER,
     },
 };
 
@@ -41,14 +41,10 @@
 }
 
 impl Forward<'_> {
-    /// Passes the request on and the answer back. Without an answer the outcome is `unknown`, also
-    /// if nothing was written now: the home may have run the ticket earlier.
-    pub async fn run(&self, shared: &Shared) -> Answer {
+    /// Passes the request on and the answer back; `None` if the home gives no whole answer in time.
+    pub async fn run(&self, shared: &Shared) -> Option<Answer> {
         let answered = timeout(shared.clock.as_ref(), self.left_ms, self.ask(shared)).await;
-        match answered.flatten() {
-            Some(response) => Answer::Passed(response),
-            None => Answer::ended(self.unknown()),
-        }
+        answered.flatten().map(Answer::Passed)
     }
 
     async fn ask(&self, shared: &Shared) -> Option<Response> {
@@ -88,17 +84,4 @@
         }
         Some(request)
     }
-
-    fn unknown(&self) -> Outcome {
-        Outcome {
-            request: self.submission.request,
-            outcome: OutcomeKind::Unknown,
-            reason: Reason::TicketLost,
-            message: "the ticket's home gives no answer: the request may have run, ask again \
-                      with the same ticket"
-                .to_owned(),
-            retry_after_ms: None,
-            ticket: self.submission.ticket,
-        }
-    }
 }
--- a/crates/daemon/src/control/control_handle.rs
+++ b/crates/daemon/src/control/control_handle.rs
@@ -2,7 +2,7 @@
     super::{ControlMessage, Instruction, Query},
     async_channel::{Receiver, Sender},
     thiserror::Error,
-    whinlatch_core::{AttemptEvent, Event, PlatformEvent, Submission, TargetEvent},
+    whinlatch_core::{AttemptEvent, Event, ForwardEnd, PlatformEvent, Submission, TargetEvent},
     whinlatch_wire::{
         caller::Entries,
         ids::{AttemptId, RequestId, TargetName},
@@ -66,6 +66,12 @@
             .await;
     }
 
+    /// Reports how a request ended that was passed on to its ticket's home.
+    pub async fn forward_ended(&self, request: RequestId, end: ForwardEnd) {
+        let event = Event::ForwardEnded { request, end };
+        self.send(ControlMessage::Event(event)).await;
+    }
+
     /// Submits a request. What is decided about it comes from the receiver.
     pub async fn submit(&self, submission: Submission) -> Receiver<Instruction> {
         let (instructions, decided) = async_channel::bounded(WAITING_INSTRUCTIONS);
--- a/crates/daemon/src/control/control_thread.rs
+++ b/crates/daemon/src/control/control_thread.rs
@@ -7,7 +7,7 @@
         sync::Arc,
         thread::{self, JoinHandle},
     },
-    whinlatch_core::{Core, CoreOptions, Event, MonoMs},
+    whinlatch_core::{Core, CoreOptions, Event, ForwardEnd, MonoMs},
 };
 
 /// Time between ticks of the core, in ms.
@@ -130,7 +130,11 @@
 
     fn take_event(&mut self, event: Event) {
         let gone = match &event {
-            Event::CallerGone { request } => Some(*request),
+            Event::CallerGone { request }
+            | Event::ForwardEnded {
+                request,
+                end: ForwardEnd::Answered,
+            } => Some(*request),
             _ => None,
         };
         self.handle(event);
--- a/crates/daemon/src/control/hands.rs
+++ b/crates/daemon/src/control/hands.rs
@@ -21,9 +21,7 @@
         match action {
             Action::Dispatch(dispatch) => self.requests.dispatch(dispatch),
             Action::Finish(outcome) => self.requests.finish(outcome),
-            Action::Forward { request, to, .. } => self
-                .requests
-                .hand_over(request, Instruction::Forward { to }),
+            Action::Forward { request, to, .. } => self.requests.forward(request, to),
             Action::Replay {
                 request,
                 ticket,
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -1,7 +1,7 @@
 use {
     super::Instruction,
     async_channel::Sender,
-    std::collections::HashMap,
+    std::{collections::HashMap, net::SocketAddr},
     whinlatch_core::Dispatch,
     whinlatch_wire::{
         caller::Outcome,
@@ -44,6 +44,11 @@
         self.instruct(request, Instruction::Dispatch(dispatch));
     }
 
+    /// Has a request passed on to its ticket's home. It may still get a final answer from here.
+    pub fn forward(&mut self, request: RequestId, to: SocketAddr) {
+        self.instruct(request, Instruction::Forward { to });
+    }
+
     /// Has an attempt given up.
     pub fn abandon(&mut self, attempt: AttemptId) {
         if let Some(request) = self.attempts.remove(&attempt) {
