--- a/crates/bench/src/capacity/fleet/network.rs
+++ b/crates/bench/src/capacity/fleet/network.rs
@@ -7,9 +7,15 @@
         reads::Platform,
     },
     crate::capacity::clock::timed,
-    std::{collections::HashMap, net::SocketAddr},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+    },
     whinlatch_core::{Action, Event, MonoMs},
-    whinlatch_wire::ids::{Incarnation, RecordKey, Revision},
+    whinlatch_wire::{
+        ids::{Incarnation, RecordKey, Revision},
+        peer::MemberState,
+    },
 };
 
 /// Time between ticks, in ms.
@@ -187,15 +193,19 @@
         self.platform.forget_reads();
     }
 
-    /// Other daemons whose answer to callers names this one.
-    pub fn naming(&self, number: usize) -> usize {
-        let address = self.daemons[number].hello.caller_address;
+    /// Daemons that hold the run of any of these others to be alive.
+    pub fn believing_in(&self, numbers: &[usize]) -> usize {
+        let runs: HashSet<Incarnation> = numbers
+            .iter()
+            .map(|number| self.daemons[*number].hello.incarnation)
+            .collect();
         let others = self.daemons.iter().enumerate();
         others
-            .filter(|(other, daemon)| *other != number && daemon.alive)
+            .filter(|(other, daemon)| !numbers.contains(other) && daemon.alive)
             .filter(|(_, daemon)| {
-                let entries = daemon.core.entries().entries;
-                entries.iter().any(|entry| entry.address == address)
+                let peers = daemon.core.status(self.now).peers;
+                let mut told = peers.iter().filter(|p| runs.contains(&p.incarnation));
+                told.any(|peer| peer.state == MemberState::Alive)
             })
             .count()
     }
--- a/crates/bench/src/capacity/measure.rs
+++ b/crates/bench/src/capacity/measure.rs
@@ -57,6 +57,7 @@
     report.add(changes::measure_spread(&peers::EXACT_SIZES));
     report.add(start::measure_exact());
     report.add(apart::measure_exact());
+    report.add(repair::measure_exact());
     report
 }
 
--- a/crates/bench/src/capacity/repair.rs
+++ b/crates/bench/src/capacity/repair.rs
@@ -11,4 +11,4 @@
 mod table;
 mod transcript;
 
-pub use table::{Repair, measure};
+pub use table::{Repair, measure, measure_exact};
--- a/crates/bench/src/capacity/repair/after.rs
+++ b/crates/bench/src/capacity/repair/after.rs
@@ -37,7 +37,7 @@
     let pull = transcript.pass(&PeerFrame {
         pull: Some(RecordPull {
             after: Some(after),
-            buckets: Vec::new(),
+            ..RecordPull::default()
         }),
         ..PeerFrame::default()
     });
