--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,5 +1,6 @@
 //! The core: owns the aggregates and passes events to them.
 
+mod links;
 mod on_attempt;
 mod on_group;
 mod on_holdings;
@@ -7,6 +8,7 @@
 mod on_peer;
 mod on_platform;
 mod on_poison;
+mod on_records;
 mod on_stop;
 mod on_submit;
 mod on_target;
@@ -24,17 +26,18 @@
         event::Event,
         fleet::{Members, Targets},
         orders::Orderer,
-        peers::Links,
+        peers::{Links, RecordPulls},
         placement::Groups,
-        records::RecordStore,
+        records::{PlatformReader, RecordStore},
         requests::{HoldingWatch, PoisonBook, Refresh, RequestTable, RetryBudget, TicketBook},
         routing::Router,
         time::MonoMs,
     },
-    on_platform::PlatformReader,
+    links::Wanted,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
         ids::{AttemptId, RequestId},
+        platform::InstanceList,
     },
 };
 
@@ -48,12 +51,16 @@
     stopped: bool,
     refresh: Option<Refresh>,
     next_orders: MonoMs,
+    next_sweep: MonoMs,
     rng: fastrand::Rng,
     records: RecordStore,
     members: Members,
     targets: Targets,
     links: Links,
+    pulls: RecordPulls,
     platform: PlatformReader,
+    list: Option<InstanceList>,
+    wanted: Wanted,
     router: Router,
     groups: Groups,
     requests: RequestTable,
@@ -77,11 +84,15 @@
             stopped: false,
             refresh: None,
             next_orders: now,
+            next_sweep: now,
             records: RecordStore::default(),
-            members: Members::default(),
+            members: Members::new(options.as_news()),
             targets: Targets::default(),
             links: Links::default(),
+            pulls: RecordPulls::default(),
             platform: PlatformReader::new(now),
+            list: None,
+            wanted: Wanted::default(),
             router: Router,
             groups: Groups::default(),
             requests: RequestTable::default(),
--- a/crates/core/src/core/on_tick.rs
+++ b/crates/core/src/core/on_tick.rs
@@ -8,11 +8,16 @@
 
 /// A gap between events after which the process is taken to have been paused, in ms.
 const PAUSE_MS: u64 = 2_000;
+/// Time between two looks for what may be forgotten, in ms.
+const SWEEP_EVERY_MS: u64 = 1_000;
 
 impl Core {
-    /// The moment by which the core must be called again, if it is before the next tick.
-    pub fn next_wake(&self) -> Option<MonoMs> {
-        self.requests.next_deadline()
+    /// The exact moment of the next deadline, or `now` if one has passed. Called then, the core
+    /// ends the request with no delay; ticks end it within one tick.
+    pub fn next_wake(&self, now: MonoMs) -> Option<MonoMs> {
+        self.requests
+            .next_deadline()
+            .map(|deadline| deadline.max(now))
     }
 
     /// Brings the core to `now`, before any event is looked at: the first event after a pause may
@@ -71,6 +76,10 @@
         for ticket in self.tickets.forget_old(now) {
             self.act(Action::ForgetAnswer { ticket });
         }
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_EVERY_MS;
         self.poison.forget_old(now);
         self.retries.forget_idle(now);
         let in_force = self.records.in_force();
