--- a/crates/bench/src/capacity/args.rs
+++ b/crates/bench/src/capacity/args.rs
@@ -17,7 +17,7 @@
     pub plot: Option<PathBuf>,
 }
 
-const ONLY_HELP: &str = "Measure one part: memory, peers, targets, records, changes, spread, \
+const ONLY_HELP: &str = "Measure one part: memory, peers, targets, records, changes, \
     faults, streams, requests, start, apart or repair";
 
 /// Reads the options.
--- a/crates/bench/src/capacity/fleet/network.rs
+++ b/crates/bench/src/capacity/fleet/network.rs
@@ -188,9 +188,11 @@
         }
     }
 
-    /// Gives the platform its whole budget of reads again.
-    pub fn refill_reads(&mut self) {
-        self.platform.forget_reads();
+    /// Daemons whose read of the records waits for news.
+    pub fn watching(&self) -> impl Iterator<Item = usize> {
+        let each = self.daemons.iter().enumerate();
+        each.filter(|(_, daemon)| daemon.watch.is_some())
+            .map(|(number, _)| number)
     }
 
     /// Daemons that hold the run of any of these others to be alive.
--- a/crates/bench/src/capacity/measure/faults.rs
+++ b/crates/bench/src/capacity/measure/faults.rs
@@ -32,7 +32,6 @@
         let others = x - 1.0;
         let mut fleet = Fleet::new(peers::options(*daemons));
         fleet.run_s(SETTLE_S);
-        let rest = bytes_of(&mut fleet);
         fleet.kill(FAILING);
         let failed = bytes_of(&mut fleet);
         let rest_without = bytes_of(&mut fleet);
@@ -42,6 +41,7 @@
         });
         fleet.restart(FAILING);
         let started = bytes_of(&mut fleet);
+        let rest = bytes_of(&mut fleet);
         start.push(Point {
             x,
             y: (started - rest).max(0.0) / others,
--- a/crates/bench/src/capacity/measure/peers.rs
+++ b/crates/bench/src/capacity/measure/peers.rs
@@ -1,7 +1,10 @@
 //! Slopes over the number of daemons.
 
 use {
-    super::per_second::{PerSecond, at_rest},
+    super::{
+        per_second::{PerSecond, at_rest_and_after},
+        spread,
+    },
     crate::capacity::{
         fit::Point,
         fleet::{FleetOptions, Published, PublishedSize},
@@ -29,12 +32,21 @@
     FleetOptions::new(daemons, Published::of(size))
 }
 
-/// Measures fleets of several sizes at rest.
+/// Measures fleets of several sizes at rest, and how a change spreads in each.
 pub fn measure(sizes: &[usize]) -> Report {
-    let measured: Vec<(usize, PerSecond)> = sizes
-        .iter()
-        .map(|daemons| (*daemons, at_rest(options(*daemons))))
-        .collect();
+    let mut measured = Vec::new();
+    let mut spreads = Vec::new();
+    for daemons in sizes {
+        let (spent, mut fleet) = at_rest_and_after(options(*daemons));
+        measured.push((*daemons, spent));
+        spreads.push((*daemons, spread::follow(&mut fleet)));
+    }
+    let mut report = report_of(&measured);
+    report.add(spread::report_of(&spreads));
+    report
+}
+
+fn report_of(measured: &[(usize, PerSecond)]) -> Report {
     let points = |value: fn(&PerSecond) -> f64| -> Vec<Point> {
         measured
             .iter()
@@ -54,6 +66,10 @@
         })
         .against(BUDGET_BYTES_PER_S),
         slope("peers.platform_bytes", "B/s", |s| s.platform_bytes).against(BUDGET_BYTES_PER_S),
+        slope("peers.watcher_platform_bytes", "B/s", |s| {
+            s.most_platform_bytes
+        })
+        .against(BUDGET_BYTES_PER_S),
         slope("peers.cpu", "ms/s", |s| s.cpu_ms).against(BUDGET_CPU_MS_PER_S),
     ];
     let figures = measured.iter().map(|(daemons, spent)| {
--- a/crates/bench/src/capacity/measure/targets.rs
+++ b/crates/bench/src/capacity/measure/targets.rs
@@ -40,8 +40,10 @@
         slopes: vec![
             slope("targets.calls", "calls/s", |s: &PerSecond| s.target_calls),
             slope("targets.bytes", "B/s", |s| s.target_bytes).against(BUDGET_BYTES_PER_S),
-            slope("targets.platform_bytes", "B/s", |s| s.platform_bytes)
-                .against(BUDGET_BYTES_PER_S),
+            slope("targets.watcher_platform_bytes", "B/s", |s| {
+                s.most_platform_bytes
+            })
+            .against(BUDGET_BYTES_PER_S),
             slope("targets.cpu", "ms/s", |s| s.cpu_ms).against(BUDGET_CPU_MS_PER_S),
         ],
         ..Report::default()
