--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -4,6 +4,7 @@
 mod on_attempt;
 mod on_group;
 mod on_holdings;
+mod on_load;
 mod on_order;
 mod on_peer;
 mod on_platform;
@@ -36,7 +37,7 @@
     links::Wanted,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
-        ids::{AttemptId, RequestId},
+        ids::{AttemptId, RequestId, TargetName},
         platform::InstanceList,
     },
 };
@@ -70,6 +71,8 @@
     holdings: HoldingWatch,
     orderer: Orderer,
     book: DecisionBook,
+    untold: Vec<TargetName>,
+    load_number: u64,
     actions: Vec<Action>,
 }
 
@@ -93,7 +96,7 @@
             platform: PlatformReader::new(now),
             list: None,
             wanted: Wanted::default(),
-            router: Router,
+            router: Router::default(),
             groups: Groups::default(),
             requests: RequestTable::default(),
             tickets: TicketBook::new(options.incarnation, rng.u64(..)),
@@ -103,6 +106,8 @@
             orderer: Orderer::default(),
             rng,
             book: DecisionBook::default(),
+            untold: Vec::new(),
+            load_number: 0,
             actions: Vec::new(),
             options,
         }
@@ -127,6 +132,7 @@
             Event::Target { target, event } => self.on_target(now, &target, event),
             Event::Stop => self.on_stop(now),
         }
+        self.tell_loads(now);
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/core/src/fleet/members.rs
+++ b/crates/core/src/fleet/members.rs
@@ -97,7 +97,7 @@
                 member.news.instance == newer.instance
                     || member.news.peer_address == newer.peer_address
             })
-            .filter(|member| !member.linked || now.since(member.heard) > SUSPECT_AFTER_MS)
+            .filter(|member| !member.linked || member.silent_ms(now) > SUSPECT_AFTER_MS)
             .map(|member| {
                 member.set_state(now, MemberState::Dead);
                 member.news.clone()
@@ -191,7 +191,7 @@
     pub fn doubt_all(&mut self, now: MonoMs) {
         self.health.doubt_more(now);
         for member in self.by_incarnation.values_mut() {
-            member.heard = now;
+            member.excused = now;
         }
     }
 
