--- a/crates/cli/tests/cli/ask.rs
+++ b/crates/cli/tests/cli/ask.rs
@@ -221,9 +221,9 @@
     assert_eq!(answer["entry"], good.address.to_string());
 }
 
-/// A prompt over the limit is refused after its head. The refusal comes while the body is still
-/// being sent, and the entry closes; a sender that looks at its own failure only reports a broken
-/// connection and the user never learns of the limit.
+/// A prompt over the limit is refused after its head, and its body is not read. A sender that
+/// looks for an answer only after the whole body waits until the deadline, and the user never
+/// learns of the limit.
 #[test]
 fn an_early_refusal_of_a_long_body_is_read() {
     let entry = FakeEntry::start(&[], |_, _| refusal(413, "too_large"));
