--- a/crates/core/src/core/on_poison.rs
+++ b/crates/core/src/core/on_poison.rs
@@ -5,14 +5,16 @@
     crate::{
         action::Action,
         decisions::Part,
-        fleet::Targets,
+        fleet::{TargetState, Targets},
         requests::{Fate, Request, Standing},
+        routing::serves,
         time::MonoMs,
     },
     whinlatch_wire::{
         caller::Reason,
         ids::{AttemptId, Incarnation, RequestId, TargetName},
         peer::{News, PeerFrame, PoisonNews, TargetHealth},
+        record::TargetRecord,
     },
 };
 
@@ -121,21 +123,53 @@
         self.standing(now, request) != Standing::Clear
     }
 
-    /// Targets that the request is to avoid if another exists: those it was tried at, and those
-    /// where it would share with a suspect or, as a suspect, with anything.
+    /// Targets that the request is to avoid if another exists: those it was tried at; and, where
+    /// that leaves another, those where it would share with a suspect or, as a suspect, with
+    /// anything.
     pub(super) fn to_avoid(&self, now: MonoMs, request: RequestId) -> Vec<TargetName> {
-        let mut avoid = self
-            .requests
-            .get(request)
-            .map_or(Vec::new(), |e| e.tried.clone());
+        let Some(entry) = self.requests.get(request) else {
+            return Vec::new();
+        };
+        let tried = entry.tried.clone();
         if self.poison.is_empty() {
-            return avoid;
+            return tried;
         }
         let alone = self.runs_alone(now, request);
-        let in_use = self.requests.targets_in_use().into_iter();
-        let shared = in_use.filter(|target| alone || self.has_suspect(now, target));
-        avoid.extend(shared.cloned());
-        avoid
+        let (shared, free): (Vec<_>, Vec<_>) = self
+            .targets_for(entry)
+            .filter(|target| !tried.contains(target))
+            .partition(|target| (alone && self.is_busy(target)) || self.has_suspect(now, target));
+        if free.is_empty() {
+            return tried;
+        }
+        tried
+            .into_iter()
+            .chain(shared.into_iter().cloned())
+            .collect()
+    }
+
+    /// Targets that serve a request and take work.
+    fn targets_for<'a>(&'a self, entry: &'a Request) -> impl Iterator<Item = &'a TargetName> {
+        let serving = |record: &&TargetRecord| {
+            let mut shares = entry.route.providers.iter();
+            let share = shares.find(|share| share.provider == record.provider);
+            share.is_some_and(|share| serves(record, share, &entry.submission.work))
+        };
+        self.records
+            .in_force()
+            .targets()
+            .filter(serving)
+            .map(|record| &record.target)
+            .filter(|target| {
+                self.targets
+                    .get(target)
+                    .is_some_and(TargetState::takes_work)
+            })
+    }
+
+    fn is_busy(&self, target: &TargetName) -> bool {
+        let own = self.requests.at_target(target).next().is_some();
+        own || self.others_at(target, 0)
     }
 
     /// Whether a suspect would share `target` with another suspect; then it waits. Were they
--- a/crates/core/src/requests/request_table.rs
+++ b/crates/core/src/requests/request_table.rs
@@ -135,14 +135,6 @@
             .filter(move |entry| entry.flight().is_some_and(|f| f.target == *target))
     }
 
-    /// Targets with attempts in flight, each once.
-    pub fn targets_in_use(&self) -> BTreeSet<&TargetName> {
-        self.in_flight()
-            .filter_map(Request::flight)
-            .map(|flight| &flight.target)
-            .collect()
-    }
-
     /// Requests in flight.
     pub fn len(&self) -> usize {
         self.by_id.len()
