--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,12 +1,15 @@
 //! The core: owns the aggregates and passes events to them.
 
+mod links;
 mod on_attempt;
 mod on_group;
 mod on_holdings;
+mod on_load;
 mod on_order;
 mod on_peer;
 mod on_platform;
 mod on_poison;
+mod on_records;
 mod on_stop;
 mod on_submit;
 mod on_target;
@@ -24,17 +27,18 @@
         event::Event,
         fleet::{Members, Targets},
         orders::Orderer,
-        peers::Links,
+        peers::{Links, RecordPulls},
         placement::Groups,
-        records::RecordStore,
+        records::{PlatformReader, RecordStore},
         requests::{HoldingWatch, PoisonBook, Refresh, RequestTable, RetryBudget, TicketBook},
         routing::Router,
         time::MonoMs,
     },
-    on_platform::PlatformReader,
+    links::Wanted,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
-        ids::{AttemptId, RequestId},
+        ids::{AttemptId, RequestId, TargetName},
+        platform::InstanceList,
     },
 };
 
@@ -54,7 +58,10 @@
     members: Members,
     targets: Targets,
     links: Links,
+    pulls: RecordPulls,
     platform: PlatformReader,
+    list: Option<InstanceList>,
+    wanted: Wanted,
     router: Router,
     groups: Groups,
     requests: RequestTable,
@@ -64,6 +71,8 @@
     holdings: HoldingWatch,
     orderer: Orderer,
     book: DecisionBook,
+    untold: Vec<TargetName>,
+    load_number: u64,
     actions: Vec<Action>,
 }
 
@@ -80,11 +89,14 @@
             next_orders: now,
             next_sweep: now,
             records: RecordStore::default(),
-            members: Members::default(),
+            members: Members::new(options.as_news()),
             targets: Targets::default(),
             links: Links::default(),
+            pulls: RecordPulls::default(),
             platform: PlatformReader::new(now),
-            router: Router,
+            list: None,
+            wanted: Wanted::default(),
+            router: Router::default(),
             groups: Groups::default(),
             requests: RequestTable::default(),
             tickets: TicketBook::new(options.incarnation, rng.u64(..)),
@@ -94,6 +106,8 @@
             orderer: Orderer::default(),
             rng,
             book: DecisionBook::default(),
+            untold: Vec::new(),
+            load_number: 0,
             actions: Vec::new(),
             options,
         }
@@ -118,6 +132,7 @@
             Event::Target { target, event } => self.on_target(now, &target, event),
             Event::Stop => self.on_stop(now),
         }
+        self.tell_loads(now);
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/core/src/core/on_submit.rs
+++ b/crates/core/src/core/on_submit.rs
@@ -8,7 +8,7 @@
         decisions::Part,
         event::Submission,
         requests::{Flight, Request},
-        routing::{Ask, NoChoice},
+        routing::{Ask, Choice, NoChoice, Scene},
         time::MonoMs,
     },
     whinlatch_wire::{
@@ -21,8 +21,6 @@
 const NO_TARGET_RETRY_MS: u64 = 1_000;
 /// How long a dispatch may take from decision to first byte, in ms.
 const SEND_WITHIN_MS: u64 = 1_000;
-/// Priority of a request at an engine where nothing speaks for another.
-const USUAL_PRIORITY: u8 = 5;
 
 impl Core {
     pub(super) fn on_submit(&mut self, now: MonoMs, submission: Submission) {
@@ -74,19 +72,17 @@
         let Some(entry) = self.requests.get(request) else {
             return;
         };
-        let ask = Ask {
-            work: &entry.submission.work,
-            route: &entry.route,
-            tried: &tried,
-            alone,
+        let policy = self.records.in_force().policy();
+        let ask = Ask::new(&entry.submission.work, &entry.route, &tried, policy).alone(alone);
+        let scene = Scene {
+            now,
+            in_force: self.records.in_force(),
+            targets: &self.targets,
+            daemons: self.members.alive().count() + 1,
         };
-        let in_force = self.records.in_force();
-        match self
-            .router
-            .choose(in_force, &self.targets, &ask, &mut self.rng)
-        {
-            Ok(target) if self.must_wait_for(now, request, &target) => {}
-            Ok(target) => self.dispatch(now, request, &target),
+        match self.router.choose(&scene, &ask, &mut self.rng) {
+            Ok(choice) if self.must_wait_for(now, request, &choice.target) => {}
+            Ok(choice) => self.dispatch(now, request, &choice),
             Err(NoChoice::TooLong) => self.place(now, request),
             Err(NoChoice::NoneLive) => {
                 let message = NoChoice::NoneLive.to_string();
@@ -97,14 +93,10 @@
         }
     }
 
-    pub(super) fn dispatch(
-        &mut self,
-        now: MonoMs,
-        request: RequestId,
-        target: &whinlatch_wire::ids::TargetName,
-    ) {
+    pub(super) fn dispatch(&mut self, now: MonoMs, request: RequestId, choice: &Choice) {
         let attempt = self.draw_attempt();
-        let Some(state) = self.targets.get_mut(target) else {
+        let target = &choice.target;
+        let Some(state) = self.targets.get(target) else {
             return;
         };
         let Some(incarnation) = state.incarnation else {
@@ -126,7 +118,7 @@
             expect_incarnation: incarnation,
             deadline: entry.deadline,
             send_before: (now + SEND_WITHIN_MS).min(entry.deadline),
-            priority: USUAL_PRIORITY,
+            priority: self.priority_of(entry),
             version: None,
             resume: entry.may_have_run(),
             reservation: group.and_then(|group| group.reservation_at(target)),
@@ -137,13 +129,20 @@
             attempt,
             target: target.clone(),
             incarnation,
+            helpers: group.map_or_else(Vec::new, |group| group.helpers(target)),
             first_chunk: false,
         };
         if !self.requests.dispatched(request, flight) {
             return;
         }
-        state.in_flight += 1;
-        let text = format!("attempt {attempt} goes to {target}");
+        if let Some(state) = self.targets.get_mut(target) {
+            state.in_flight += 1;
+        }
+        self.note_sent(now, request, attempt, choice);
+        let text = format!(
+            "attempt {attempt} goes to {target}: waits {:.0} ms, is read in {:.0} ms",
+            choice.wait_ms, choice.read_ms
+        );
         self.decide(now, Part::Routing, Some(request), text);
         self.act(Action::Dispatch(Box::new(dispatch)));
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,11 +1,17 @@
 //! What is known of the other daemons and of the targets.
 
+mod load_book;
 mod members;
+mod prefill_cost;
 mod target_state;
 mod targets;
+mod watchers;
 
 pub use {
-    members::{Member, Members},
+    load_book::{Job, LeftWork, LoadBook},
+    members::{Member, Members, Told},
+    prefill_cost::{CostSums, PrefillCost, ReadSample},
     target_state::TargetState,
     targets::Targets,
+    watchers::Watchers,
 };
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -10,9 +10,10 @@
 
 pub use {
     codec::{MAX_FRAME_BYTES, PeerCodecError, decode_frame, encode_frame},
-    frame::{Heartbeat, PeerFrame, RecordPull, RecordSummary},
+    frame::{Heartbeat, PeerFrame, RecordListing, RecordPull, RecordStamp, RecordSummary},
     hello::{Hello, HelloProof, PEER_PROTOCOL, prove, verify},
     news::{
-        AccountUse, MemberNews, MemberState, News, PoisonNews, TargetHealth, TargetLoad, TargetNews,
+        AccountUse, MemberNews, MemberStamp, MemberState, News, PoisonNews, TargetHealth,
+        TargetLoad, TargetNews,
     },
 };
