--- a/crates/core/src/core/on_attempt.rs
+++ b/crates/core/src/core/on_attempt.rs
@@ -29,7 +29,10 @@
             return;
         };
         match event {
-            AttemptEvent::FirstChunk => self.requests.first_chunk(request),
+            AttemptEvent::FirstChunk => {
+                self.note_read(now, request, attempt);
+                self.requests.first_chunk(request);
+            }
             AttemptEvent::Completed => self.on_completed(now, request, attempt),
             AttemptEvent::NotSent => {
                 self.end_attempt(attempt, AttemptEnd::NotRun);
@@ -105,6 +108,7 @@
     }
 
     fn left_target(&mut self, flight: &Flight) {
+        self.forget_load(flight);
         if let Some(state) = self.targets.get_mut(&flight.target) {
             state.in_flight = state.in_flight.saturating_sub(1);
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,12 +1,16 @@
 //! What is known of the other daemons and of the targets.
 
+mod load_book;
 mod members;
+mod prefill_cost;
 mod target_state;
 mod targets;
 mod watchers;
 
 pub use {
+    load_book::{Job, LeftWork, LoadBook},
     members::{Member, Members, Told},
+    prefill_cost::{CostSums, PrefillCost, ReadSample},
     target_state::TargetState,
     targets::Targets,
     watchers::Watchers,
