--- a/crates/core/tests/peers_suite/records_platform.rs
+++ b/crates/core/tests/peers_suite/records_platform.rs
@@ -131,6 +131,29 @@
     }
 }
 
+// A daemon hears of new records from its peer only. The platform comes back in an older state than
+// that, with its history gone. What it doesn't name was published after that state, not deleted.
+#[test]
+fn a_stale_platform_without_history_deletes_nothing() {
+    let mut fleet = fleet(2, 1);
+    fleet.platform.publish("a", &account("a", 1));
+    fleet.run_ms(3_000);
+    fleet.nodes[0].platform_cut = true;
+    fleet.platform.publish("b", &account("b", 1));
+    let mut stale = fleet.platform.clone();
+    stale.compact();
+    fleet.platform.publish("c", &account("c", 1));
+    fleet.run_ms(3_000);
+    fleet.nodes[1].platform_cut = true;
+    fleet.platform = stale;
+
+    fleet.nodes[0].platform_cut = false;
+    fleet.run_ms(40_000);
+
+    assert_eq!(in_force(&fleet, 0, "c"), Some(Revision(3)));
+    assert_eq!(in_force(&fleet, 1, "c"), Some(Revision(3)));
+}
+
 /// Reads that the platform counts in the second half of two minutes.
 fn reads_a_second(fleet: &mut Fleet) -> f64 {
     fleet.run_ms(60_000);
