--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -2,12 +2,19 @@
 
 mod links;
 mod on_attempt;
+mod on_group;
+mod on_holdings;
+mod on_load;
+mod on_order;
 mod on_peer;
 mod on_platform;
+mod on_poison;
 mod on_records;
+mod on_stop;
 mod on_submit;
 mod on_target;
 mod on_tick;
+mod on_ticket;
 mod options;
 mod reports;
 
@@ -19,16 +26,18 @@
         decisions::{Decision, DecisionBook, Part},
         event::Event,
         fleet::{Members, Targets},
+        orders::Orderer,
         peers::{Links, RecordPulls},
+        placement::Groups,
         records::{PlatformReader, RecordStore},
-        requests::{RequestTable, TicketBook},
+        requests::{HoldingWatch, PoisonBook, Refresh, RequestTable, RetryBudget, TicketBook},
         routing::Router,
         time::MonoMs,
     },
     links::Wanted,
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
-        ids::{AttemptId, RequestId},
+        ids::{AttemptId, RequestId, TargetName},
         platform::InstanceList,
     },
 };
@@ -40,6 +49,10 @@
     started: MonoMs,
     last_event: MonoMs,
     leaving_since: Option<MonoMs>,
+    stopped: bool,
+    refresh: Option<Refresh>,
+    next_orders: MonoMs,
+    next_sweep: MonoMs,
     rng: fastrand::Rng,
     records: RecordStore,
     members: Members,
@@ -50,20 +63,31 @@
     list: Option<InstanceList>,
     wanted: Wanted,
     router: Router,
+    groups: Groups,
     requests: RequestTable,
     tickets: TicketBook,
+    retries: RetryBudget,
+    poison: PoisonBook,
+    holdings: HoldingWatch,
+    orderer: Orderer,
     book: DecisionBook,
+    untold: Vec<TargetName>,
+    load_number: u64,
     actions: Vec<Action>,
 }
 
 impl Core {
     /// State of a daemon that has just started.
     pub fn new(now: MonoMs, options: CoreOptions) -> Self {
+        let mut rng = fastrand::Rng::with_seed(options.seed);
         Self {
             started: now,
             last_event: now,
             leaving_since: None,
-            rng: fastrand::Rng::with_seed(options.seed),
+            stopped: false,
+            refresh: None,
+            next_orders: now,
+            next_sweep: now,
             records: RecordStore::default(),
             members: Members::new(options.as_news()),
             targets: Targets::default(),
@@ -72,10 +96,18 @@
             platform: PlatformReader::new(now),
             list: None,
             wanted: Wanted::default(),
-            router: Router,
+            router: Router::default(),
+            groups: Groups::default(),
             requests: RequestTable::default(),
-            tickets: TicketBook::new(options.incarnation),
+            tickets: TicketBook::new(options.incarnation, rng.u64(..)),
+            retries: RetryBudget::default(),
+            poison: PoisonBook::default(),
+            holdings: HoldingWatch::default(),
+            orderer: Orderer::default(),
+            rng,
             book: DecisionBook::default(),
+            untold: Vec::new(),
+            load_number: 0,
             actions: Vec::new(),
             options,
         }
@@ -83,19 +115,24 @@
 
     /// Takes in an event and returns what is to be done, in order.
     pub fn handle(&mut self, now: MonoMs, event: Event) -> Vec<Action> {
+        self.advance(now);
         match event {
             Event::Tick => self.on_tick(now),
             Event::Platform(event) => self.on_platform(now, event),
-            Event::PeerUp { hello } => self.on_peer_up(now, &hello),
+            Event::PeerUp { hello } => {
+                self.on_peer_up(now, &hello);
+                self.tell_leaving();
+            }
             Event::PeerFrame { from, frame } => self.on_peer_frame(now, from, &frame),
             Event::PeerDown { address, peer } => self.on_peer_down(address, peer),
             Event::Submit(submission) => self.on_submit(now, *submission),
             Event::Attempt { attempt, event } => self.on_attempt(now, attempt, event),
+            Event::ForwardEnded { request, end } => self.on_forward_ended(now, request, end),
             Event::CallerGone { request } => self.on_caller_gone(now, request),
             Event::Target { target, event } => self.on_target(now, &target, event),
             Event::Stop => self.on_stop(now),
         }
-        self.last_event = now;
+        self.tell_loads(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -134,6 +171,6 @@
             retry_after_ms,
             ticket: None,
         };
-        self.finish_with(now, outcome);
+        self.finish_with(now, &outcome);
     }
 }
--- a/crates/core/src/core/on_peer.rs
+++ b/crates/core/src/core/on_peer.rs
@@ -97,6 +97,12 @@
                 fresh.targets.push(target.clone());
             }
         }
+        for poison in &news.poison {
+            if self.poison.merge(now, poison) {
+                fresh.poison.push(poison.clone());
+            }
+        }
+        fresh.loads = self.take_loads(now, &news.loads);
         self.links.spread(&fresh, Some(from));
     }
 
--- a/crates/core/src/records/claims.rs
+++ b/crates/core/src/records/claims.rs
@@ -52,6 +52,16 @@
         Some(body)
     }
 
+    /// The key of the record that has a name.
+    pub fn key<Q>(&self, name: &Q) -> Option<&RecordKey>
+    where
+        N: Borrow<Q>,
+        Q: Eq + Hash + ?Sized,
+    {
+        let (key, _) = self.by_name.get(name)?.first()?;
+        Some(key)
+    }
+
     /// The bodies that have their names, in no order.
     pub fn values(&self) -> impl Iterator<Item = &T> {
         self.by_name
--- a/crates/core/src/records/in_force.rs
+++ b/crates/core/src/records/in_force.rs
@@ -94,6 +94,11 @@
         self.targets.get(target)
     }
 
+    /// Key of the record that names a target.
+    pub fn key_of_target(&self, target: &TargetName) -> Option<&RecordKey> {
+        self.targets.key(target)
+    }
+
     /// All targets by name.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.target_names
--- a/crates/core/src/records/record_store.rs
+++ b/crates/core/src/records/record_store.rs
@@ -5,7 +5,7 @@
     },
     std::collections::BTreeMap,
     whinlatch_wire::{
-        ids::{InstanceName, RecordKey, Revision},
+        ids::{InstanceName, RecordKey, Revision, TargetName},
         peer::RecordSummary,
         record::{RecordBody, RecordEnvelope, RecordFault, parse_record},
         report::RecordStatus,
@@ -168,6 +168,12 @@
         self.newest
     }
 
+    /// Revision in force of the record that names a target.
+    pub fn revision_of_target(&self, target: &TargetName) -> Option<Revision> {
+        let key = self.in_force.key_of_target(target)?;
+        self.held.get(key)?.in_force()
+    }
+
     /// Sums up what is held, to compare with a peer. Covers the newest revisions and, where they
     /// are invalid, those in force.
     pub fn summary(&self) -> RecordSummary {
