--- a/crates/core/src/core/on_ticket.rs
+++ b/crates/core/src/core/on_ticket.rs
@@ -53,6 +53,7 @@
                 self.decide(now, Part::Requests, Some(request), text);
             }
             Claim::Ended(outcome) => self.answer_ended(now, request, ticket, outcome),
+            Claim::Renew => self.hand_out_ticket(now, submission),
             Claim::OtherRequest => {
                 let message = "the ticket is for another request: send each under its own";
                 self.refuse(now, request, Reason::BadRequest, message, None);
@@ -192,19 +193,32 @@
         retry_after_ms: Option<u64>,
     ) {
         let request = submission.request;
-        let fresh = submission.ticket.is_none_or(|ticket| {
-            let claim = self
-                .tickets
-                .claim(ticket, &submission.account, submission.fingerprint);
-            matches!(claim, Claim::Run | Claim::OtherRequest)
-        });
-        if fresh {
+        if self.close_unused(now, submission) {
             self.refuse(now, request, reason, message, retry_after_ms);
         } else {
             self.answer_unknown(now, request, reason, message, retry_after_ms);
         }
     }
 
+    /// Closes the ticket that a request names. Returns whether nothing ran for the request and
+    /// nothing will.
+    fn close_unused(&mut self, now: MonoMs, submission: &Submission) -> bool {
+        let Some(ticket) = submission.ticket else {
+            return true;
+        };
+        match self
+            .tickets
+            .claim(ticket, &submission.account, submission.fingerprint)
+        {
+            Claim::Run => {
+                self.tickets.close(now, ticket);
+                true
+            }
+            Claim::Renew | Claim::OtherRequest => true,
+            Claim::Wait | Claim::Ended(_) | Claim::Unknown => false,
+        }
+    }
+
     fn answer_unknown(
         &mut self,
         now: MonoMs,
--- a/crates/core/src/requests/ticket_book.rs
+++ b/crates/core/src/requests/ticket_book.rs
@@ -18,8 +18,11 @@
 
 /// State of a ticket at its home.
 ///
-/// `Issued` leads to `InFlight`, and that to `Ended`; or back to `Issued` where the outcome is
-/// `not_run`, since then nothing ran and the one run that the ticket stands for is still to be had.
+/// `Issued` leads to `InFlight`, and that to `Ended`; or to `Closed` where the outcome is `not_run`.
+///
+/// `Closed` guards against a run after `not_run` was said: a duplicate of the request may still be on
+/// its way, held up at another daemon, and would run once the caller has been told otherwise. No
+/// request is ever dispatched under a closed ticket; whoever asks again gets a fresh one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum TicketState {
     Issued,
@@ -28,6 +31,7 @@
         waiting: Vec<RequestId>,
     },
     Ended(Outcome),
+    Closed,
 }
 
 /// What a request that names a ticket is to do.
@@ -39,6 +43,8 @@
     Wait,
     /// Take the outcome of the run.
     Ended(Outcome),
+    /// Ask for a fresh ticket: nothing ran under this one and nothing will.
+    Renew,
     /// The ticket is for another request of the same account.
     OtherRequest,
     /// The ticket was issued by another incarnation or to another account, or is forgotten, or
@@ -93,7 +99,7 @@
         }
     }
 
-    /// Issues a ticket; the same account and key get the same ticket again.
+    /// Issues a ticket; the same account and key get the same ticket again, unless it is closed.
     ///
     /// # Errors
     /// [`NoTicket`] if the key stands for another request, or the account holds too many.
@@ -105,6 +111,9 @@
         fingerprint: u64,
     ) -> Result<Ticket, NoTicket> {
         let key = key.map(|key| self.keys.hash_of(account, key));
+        if let Some(key) = key {
+            self.renew(key, fingerprint);
+        }
         if let Some(known) = key.and_then(|key| self.keys.get(key)) {
             return known.ticket_for(self.home, fingerprint);
         }
@@ -149,6 +158,7 @@
             TicketState::Issued => Claim::Run,
             TicketState::InFlight { .. } => Claim::Wait,
             TicketState::Ended(outcome) => Claim::Ended(outcome.clone()),
+            TicketState::Closed => Claim::Renew,
         }
     }
 
@@ -188,17 +198,37 @@
             }
             _ => return Vec::new(),
         };
-        let (state, keep_ms) = match outcome.outcome {
-            OutcomeKind::NotRun => (TicketState::Issued, KEEP_UNUSED_MS),
-            OutcomeKind::Completed | OutcomeKind::Unknown => {
-                (TicketState::Ended(outcome.clone()), KEEP_ENDED_MS)
-            }
+        entry.state = match outcome.outcome {
+            OutcomeKind::NotRun => TicketState::Closed,
+            OutcomeKind::Completed | OutcomeKind::Unknown => TicketState::Ended(outcome.clone()),
         };
-        entry.state = state;
-        self.expire_at(ticket.number, Some(now + keep_ms));
+        self.expire_at(ticket.number, Some(now + KEEP_ENDED_MS));
         waiting
     }
 
+    /// Closes a ticket under which nothing ran, before `not_run` is said of it.
+    pub fn close(&mut self, now: MonoMs, ticket: Ticket) {
+        if let Some(state @ TicketState::Issued) = self.state_mut(ticket) {
+            *state = TicketState::Closed;
+            self.expire_at(ticket.number, Some(now + KEEP_ENDED_MS));
+        }
+    }
+
+    /// Takes a key off its closed ticket, so that the same request gets a fresh one.
+    fn renew(&mut self, key: u64, fingerprint: u64) {
+        let Some(known) = self.keys.get(key) else {
+            return;
+        };
+        let Some(entry) = self.tickets.get_mut(&known.number) else {
+            return;
+        };
+        if entry.state == TicketState::Closed && known.fingerprint == fingerprint {
+            entry.key = None;
+            let account = entry.account.clone();
+            self.keys.remove(key, &account);
+        }
+    }
+
     /// Forgets tickets that ended or were issued long ago. Returns those that ended.
     pub fn forget_old(&mut self, now: MonoMs) -> Vec<Ticket> {
         let mut ended = Vec::new();
