--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -7,7 +7,7 @@
 
 pub use {
     ask::{Ask, NoChoice, Weight},
-    candidates::{Candidate, Candidates, tokens_of},
+    candidates::{Candidate, Candidates, serves, tokens_of},
     free_share::FreeShare,
     router::{Choice, Router, Scene, choice},
 };
--- a/crates/core/src/routing/ask.rs
+++ b/crates/core/src/routing/ask.rs
@@ -69,6 +69,7 @@
     }
 
     /// States whether the request may crash its target.
+    #[must_use]
     pub fn alone(self, alone: bool) -> Self {
         Self { alone, ..self }
     }
