--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -10,6 +10,7 @@
     crate::{clock::timeout, shared::Shared},
     async_std::net::TcpStream,
     futures::{
+        FutureExt,
         future::{Either, select},
         io::AsyncReadExt,
         pin_mut,
@@ -40,22 +41,19 @@
 /// Serves one request. Returns whether another may follow.
 async fn serve_one(shared: &Arc<Shared>, stream: &TcpStream) -> bool {
     let limit_ms = shared.settings.limits.read_timeout_ms;
-    let read = timeout(
-        shared.clock.as_ref(),
-        limit_ms,
-        read_request(shared, stream),
-    )
-    .await;
+    // Boxed, since reading needs far more memory than waiting for an answer, which takes longer.
+    let reading = read_request(shared, stream).boxed();
+    let read = timeout(shared.clock.as_ref(), limit_ms, reading).await;
     match read {
         Some(Incoming::Request(request, body)) => answer(shared, stream, &request, body).await,
         Some(Incoming::Refused(refusal)) => {
-            refuse(shared, stream, refusal).await;
+            refuse(shared, stream, refusal).boxed().await;
             false
         }
         None => {
             let message = format!("the request took over {limit_ms} ms to send: send it faster");
             let refusal = Refusal::with_status(REQUEST_TIMEOUT, Reason::BadRequest, message);
-            refuse(shared, stream, refusal).await;
+            refuse(shared, stream, refusal).boxed().await;
             false
         }
         Some(Incoming::Closed) => false,
@@ -119,10 +117,10 @@
     let Some(_open) = shared.open_requests.open() else {
         let message = "this daemon is ending: use another entry";
         let refusal = Refusal::new(Reason::Leaving, message).retry_after_ms(0);
-        refuse(shared, stream, refusal).await;
+        refuse(shared, stream, refusal).boxed().await;
         return false;
     };
-    let answer = match route(shared, request, body).await {
+    let answer = match route(shared, request, body).boxed().await {
         Routed::Now(answer) => answer,
         Routed::Later(later) => {
             let answered = later.recv();
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -44,7 +44,7 @@
 
 /// Something for the exchange to do.
 enum Happened {
-    Instructed(Instruction),
+    Instructed(Box<Instruction>),
     Stepped(Option<Step>),
     CallerGone,
     ControlGone,
@@ -79,7 +79,7 @@
         loop {
             let happened = self.next(&instructions).await;
             let over = match happened {
-                Happened::Instructed(instruction) => self.carry_out(instruction).await,
+                Happened::Instructed(instruction) => self.carry_out(*instruction).await,
                 Happened::Stepped(step) => self.take(step).await,
                 Happened::CallerGone => Err(CallerGone),
                 Happened::ControlGone => self.finish(self.control_gone()).await.map(|()| true),
@@ -95,7 +95,7 @@
         }
     }
 
-    async fn next(&mut self, instructions: &Receiver<Instruction>) -> Happened {
+    async fn next(&mut self, instructions: &Receiver<Box<Instruction>>) -> Happened {
         let gone = match &self.stream {
             Some(stream) => stream.gone().left_future(),
             None => self.caller.closed().right_future(),
@@ -123,7 +123,8 @@
                 self.attempt.take_if(|running| running.id() == attempt);
             }
             Instruction::Forward { to } => {
-                self.forward(to).await?;
+                // Boxed, since few requests are passed on and all would hold the memory for it.
+                self.forward(to).boxed().await?;
                 return Ok(true);
             }
             Instruction::Replay { ticket, outcome } => {
--- a/crates/daemon/src/control/control_handle.rs
+++ b/crates/daemon/src/control/control_handle.rs
@@ -11,7 +11,8 @@
 };
 
 /// Instructions of one request that may wait to be carried out. A request has few attempts, each
-/// with a dispatch and an end, so that this is never full while its task lives.
+/// with a dispatch and an end, so that this is never full while its task lives. They are boxed,
+/// since a channel holds the memory for all that may wait from its start.
 const WAITING_INSTRUCTIONS: usize = 64;
 
 /// The control thread has ended.
@@ -67,7 +68,7 @@
     }
 
     /// Submits a request. What is decided about it comes from the receiver.
-    pub async fn submit(&self, submission: Submission) -> Receiver<Instruction> {
+    pub async fn submit(&self, submission: Submission) -> Receiver<Box<Instruction>> {
         let (instructions, decided) = async_channel::bounded(WAITING_INSTRUCTIONS);
         self.send(ControlMessage::Submit {
             submission: Box::new(submission),
--- a/crates/daemon/src/control/control_message.rs
+++ b/crates/daemon/src/control/control_message.rs
@@ -20,7 +20,7 @@
         /// The request.
         submission: Box<Submission>,
         /// Where what is decided about it goes.
-        instructions: Sender<Instruction>,
+        instructions: Sender<Box<Instruction>>,
     },
     /// A link to a proved peer is open.
     LinkUp {
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -12,7 +12,7 @@
 /// The task of one request.
 #[derive(Debug)]
 struct Task {
-    instructions: Sender<Instruction>,
+    instructions: Sender<Box<Instruction>>,
     attempts: Vec<AttemptId>,
 }
 
@@ -25,7 +25,7 @@
 
 impl Requests {
     /// Notes where the instructions of a request go.
-    pub fn insert(&mut self, request: RequestId, instructions: Sender<Instruction>) {
+    pub fn insert(&mut self, request: RequestId, instructions: Sender<Box<Instruction>>) {
         let task = Task {
             instructions,
             attempts: Vec::new(),
@@ -79,7 +79,7 @@
         let Some(task) = self.tasks.get(&request) else {
             return;
         };
-        if task.instructions.try_send(instruction).is_err() {
+        if task.instructions.try_send(Box::new(instruction)).is_err() {
             self.forget(request);
         }
     }
--- a/crates/daemon/src/targets/generate.rs
+++ b/crates/daemon/src/targets/generate.rs
@@ -9,6 +9,7 @@
     },
     crate::shared::Shared,
     async_channel::Sender,
+    futures::FutureExt,
     http_types::{Method, Response, StatusCode},
     std::{net::SocketAddr, sync::Arc},
     whinlatch_core::{AttemptEvent, Dispatch},
@@ -24,10 +25,8 @@
     steps: &Sender<Step>,
 ) -> Result<(), AttemptEvent> {
     let mut liveness = Liveness::new(shared, dispatch, true);
-    let body = body(shared, dispatch, work, first_chunk)?;
-    let sent = send(shared, dispatch, GENERATE_PATH, &body);
     let response = liveness
-        .watch(sent)
+        .watch(ask(shared, dispatch, work, first_chunk).boxed())
         .await
         .map_err(|lost| lost_event(lost, first_chunk))??;
     if response.status() != StatusCode::Ok {
@@ -44,6 +43,18 @@
     .await
 }
 
+/// Sends the prompt. The copy of it that is sent goes with the boxed future, so that it isn't held
+/// while the answer is streamed: a prompt of a million tokens has 4 MB.
+async fn ask(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    work: &AttemptWork,
+    first_chunk: u64,
+) -> Result<Response, AttemptEvent> {
+    let body = body(shared, dispatch, work, first_chunk)?;
+    send(shared, dispatch, GENERATE_PATH, &body).await
+}
+
 async fn read_chunks(
     shared: &Shared,
     dispatch: &Dispatch,
--- a/crates/daemon/src/targets/liveness.rs
+++ b/crates/daemon/src/targets/liveness.rs
@@ -2,6 +2,7 @@
     super::json_call::get_json,
     crate::shared::Shared,
     futures::{
+        FutureExt,
         future::{Either, select},
         pin_mut,
     },
@@ -70,8 +71,8 @@
                 Either::Left((output, _)) => return Ok(output),
                 Either::Right(((), waiting)) => something = waiting,
             }
-            let probe = self.probe();
-            pin_mut!(probe);
+            // Boxed, since few attempts are silent and all would hold the memory for it.
+            let probe = self.probe().boxed();
             match select(something, probe).await {
                 Either::Left((output, _)) => return Ok(output),
                 Either::Right((verdict, waiting)) => {
