--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -51,7 +51,7 @@
 
 /// Something for the exchange to do.
 enum Happened {
-    Instructed(Instruction),
+    Instructed(Box<Instruction>),
     Stepped(Option<Step>),
     Forwarded(Option<Response>),
     CallerGone,
@@ -101,7 +101,7 @@
         loop {
             let happened = self.next(&instructions).await;
             let over = match happened {
-                Happened::Instructed(instruction) => self.carry_out(instruction).await,
+                Happened::Instructed(instruction) => self.carry_out(*instruction).await,
                 Happened::Stepped(step) => self.take(step).await,
                 Happened::Forwarded(answer) => self.end_forward(answer).await,
                 Happened::CallerGone => Err(CallerGone),
@@ -118,7 +118,7 @@
         }
     }
 
-    async fn next(&mut self, instructions: &Receiver<Instruction>) -> Happened {
+    async fn next(&mut self, instructions: &Receiver<Box<Instruction>>) -> Happened {
         let gone = match &self.stream {
             Some(stream) => stream.gone().left_future(),
             None => self.caller.closed().right_future(),
