--- a/crates/bench/src/capacity/measure/records.rs
+++ b/crates/bench/src/capacity/measure/records.rs
@@ -106,6 +106,7 @@
 
 /// Measures the memory of one core with all that it holds at the size that is designed for.
 pub fn measure_memory() -> Report {
+    let at_start = Heap::now();
     let answers = Answers::of(PublishedSize {
         daemons: size::DAEMONS,
         targets: TARGETS,
@@ -123,13 +124,15 @@
     requests::run_through(&mut loaded, FINISHED);
     requests::hold_open(&mut loaded, own_streams);
     let all = Heap::now().since(before);
+    // With all that the making of the answers left behind in the allocator, so rather too much.
+    let resident = Heap::now().since(at_start).resident_bytes - answers.page_bytes() as i64;
     let figure =
         |name: &str, bytes: i64| Figure::new(name, bytes as f64, "B").against(BUDGET_MEMORY_BYTES);
     let figures = vec![
         figure("memory.records", records.allocated_bytes),
         figure("memory.records_and_fleet", fleet.allocated_bytes),
         figure("memory.all", all.allocated_bytes),
-        figure("memory.all_resident", all.resident_bytes),
+        figure("memory.all_resident", resident),
     ];
     Report {
         figures,
