--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -119,10 +119,7 @@
         match event {
             Event::Tick => self.on_tick(now),
             Event::Platform(event) => self.on_platform(now, event),
-            Event::PeerUp { hello } => {
-                self.on_peer_up(now, &hello);
-                self.tell_leaving();
-            }
+            Event::PeerUp { hello } => self.on_peer_up(now, &hello),
             Event::PeerFrame { from, frame } => self.on_peer_frame(now, from, &frame),
             Event::PeerDown { address, peer } => self.on_peer_down(address, peer),
             Event::Submit(submission) => self.on_submit(now, *submission),
--- a/crates/core/src/core/on_stop.rs
+++ b/crates/core/src/core/on_stop.rs
@@ -1,13 +1,10 @@
-//! The end of this daemon: tell the others, take nothing new, finish what is in flight.
+//! The end of this daemon: take nothing new, finish what is in flight. Peers hear of it with the
+//! news of members.
 
 use {
     super::Core,
     crate::{action::Action, decisions::Part, time::MonoMs},
-    whinlatch_wire::{
-        caller::Reason,
-        ids::RequestId,
-        peer::{MemberNews, MemberState, News},
-    },
+    whinlatch_wire::{caller::Reason, ids::RequestId},
 };
 
 impl Core {
@@ -17,29 +14,6 @@
         }
         self.leaving_since = Some(now);
         self.decide(now, Part::Fleet, None, "this daemon is leaving".to_owned());
-        self.tell_leaving();
-    }
-
-    /// Tells linked peers that this daemon leaves, so that they no longer name it to callers.
-    pub(super) fn tell_leaving(&mut self) {
-        if self.leaving_since.is_none() {
-            return;
-        }
-        let own = MemberNews {
-            incarnation: self.options.incarnation,
-            instance: self.options.instance.clone(),
-            failure_domain: self.options.failure_domain.clone(),
-            caller_address: self.options.caller_address,
-            peer_address: self.options.peer_address,
-            version: 0,
-            state: MemberState::Leaving,
-        };
-        let members = vec![own];
-        let news = News {
-            members,
-            ..News::default()
-        };
-        self.links.spread(&news, None);
     }
 
     /// Whether new work is refused: callers have had the time to drop this daemon's address.
