--- a/crates/daemon/src/callers/answer_store.rs
+++ b/crates/daemon/src/callers/answer_store.rs
@@ -72,3 +72,7 @@
 fn size_of_answer(answer: &ServiceAnswer) -> usize {
     size_of::<ServiceAnswer>() + answer.body.len()
 }
+
+#[cfg(test)]
+#[path = "answer_store_test.rs"]
+mod tests;
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -53,7 +53,7 @@
 enum Happened {
     Instructed(Box<Instruction>),
     Stepped(Option<Step>),
-    Forwarded(Option<Response>),
+    Forwarded(Option<Box<Response>>),
     CallerGone,
     ControlGone,
 }
@@ -85,7 +85,7 @@
         match self {
             Self::Nothing => future::pending().await,
             Self::Attempt(attempt) => Happened::Stepped(attempt.next().await),
-            Self::Forward(answer) => Happened::Forwarded(answer.await),
+            Self::Forward(answer) => Happened::Forwarded(answer.await.map(Box::new)),
         }
     }
 
@@ -269,7 +269,7 @@
     }
 
     /// The home's answer goes to the caller; without one the core has the last word.
-    async fn end_forward(&mut self, answer: Option<Response>) -> Result<bool, CallerGone> {
+    async fn end_forward(&mut self, answer: Option<Box<Response>>) -> Result<bool, CallerGone> {
         self.running = Running::Nothing;
         let end = match answer {
             Some(_) => ForwardEnd::Answered,
@@ -282,7 +282,7 @@
         };
         let ms = self.shared.clock.now().since(self.accepted);
         self.shared.metrics.note_passed(&answer, ms);
-        self.answer_with(Answer::Passed(Box::new(answer)))?;
+        self.answer_with(Answer::Passed(answer))?;
         Ok(true)
     }
 
--- a/crates/daemon/src/clock/timeout.rs
+++ b/crates/daemon/src/clock/timeout.rs
@@ -14,3 +14,7 @@
         Either::Right(((), _)) => None,
     }
 }
+
+#[cfg(test)]
+#[path = "timeout_test.rs"]
+mod tests;
--- a/crates/daemon/src/control/control_message.rs
+++ b/crates/daemon/src/control/control_message.rs
@@ -28,6 +28,8 @@
         link: LinkId,
         /// What the peer said of itself.
         hello: Hello,
+        /// The side that opened it.
+        opened_by: Incarnation,
         /// Where frames to the peer go; dropped to close the link.
         frames: Sender<PeerFrame>,
     },
--- a/crates/daemon/src/control/control_thread.rs
+++ b/crates/daemon/src/control/control_thread.rs
@@ -1,5 +1,10 @@
 use {
-    super::{ControlMessage, Query, hands::Hands, links::OpenLinks, requests::Requests},
+    super::{
+        ControlMessage, Query,
+        hands::Hands,
+        links::{OpenLink, OpenLinks},
+        requests::Requests,
+    },
     crate::{clock::timeout, errors::DaemonError, logs::DecisionLog, shared::Shared},
     async_channel::{Receiver, Sender},
     async_std::task,
@@ -103,10 +108,18 @@
             ControlMessage::LinkUp {
                 link,
                 hello,
+                opened_by,
                 frames,
             } => {
-                self.hands.links.insert(hello.incarnation, link, frames);
-                self.handle(Event::PeerUp { hello });
+                let opened = OpenLink {
+                    id: link,
+                    opened_by,
+                    since: self.hands.shared.clock.now(),
+                    frames,
+                };
+                if self.hands.links.insert(hello.incarnation, opened) {
+                    self.handle(Event::PeerUp { hello });
+                }
             }
             ControlMessage::LinkDown {
                 link,
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -2,6 +2,7 @@
     super::LinkId,
     async_channel::Sender,
     std::collections::HashMap,
+    whinlatch_core::MonoMs,
     whinlatch_wire::{ids::Incarnation, peer::PeerFrame},
 };
 
@@ -11,17 +12,39 @@
     by_peer: HashMap<Incarnation, OpenLink>,
 }
 
+/// Two links that were opened within this time by either side crossed each other, in ms.
+const CROSSING_MS: u64 = 1_000;
+
+/// A link in use.
 #[derive(Debug)]
-struct OpenLink {
-    id: LinkId,
-    frames: Sender<PeerFrame>,
+pub struct OpenLink {
+    /// Names it.
+    pub id: LinkId,
+    /// The side that opened it.
+    pub opened_by: Incarnation,
+    /// When it was opened.
+    pub since: MonoMs,
+    /// Where frames to the peer go.
+    pub frames: Sender<PeerFrame>,
 }
 
 impl OpenLinks {
-    /// Notes an open link. An older one to the same peer is closed by it: both sides may have
-    /// opened one, and the older may be silent for good.
-    pub fn insert(&mut self, peer: Incarnation, id: LinkId, frames: Sender<PeerFrame>) {
-        self.by_peer.insert(peer, OpenLink { id, frames });
+    /// Notes an open link and returns whether it is used. An older one to the same peer is closed
+    /// by it, since that may be silent for good.
+    ///
+    /// Guards against two daemons that open links to each other at once: each would take the
+    /// other's for the newer one and close its own, and both would be without a link. Of two that
+    /// crossed, both sides keep the one that the lower incarnation opened.
+    pub fn insert(&mut self, peer: Incarnation, link: OpenLink) -> bool {
+        let kept = self.by_peer.get(&peer).is_some_and(|current| {
+            let crossed = current.opened_by != link.opened_by
+                && link.since.since(current.since) < CROSSING_MS;
+            crossed && current.opened_by < link.opened_by && !current.frames.is_closed()
+        });
+        if !kept {
+            self.by_peer.insert(peer, link);
+        }
+        !kept
     }
 
     /// Whether `id` is the link in use to the peer.
@@ -51,3 +74,7 @@
         self.by_peer.len()
     }
 }
+
+#[cfg(test)]
+#[path = "links_test.rs"]
+mod tests;
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -15,7 +15,10 @@
     futures::{StreamExt, future::select, pin_mut},
     std::{net::SocketAddr, sync::Arc},
     whinlatch_core::Event,
-    whinlatch_wire::peer::{Hello, PeerFrame},
+    whinlatch_wire::{
+        ids::Incarnation,
+        peer::{Hello, PeerFrame},
+    },
 };
 
 /// Time for both sides to prove themselves, in ms.
@@ -35,7 +38,10 @@
         open(&shared, address),
     );
     match opened.await.unwrap_or(Err(HandshakeError::Broken)) {
-        Ok((hello, halves)) => keep(&shared, hello, halves, address).await,
+        Ok((hello, halves)) => {
+            let opened_by = shared.incarnation;
+            keep(&shared, hello, halves, (address, opened_by)).await;
+        }
         Err(error) => {
             turned_away(&shared, &error, address);
             let event = Event::PeerDown {
@@ -56,8 +62,8 @@
     );
     match accepted.await.unwrap_or(Err(HandshakeError::Broken)) {
         Ok((hello, halves)) => {
-            let address = hello.peer_address;
-            keep(&shared, hello, halves, address).await;
+            let opened = (hello.peer_address, hello.incarnation);
+            keep(&shared, hello, halves, opened).await;
         }
         Err(error) => turned_away(&shared, &error, from),
     }
@@ -99,13 +105,19 @@
     }
 }
 
-async fn keep(shared: &Shared, hello: Hello, halves: Halves, address: SocketAddr) {
+async fn keep(
+    shared: &Shared,
+    hello: Hello,
+    halves: Halves,
+    (address, opened_by): (SocketAddr, Incarnation),
+) {
     let link = LinkId(random_u64());
     let peer = hello.incarnation;
     let (frames, queue) = async_channel::bounded(WAITING_FRAMES);
     let up = ControlMessage::LinkUp {
         link,
         hello,
+        opened_by,
         frames,
     };
     shared.control.send(up).await;
@@ -138,12 +150,7 @@
 
 /// Guards against a link that goes silent for good while it stays open, and against a peer that
 /// stands still: heartbeats come both ways, and without a frame for some time the link is closed.
-async fn read_frames(
-    shared: &Shared,
-    mut receiver: LinkReceiver,
-    link: LinkId,
-    peer: whinlatch_wire::ids::Incarnation,
-) {
+async fn read_frames(shared: &Shared, mut receiver: LinkReceiver, link: LinkId, peer: Incarnation) {
     loop {
         let next = receive_frame(&mut receiver);
         let frame = match timeout(shared.clock.as_ref(), SILENCE_MS, next).await {
--- a/crates/daemon/src/peers/outgoing.rs
+++ b/crates/daemon/src/peers/outgoing.rs
@@ -42,23 +42,34 @@
 
 /// Sends a frame. Records that are too many for one frame go in several.
 pub async fn send_frame(sender: &mut LinkSender, frame: PeerFrame) -> Result<(), LinkError> {
+    for bytes in encode_split(frame)? {
+        send_bytes(sender, bytes).await?;
+    }
+    Ok(())
+}
+
+/// Encodes a frame as one, or as several where its records are too many.
+pub fn encode_split(frame: PeerFrame) -> Result<Vec<Vec<u8>>, PeerCodecError> {
+    let mut encoded = Vec::new();
     let mut waiting = vec![frame];
     while let Some(mut frame) = waiting.pop() {
         match encode_frame(&frame) {
-            Ok(bytes) => send_bytes(sender, bytes).await?,
+            Ok(bytes) => encoded.push(bytes),
             Err(PeerCodecError::TooLarge { .. }) if frame.records.len() > 1 => {
                 let half = frame.records.len() / 2;
+                // Only the last frame may say that nothing more follows.
                 let rest = PeerFrame {
                     records: frame.records.split_off(half),
+                    pull_done: std::mem::take(&mut frame.pull_done),
                     ..PeerFrame::default()
                 };
                 waiting.push(rest);
                 waiting.push(frame);
             }
-            Err(error) => return Err(error.into()),
+            Err(error) => return Err(error),
         }
     }
-    Ok(())
+    Ok(encoded)
 }
 
 async fn send_bytes(sender: &mut LinkSender, bytes: Vec<u8>) -> Result<(), LinkError> {
@@ -84,3 +95,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "outgoing_test.rs"]
+mod tests;
--- a/crates/daemon/src/targets/calls.rs
+++ b/crates/daemon/src/targets/calls.rs
@@ -1,14 +1,14 @@
 use {
-    super::json_call::{CallError, get_json, post_json},
+    super::json_call::{CallError, WholeAnswer, get_json, post_json},
     crate::shared::Shared,
     serde::Serialize,
     std::{net::SocketAddr, sync::Arc},
     whinlatch_core::{MonoMs, TargetCall, TargetEvent},
     whinlatch_wire::{
-        ids::TargetName,
+        ids::{AttemptId, TargetName},
         target::{
             CACHE_EVENTS_PATH, CANCEL_PATH, ORDERS_PATH, Order, OrderAnswer, RELEASE_PATH,
-            REPORT_PATH, RESERVE_PATH, ReserveRequest, STATE_PATH,
+            REPORT_PATH, RESERVE_PATH, Refusal, ReserveRequest, STATE_PATH,
         },
     },
 };
@@ -99,11 +99,19 @@
     );
     match posted.await {
         Ok(answer) if SUCCESS.contains(&answer.status) => TargetEvent::Reserved(reservation),
-        Ok(_) | Err(CallError::NotSent) => TargetEvent::ReserveRefused(reservation),
-        Err(_lost) => TargetEvent::ReserveLost(reservation),
+        Ok(answer) if refuses(&answer, reservation) => TargetEvent::ReserveRefused(reservation),
+        Err(CallError::NotSent) => TargetEvent::ReserveRefused(reservation),
+        // A failure without a refusal says nothing of what is held.
+        Ok(_) | Err(_) => TargetEvent::ReserveLost(reservation),
     }
 }
 
+fn refuses(answer: &WholeAnswer, reservation: AttemptId) -> bool {
+    answer
+        .json::<Refusal>()
+        .is_ok_and(|refusal| refusal.attempt == reservation)
+}
+
 async fn free<T: Serialize>(shared: &Shared, address: SocketAddr, path: &str, body: &T) {
     for _attempt in 0..FREE_ATTEMPTS {
         let send_before = shared.clock.now() + CALL_TIMEOUT_MS;
--- a/crates/daemon/src/targets/event_reader.rs
+++ b/crates/daemon/src/targets/event_reader.rs
@@ -45,3 +45,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "event_reader_test.rs"]
+mod tests;
--- a/crates/daemon/src/targets/gate.rs
+++ b/crates/daemon/src/targets/gate.rs
@@ -97,3 +97,7 @@
         Pin::new(&mut self.stream).poll_close(context)
     }
 }
+
+#[cfg(test)]
+#[path = "gate_test.rs"]
+mod tests;
