--- /dev/null
+++ b/crates/daemon/tests/processes/memory.rs
@@ -0,0 +1,154 @@
+//! Engines get their memory back, whatever became of the daemon that had asked for it.
+
+use {
+    super::{
+        client::{Answer, LONG_MS, answer_to, ask, completion},
+        process::Process,
+        wait::until,
+        world::{World, WorldOptions, engine, settings},
+    },
+    async_std::task::{self, JoinHandle},
+    whinlatch_standins::{
+        Engine, EngineOptions, Platform, PlatformOptions, Relay, RelayOptions, relay::RelayMode,
+    },
+    whinlatch_wire::caller::OutcomeKind,
+};
+
+/// Long prompts in flight when it happens.
+const PROMPTS: usize = 3;
+/// Bytes of a long prompt: some thousand tokens.
+const PROMPT_BYTES: usize = 40_000;
+/// Deadline of a long prompt, in ms.
+const DEADLINE_MS: u64 = 4_000;
+
+/// An engine that never ends a long prompt in a test. It leaves it to others to end what is over.
+fn careless_engine() -> EngineOptions {
+    EngineOptions {
+        prefill_tokens_per_s: 20.0,
+        chunk_tokens: 1,
+        enforces_deadlines: false,
+        ..engine()
+    }
+}
+
+async fn world() -> World {
+    World::start(WorldOptions {
+        engines: 1,
+        engine: careless_engine(),
+        ..WorldOptions::default()
+    })
+    .await
+}
+
+fn long_prompts(daemon: &Process, deadline_ms: u64) -> Vec<JoinHandle<Option<Answer>>> {
+    (0..PROMPTS)
+        .map(|number| {
+            let prompt = format!("manifest {number}\n{}", "box ".repeat(PROMPT_BYTES / 4));
+            let request = completion(daemon.callers, &prompt, deadline_ms);
+            task::spawn(ask(daemon.callers, request))
+        })
+        .collect()
+}
+
+async fn until_running(engine: &Engine) {
+    until("the prompts hold memory", async || {
+        let stats = engine.stats();
+        stats.running as usize == PROMPTS && stats.memory_used_tokens > 0
+    })
+    .await;
+}
+
+async fn until_free(engine: &Engine) {
+    until("the engine has its memory back", async || {
+        let stats = engine.stats();
+        let held = (stats.running, stats.waiting, stats.reservations);
+        held == (0, 0, 0) && stats.memory_used_tokens == 0
+    })
+    .await;
+}
+
+/// None of the prompts could end, so that each caller hears a failure, and never that nothing ran.
+async fn assert_failed(answers: Vec<JoinHandle<Option<Answer>>>) {
+    for answer in answers {
+        let answer = answer.await.unwrap();
+        assert_eq!(answer.kind(), OutcomeKind::Unknown, "{answer:?}");
+    }
+}
+
+/// A daemon dies with long prompts at an engine. The connections close, and the engine drops the
+/// work; another daemon's prompts find room.
+#[test]
+fn memory_comes_back_from_a_killed_daemon() {
+    task::block_on(async {
+        let world = world().await;
+        let mut fleet = world.fleet(2).await;
+        let answers = long_prompts(&fleet[0], LONG_MS);
+        until_running(&world.engines[0]).await;
+
+        fleet[0].kill();
+
+        for answer in answers {
+            assert!(answer.await.is_none(), "an answer from a dead daemon");
+        }
+        until_free(&world.engines[0]).await;
+        let request = completion(fleet[1].callers, "short", LONG_MS);
+        let answer = ask(fleet[1].callers, request).await.unwrap();
+        assert_eq!(answer.kind(), OutcomeKind::Completed, "{answer:?}");
+        assert_eq!(answer.text, answer_to("short", 32));
+    });
+}
+
+/// A daemon freezes with long prompts at an engine that doesn't end by itself what is over. Its
+/// connections stay open, so that the engine sees nothing wrong. The other daemon sees in the
+/// engine's report what is past its deadline, and ends it. The frozen one wakes up later, and its
+/// callers hear that it failed.
+#[test]
+fn memory_comes_back_from_a_frozen_daemon() {
+    task::block_on(async {
+        let world = world().await;
+        let fleet = world.fleet(2).await;
+        let answers = long_prompts(&fleet[0], DEADLINE_MS);
+        until_running(&world.engines[0]).await;
+
+        fleet[0].freeze();
+
+        until_free(&world.engines[0]).await;
+        fleet[0].thaw();
+        assert_failed(answers).await;
+        assert_eq!(world.engines[0].stats().running, 0);
+    });
+}
+
+/// A daemon is cut off from an engine where its long prompts run, and from all other daemons:
+/// nothing passes, not even the end of a connection, so that its cancels don't arrive. Another
+/// daemon, which still reaches the engine, ends what is past its deadline. The callers hear of a failure by their deadline.
+#[test]
+fn memory_comes_back_from_a_daemon_that_is_cut_off() {
+    task::block_on(async {
+        let world = world().await;
+        let near = Process::start(&world.settings("near")).await;
+        let relay = relay_to(&world.engines[0]).await;
+        let platform = Platform::start(PlatformOptions::default()).await.unwrap();
+        world.publish_all(&platform);
+        world.publish_engine(&platform, 0, relay.address());
+        let far = Process::start(&settings("far", platform.address())).await;
+        for daemon in [&near, &far] {
+            world.until_ready(daemon).await;
+        }
+        let answers = long_prompts(&far, DEADLINE_MS);
+        until_running(&world.engines[0]).await;
+
+        relay.set_mode(RelayMode::Hold);
+
+        assert_failed(answers).await;
+        until_free(&world.engines[0]).await;
+    });
+}
+
+async fn relay_to(engine: &Engine) -> Relay {
+    let options = RelayOptions {
+        to: engine.address(),
+        ..RelayOptions::default()
+    };
+    Relay::start(options).await.unwrap()
+}
--- /dev/null
+++ b/crates/daemon/tests/processes/silence.rs
@@ -0,0 +1,124 @@
+//! Connections that go silent for good while new ones work.
+
+use {
+    super::{
+        client::{Answer, LONG_MS, answer_to, ask, call, completion, read_whole, send, ticket},
+        process::Process,
+        wait::until,
+        world::{World, WorldOptions, engine, until_idle},
+    },
+    async_std::task,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    whinlatch_standins::{EngineOptions, ServiceOptions},
+    whinlatch_wire::caller::{OutcomeKind, Reason},
+};
+
+/// Streams that are open when their connections go silent.
+const STREAMS: usize = 3;
+/// Tokens of their answers.
+const TOKENS: u32 = 200;
+/// A deadline that the test waits for, in ms.
+const SHORT_MS: u64 = 3_000;
+
+/// Something between a daemon and its engines loses track of the open connections: answers stop
+/// in the middle, and nobody sees an error. New connections work. The daemon asks the engine over
+/// a new one, learns that the answer will never come over the old one, and has it resumed. The
+/// caller gets the whole answer, without a word doubled or lost.
+#[test]
+fn a_stream_over_a_silent_connection_is_resumed() {
+    task::block_on(async {
+        let world = World::start(WorldOptions {
+            engines: 2,
+            engine: EngineOptions {
+                decode_tokens_per_s: 50.0,
+                answer_tokens: TOKENS,
+                ..engine()
+            },
+            ..WorldOptions::default()
+        })
+        .await;
+        let fleet = world.fleet(1).await;
+        let open = Arc::new(AtomicUsize::new(0));
+        let streams: Vec<_> = (0..STREAMS)
+            .map(|number| task::spawn(stream(fleet[0].callers, number, Arc::clone(&open))))
+            .collect();
+        until("the streams are open", async || {
+            open.load(Ordering::SeqCst) == STREAMS
+        })
+        .await;
+
+        for engine in &world.engines {
+            engine.silence_open();
+        }
+
+        for (number, stream) in streams.into_iter().enumerate() {
+            let answer = stream.await;
+            assert_eq!(answer.kind(), OutcomeKind::Completed, "{answer:?}");
+            assert_eq!(answer.text, answer_to(&prompt(number), u64::from(TOKENS)));
+        }
+    });
+}
+
+fn prompt(number: usize) -> String {
+    format!("manifest {number}\nlist the boxes")
+}
+
+async fn stream(daemon: SocketAddr, number: usize, open: Arc<AtomicUsize>) -> Answer {
+    let request = completion(daemon, &prompt(number), LONG_MS);
+    let head = send(daemon, request).await.unwrap();
+    open.fetch_add(1, Ordering::SeqCst);
+    read_whole(head).await.expect("a whole answer")
+}
+
+/// The connection over which a call runs goes silent for good. The call ran, its answer never
+/// comes, and it may not be run again: the caller hears `unknown` by its deadline.
+#[test]
+fn a_call_over_a_silent_connection_ends_by_its_deadline() {
+    task::block_on(async {
+        let world = World::start(WorldOptions {
+            services: 2,
+            service: ServiceOptions {
+                call_ms: SHORT_MS / 10,
+                ..ServiceOptions::default()
+            },
+            ..WorldOptions::default()
+        })
+        .await;
+        let fleet = world.fleet(2).await;
+        let (answer, ran) = silenced_call(&world, &fleet[0]).await;
+
+        assert_eq!(answer.kind(), OutcomeKind::Unknown, "{answer:?}");
+        assert_eq!(answer.outcome.reason, Reason::DeadlineReached, "{answer:?}");
+        until_idle(&fleet[0]).await;
+        assert_eq!(world.runs_of(&ran), 1);
+    });
+}
+
+/// Silences the connection of a call while it runs. Where the computer is so slow that the answer
+/// comes before, it begins anew.
+async fn silenced_call(world: &World, daemon: &Process) -> (Answer, String) {
+    for number in 0.. {
+        let body = format!("label {number}");
+        let ticket = ticket(daemon.callers, &body).await;
+        let request = call(daemon.callers, &body, Some(ticket), SHORT_MS);
+        let answer = task::spawn(ask(daemon.callers, request));
+        until("the call is at a service", async || {
+            world.runs_of(&body) > 0
+        })
+        .await;
+        for service in &world.services {
+            service.silence_open();
+        }
+        let answer = answer.await.unwrap();
+        if answer.kind() != OutcomeKind::Completed {
+            return (answer, body);
+        }
+    }
+    unreachable!("the numbers don't end")
+}
