--- a/crates/core/src/core/on_peer.rs
+++ b/crates/core/src/core/on_peer.rs
@@ -102,6 +102,7 @@
                 fresh.poison.push(poison.clone());
             }
         }
+        fresh.loads = self.take_loads(now, &news.loads);
         self.links.spread(&fresh, Some(from));
     }
 
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -13,28 +13,35 @@
     async_channel::{Receiver, Sender},
     futures::{
         FutureExt,
-        future::{self},
-        select_biased,
+        future::{self, BoxFuture},
+        pin_mut, select_biased,
     },
-    std::sync::Arc,
+    http_types::Response,
+    std::{net::SocketAddr, sync::Arc},
     whinlatch_core::{AttemptEvent, Dispatch, ForwardEnd, MonoMs, Submission},
     whinlatch_wire::{
         caller::{Outcome, OutcomeKind, Reason},
-        ids::Ticket,
+        ids::{AttemptId, Ticket},
         target::{ServiceAnswer, StreamChunk},
     },
 };
 
+/// What an exchange waits for besides instructions.
+enum Running {
+    Nothing,
+    Attempt(Attempt),
+    Forward(BoxFuture<'static, Option<Response>>),
+}
+
 /// One caller's request from its submission to its last byte. It carries out what the control
 /// thread decides about the request and reports what comes of it.
-#[derive(Debug)]
 pub struct Exchange {
     shared: Arc<Shared>,
     submission: Submission,
     work: Arc<AttemptWork>,
     key: SecretHeader,
     accepted: MonoMs,
-    attempt: Option<Attempt>,
+    running: Running,
     keep_answer: Option<Ticket>,
     passed: u64,
     stream: Option<ChunkSender>,
@@ -44,8 +51,9 @@
 
 /// Something for the exchange to do.
 enum Happened {
-    Instructed(Instruction),
+    Instructed(Box<Instruction>),
     Stepped(Option<Step>),
+    Forwarded(Option<Box<Response>>),
     CallerGone,
     ControlGone,
 }
@@ -61,7 +69,7 @@
         work: Arc::new(read.work),
         key: read.key,
         accepted,
-        attempt: None,
+        running: Running::Nothing,
         keep_answer: None,
         passed: 0,
         stream: None,
@@ -72,6 +80,20 @@
     answer
 }
 
+impl Running {
+    async fn next(&mut self) -> Happened {
+        match self {
+            Self::Nothing => future::pending().await,
+            Self::Attempt(attempt) => Happened::Stepped(attempt.next().await),
+            Self::Forward(answer) => Happened::Forwarded(answer.await.map(Box::new)),
+        }
+    }
+
+    fn is_attempt(&self, id: AttemptId) -> bool {
+        matches!(self, Self::Attempt(attempt) if attempt.id() == id)
+    }
+}
+
 impl Exchange {
     async fn run(mut self) {
         let submission = self.submission.clone();
@@ -79,8 +101,9 @@
         loop {
             let happened = self.next(&instructions).await;
             let over = match happened {
-                Happened::Instructed(instruction) => self.carry_out(instruction).await,
+                Happened::Instructed(instruction) => self.carry_out(*instruction).await,
                 Happened::Stepped(step) => self.take(step).await,
+                Happened::Forwarded(answer) => self.end_forward(answer).await,
                 Happened::CallerGone => Err(CallerGone),
                 Happened::ControlGone => self.finish(self.control_gone()).await.map(|()| true),
             };
@@ -95,23 +118,20 @@
         }
     }
 
-    async fn next(&mut self, instructions: &Receiver<Instruction>) -> Happened {
+    async fn next(&mut self, instructions: &Receiver<Box<Instruction>>) -> Happened {
         let gone = match &self.stream {
             Some(stream) => stream.gone().left_future(),
             None => self.caller.closed().right_future(),
         };
-        let step = match &mut self.attempt {
-            Some(attempt) => attempt.next().left_future(),
-            None => future::pending().right_future(),
-        };
+        let step = self.running.next();
         let (instructed, gone, step) = (instructions.recv().fuse(), gone.fuse(), step.fuse());
-        futures::pin_mut!(instructed, gone, step);
+        pin_mut!(instructed, gone, step);
         select_biased! {
             instruction = instructed => {
                 instruction.map_or(Happened::ControlGone, Happened::Instructed)
             }
             () = gone => Happened::CallerGone,
-            step = step => Happened::Stepped(step),
+            happened = step => happened,
         }
     }
 
@@ -120,9 +140,11 @@
         match instruction {
             Instruction::Dispatch(dispatch) => self.dispatch(*dispatch),
             Instruction::Abandon(attempt) => {
-                self.attempt.take_if(|running| running.id() == attempt);
+                if self.running.is_attempt(attempt) {
+                    self.running = Running::Nothing;
+                }
             }
-            Instruction::Forward { to } => return self.forward(to).await,
+            Instruction::Forward { to } => self.forward(to),
             Instruction::Replay { ticket, outcome } => {
                 self.replay(ticket, outcome).await?;
                 return Ok(true);
@@ -137,7 +159,7 @@
 
     fn dispatch(&mut self, dispatch: Dispatch) {
         self.keep_answer = dispatch.keep_answer;
-        self.attempt = Some(Attempt::begin(
+        self.running = Running::Attempt(Attempt::begin(
             Arc::clone(&self.shared),
             Arc::new(dispatch),
             Arc::clone(&self.work),
@@ -146,9 +168,10 @@
     }
 
     async fn take(&mut self, step: Option<Step>) -> Result<bool, CallerGone> {
-        let Some(attempt) = self.attempt.as_ref().map(Attempt::id) else {
+        let Running::Attempt(running) = &self.running else {
             return Ok(false);
         };
+        let attempt = running.id();
         match step {
             Some(Step::Chunk(chunk)) => {
                 let first = self.passed == 0;
@@ -206,32 +229,33 @@
         self.answer = Some(answer);
     }
 
-    async fn end_attempt(&mut self, attempt: whinlatch_wire::ids::AttemptId, event: AttemptEvent) {
-        self.attempt = None;
+    async fn end_attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        self.running = Running::Nothing;
         self.report(attempt, event).await;
     }
 
-    async fn report(&mut self, attempt: whinlatch_wire::ids::AttemptId, event: AttemptEvent) {
+    async fn report(&mut self, attempt: AttemptId, event: AttemptEvent) {
         self.shared.control.attempt(attempt, event).await;
     }
 
     async fn finish(&mut self, outcome: Outcome) -> Result<(), CallerGone> {
-        self.attempt = None;
+        self.running = Running::Nothing;
         self.note(&outcome);
         if let Some(stream) = self.stream.take() {
             return stream.end(&outcome).await;
         }
         match self.answer.take() {
             Some(answer) if outcome.outcome == OutcomeKind::Completed => {
-                self.answer_with(Answer::Service { answer, outcome })
+                self.answer_with(Answer::Service {
+                    answer,
+                    outcome: Box::new(outcome),
+                })
             }
             _ => self.answer_with(Answer::ended(outcome)),
         }
     }
 
-    /// Returns whether the exchange is over. Where the home gave no answer, the control thread
-    /// decides what the caller is told.
-    async fn forward(&mut self, to: std::net::SocketAddr) -> Result<bool, CallerGone> {
+    fn forward(&mut self, to: SocketAddr) {
         let spent_ms = self.shared.clock.now().since(self.accepted);
         let forward = Forward {
             submission: &self.submission,
@@ -240,23 +264,25 @@
             left_ms: self.submission.deadline_ms.saturating_sub(spent_ms),
             to,
         };
-        let passed = forward.run(&self.shared);
-        let gone = self.caller.closed();
-        futures::pin_mut!(passed, gone);
-        let answer = match future::select(passed, gone).await {
-            future::Either::Left((answer, _)) => answer,
-            // Its connection to the home closes too, and the home learns that the caller is gone.
-            future::Either::Right(((), _)) => return Err(CallerGone),
+        let answer = forward.begin(Arc::clone(&self.shared));
+        self.running = Running::Forward(answer.boxed());
+    }
+
+    /// The home's answer goes to the caller; without one the core has the last word.
+    async fn end_forward(&mut self, answer: Option<Box<Response>>) -> Result<bool, CallerGone> {
+        self.running = Running::Nothing;
+        let end = match answer {
+            Some(_) => ForwardEnd::Answered,
+            None => ForwardEnd::Lost,
         };
         let request = self.submission.request;
-        let end = answer
-            .as_ref()
-            .map_or(ForwardEnd::Lost, |_| ForwardEnd::Answered);
         self.shared.control.forward_ended(request, end).await;
         let Some(answer) = answer else {
             return Ok(false);
         };
-        self.answer_with(answer)?;
+        let ms = self.shared.clock.now().since(self.accepted);
+        self.shared.metrics.note_passed(&answer, ms);
+        self.answer_with(Answer::Passed(answer))?;
         Ok(true)
     }
 
@@ -266,9 +292,12 @@
         match kept {
             Some(answer) => {
                 self.note(&outcome);
-                self.answer_with(Answer::Service { answer, outcome })
+                self.answer_with(Answer::Service {
+                    answer,
+                    outcome: Box::new(outcome),
+                })
             }
-            None if completed => self.finish(answer_forgotten(outcome)).await,
+            None if completed => self.finish(answer_forgotten(&outcome)).await,
             None => self.finish(outcome).await,
         }
     }
@@ -298,13 +327,13 @@
 }
 
 /// The run is over and completed, but its answer went to make room for others.
-fn answer_forgotten(outcome: Outcome) -> Outcome {
+fn answer_forgotten(outcome: &Outcome) -> Outcome {
     Outcome {
         outcome: OutcomeKind::Unknown,
         reason: Reason::TicketLost,
         message: "the request ran once and completed, but its answer is no longer kept: don't \
                   send it anew"
             .to_owned(),
-        ..outcome
+        ..outcome.clone()
     }
 }
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -1,12 +1,12 @@
 use {
-    super::{answer::Answer, submission::SecretHeader},
+    super::submission::SecretHeader,
     crate::{
         clock::timeout,
         shared::Shared,
         targets::{AttemptWork, connect, read_body},
     },
     http_types::{Method, Request, Response, Url},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
     whinlatch_core::Submission,
     whinlatch_wire::caller::{
         ACCOUNT_HEADER, CALLER_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, OUTCOME_HEADER,
@@ -41,25 +41,18 @@
 }
 
 impl Forward<'_> {
-    /// Passes the request on and the answer back; `None` if the home gives no whole answer in time.
-    pub async fn run(&self, shared: &Shared) -> Option<Answer> {
-        let answered = timeout(shared.clock.as_ref(), self.left_ms, self.ask(shared)).await;
-        answered.flatten().map(Answer::Passed)
-    }
-
-    async fn ask(&self, shared: &Shared) -> Option<Response> {
-        let request = self.request(shared)?;
-        let stream = connect(shared.clock.as_ref(), self.to).await.ok()?;
-        let mut answer = async_h1::connect(stream, request).await.ok()?;
-        let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.ok()?;
-        let mut response = Response::new(answer.status());
-        response.set_body(body);
-        for field in PASSED_FIELDS {
-            if let Some(value) = answer.header(field) {
-                response.insert_header(field, value.last().as_str());
-            }
+    /// Passes the request on. Dropped, the answer closes its connection, and the home learns that
+    /// the caller is gone.
+    pub fn begin(
+        &self,
+        shared: Arc<Shared>,
+    ) -> impl Future<Output = Option<Response>> + Send + 'static {
+        let request = self.request(&shared);
+        let (to, left_ms) = (self.to, self.left_ms);
+        async move {
+            let answer = ask(&shared, request?, to);
+            timeout(shared.clock.as_ref(), left_ms, answer).await?
         }
-        Some(response)
     }
 
     fn request(&self, shared: &Shared) -> Option<Request> {
@@ -85,3 +78,17 @@
         Some(request)
     }
 }
+
+async fn ask(shared: &Shared, request: Request, to: SocketAddr) -> Option<Response> {
+    let stream = connect(shared.clock.as_ref(), to).await.ok()?;
+    let mut answer = async_h1::connect(stream, request).await.ok()?;
+    let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.ok()?;
+    let mut response = Response::new(answer.status());
+    response.set_body(body);
+    for field in PASSED_FIELDS {
+        if let Some(value) = answer.header(field) {
+            response.insert_header(field, value.last().as_str());
+        }
+    }
+    Some(response)
+}
--- a/crates/daemon/src/control/control_handle.rs
+++ b/crates/daemon/src/control/control_handle.rs
@@ -11,7 +11,8 @@
 };
 
 /// Instructions of one request that may wait to be carried out. A request has few attempts, each
-/// with a dispatch and an end, so that this is never full while its task lives.
+/// with a dispatch and an end, so that this is never full while its task lives. They are boxed,
+/// since a channel holds the memory for all that may wait from its start.
 const WAITING_INSTRUCTIONS: usize = 64;
 
 /// The control thread has ended.
@@ -60,20 +61,20 @@
             .await;
     }
 
+    /// Reports how the home of a request's ticket answered.
+    pub async fn forward_ended(&self, request: RequestId, end: ForwardEnd) {
+        let event = Event::ForwardEnded { request, end };
+        self.send(ControlMessage::Event(event)).await;
+    }
+
     /// Reports that a caller went away.
     pub async fn caller_gone(&self, request: RequestId) {
         self.send(ControlMessage::Event(Event::CallerGone { request }))
             .await;
     }
 
-    /// Reports how a request ended that was passed on to its ticket's home.
-    pub async fn forward_ended(&self, request: RequestId, end: ForwardEnd) {
-        let event = Event::ForwardEnded { request, end };
-        self.send(ControlMessage::Event(event)).await;
-    }
-
     /// Submits a request. What is decided about it comes from the receiver.
-    pub async fn submit(&self, submission: Submission) -> Receiver<Instruction> {
+    pub async fn submit(&self, submission: Submission) -> Receiver<Box<Instruction>> {
         let (instructions, decided) = async_channel::bounded(WAITING_INSTRUCTIONS);
         self.send(ControlMessage::Submit {
             submission: Box::new(submission),
--- a/crates/daemon/src/control/control_message.rs
+++ b/crates/daemon/src/control/control_message.rs
@@ -20,7 +20,7 @@
         /// The request.
         submission: Box<Submission>,
         /// Where what is decided about it goes.
-        instructions: Sender<Instruction>,
+        instructions: Sender<Box<Instruction>>,
     },
     /// A link to a proved peer is open.
     LinkUp {
@@ -28,6 +28,8 @@
         link: LinkId,
         /// What the peer said of itself.
         hello: Hello,
+        /// The side that opened it.
+        opened_by: Incarnation,
         /// Where frames to the peer go; dropped to close the link.
         frames: Sender<PeerFrame>,
     },
--- a/crates/daemon/src/control/control_thread.rs
+++ b/crates/daemon/src/control/control_thread.rs
@@ -1,5 +1,10 @@
 use {
-    super::{ControlMessage, Query, hands::Hands, links::OpenLinks, requests::Requests},
+    super::{
+        ControlMessage, Query,
+        hands::Hands,
+        links::{OpenLink, OpenLinks},
+        requests::Requests,
+    },
     crate::{clock::timeout, errors::DaemonError, logs::DecisionLog, shared::Shared},
     async_channel::{Receiver, Sender},
     async_std::task,
@@ -103,10 +108,18 @@
             ControlMessage::LinkUp {
                 link,
                 hello,
+                opened_by,
                 frames,
             } => {
-                self.hands.links.insert(hello.incarnation, link, frames);
-                self.handle(Event::PeerUp { hello });
+                let opened = OpenLink {
+                    id: link,
+                    opened_by,
+                    since: self.hands.shared.clock.now(),
+                    frames,
+                };
+                if self.hands.links.insert(hello.incarnation, opened) {
+                    self.handle(Event::PeerUp { hello });
+                }
             }
             ControlMessage::LinkDown {
                 link,
@@ -129,7 +142,7 @@
     }
 
     fn take_event(&mut self, event: Event) {
-        let gone = match &event {
+        let over = match &event {
             Event::CallerGone { request }
             | Event::ForwardEnded {
                 request,
@@ -138,7 +151,7 @@
             _ => None,
         };
         self.handle(event);
-        if let Some(request) = gone {
+        if let Some(request) = over {
             self.hands.requests.forget(request);
         }
     }
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -1,7 +1,7 @@
 use {
     super::Instruction,
     async_channel::Sender,
-    std::{collections::HashMap, net::SocketAddr},
+    std::collections::HashMap,
     whinlatch_core::Dispatch,
     whinlatch_wire::{
         caller::Outcome,
@@ -12,7 +12,7 @@
 /// The task of one request.
 #[derive(Debug)]
 struct Task {
-    instructions: Sender<Instruction>,
+    instructions: Sender<Box<Instruction>>,
     attempts: Vec<AttemptId>,
 }
 
@@ -25,7 +25,7 @@
 
 impl Requests {
     /// Notes where the instructions of a request go.
-    pub fn insert(&mut self, request: RequestId, instructions: Sender<Instruction>) {
+    pub fn insert(&mut self, request: RequestId, instructions: Sender<Box<Instruction>>) {
         let task = Task {
             instructions,
             attempts: Vec::new(),
@@ -44,11 +44,6 @@
         self.instruct(request, Instruction::Dispatch(dispatch));
     }
 
-    /// Has a request passed on to its ticket's home. It may still get a final answer from here.
-    pub fn forward(&mut self, request: RequestId, to: SocketAddr) {
-        self.instruct(request, Instruction::Forward { to });
-    }
-
     /// Has an attempt given up.
     pub fn abandon(&mut self, attempt: AttemptId) {
         if let Some(request) = self.attempts.remove(&attempt) {
@@ -78,13 +73,14 @@
         }
     }
 
-    /// The control thread never waits for traffic: a task that is gone has dropped its receiver,
-    /// and one whose queue were full would lose its sender and answer `unknown`.
-    fn instruct(&mut self, request: RequestId, instruction: Instruction) {
+    /// Gives a request an instruction. The control thread never waits for
+    /// traffic: a task that is gone has dropped its receiver, and one whose queue were full would
+    /// lose its sender and answer `unknown`.
+    pub fn instruct(&mut self, request: RequestId, instruction: Instruction) {
         let Some(task) = self.tasks.get(&request) else {
             return;
         };
-        if task.instructions.try_send(instruction).is_err() {
+        if task.instructions.try_send(Box::new(instruction)).is_err() {
             self.forget(request);
         }
     }
