--- a/demo.sh
+++ b/demo.sh
@@ -9,7 +9,8 @@
 KEY=demo-key
 KEY_SHA256=$(printf %s "$KEY" | sha256sum | cut -d' ' -f1)
 MODEL=assistant
-ENGINES=(old-1 old-2 new-1 new-2)
+# A group stays within one provider, so three engines of the old one hold the longest prompt.
+ENGINES=(old-1 old-2 old-3 new-1)
 DAEMONS=(entry-1 entry-2 entry-3)
 ENGINE_MEMORY_TOKENS=400000
 ANSWER_TOKENS=64
@@ -173,7 +174,8 @@
 
 runs_of_provider() {
   local name sum=0 count
-  for name in "$1-1" "$1-2"; do
+  for name in "${ENGINES[@]}"; do
+    [ "${name%-*}" = "$1" ] || continue
     count=$(http GET "${address[$name]}" /standin/stats |
       grep -o '"runs_by_attempt":{[^}]*}' | grep -o ':1' | wc -l)
     sum=$((sum + count))
