--- a/crates/bench/src/policy/engine.rs
+++ b/crates/bench/src/policy/engine.rs
@@ -208,7 +208,7 @@
         self.running = running;
         for job in ended {
             let room = MEMORY_TOKENS - self.used_tokens();
-            if job.reservation.is_none() {
+            if job.engines == 1 {
                 self.cache.store(&job.prefix_hashes, room);
             }
             answers.push(job.answer(AttemptEvent::Completed));
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -54,6 +54,7 @@
     book: DecisionBook,
     untold: Vec<TargetName>,
     load_number: u64,
+    restated: MonoMs,
     actions: Vec<Action>,
 }
 
@@ -77,6 +78,7 @@
             book: DecisionBook::default(),
             untold: Vec::new(),
             load_number: 0,
+            restated: now,
             actions: Vec::new(),
             options,
         }
--- a/crates/core/src/core/on_group.rs
+++ b/crates/core/src/core/on_group.rs
@@ -5,7 +5,10 @@
     crate::{
         action::{Action, TargetCall},
         decisions::Part as DecisionPart,
-        placement::{DueGroup, Group, GroupState, NoGroup, Part, RESERVE_WITHIN_MS},
+        fleet::Claim,
+        placement::{
+            ChosenGroup, DueGroup, Group, GroupState, NoGroup, Part, RESERVE_WITHIN_MS, Waiter,
+        },
         routing::{Ask, Scene, choice},
         time::MonoMs,
     },
@@ -16,11 +19,22 @@
     },
 };
 
+/// A long prompt is sent once no more than this is left of those before it at its engines, in ms.
+/// Earlier, and it would hold memory while it waits.
+const START_MS: f64 = 300.0;
+/// Longest time before a group is tried again, in ms, doubled with each try up to the cap.
+const BACK_OFF_MS: u64 = 50;
+/// Cap of that time, in ms.
+const MAX_BACK_OFF_MS: u64 = 400;
+/// When a caller is told to come back if too few engines are live, in ms.
+const NONE_LIVE_RETRY_MS: u64 = 5_000;
+
 impl Core {
-    /// Chooses a group for a prompt beyond one engine's memory and asks its first engine.
+    /// Chooses engines for a long prompt. Asks for them if their turn has come, else claims them.
     pub(super) fn place(&mut self, now: MonoMs, request: RequestId) {
-        let tries = self.groups.get(request).map_or(0, |group| group.tries);
-        self.release_group(request);
+        let Some(mut group) = self.take_group(now, request) else {
+            return;
+        };
         let Some(entry) = self.requests.get(request) else {
             return;
         };
@@ -32,33 +46,92 @@
             targets: &self.targets,
             daemons: self.members.alive() + 1,
         };
-        match self.router.choose_group(&scene, &ask, &mut self.rng) {
+        let waiter = Waiter {
+            since: entry.accepted,
+            claim: group.claim,
+        };
+        let provider = group.provider.clone();
+        let chosen =
+            self.router
+                .choose_group(&scene, &ask, waiter, provider.as_ref(), &mut self.rng);
+        match chosen {
             Ok(chosen) => {
-                let group = Group {
-                    parts: chosen
-                        .targets
-                        .into_iter()
-                        .filter_map(|target| self.part(target))
-                        .collect(),
-                    part_tokens: chosen.part_tokens,
-                    state: GroupState::Acquiring {
-                        next: 0,
-                        asked: now,
-                    },
-                    tries,
-                };
-                self.acquire(now, request, group);
+                self.claim(&mut group, waiter, &chosen);
+                if chosen.wait_ms <= START_MS {
+                    self.acquire(now, request, group, chosen);
+                } else {
+                    self.wait(now, request, group);
+                }
             }
-            Err(NoGroup::NoRoom) => {
-                self.put_off(now, request, tries, &NoGroup::NoRoom.to_string());
+            Err(NoGroup::NoneLive) => {
+                let message = NoGroup::NoneLive.to_string();
+                let retry = Some(NONE_LIVE_RETRY_MS);
+                let kind = self.kind_now(request);
+                self.unclaim(&group);
+                self.finish(now, request, kind, Reason::NoTarget, &message, retry);
             }
             Err(NoGroup::TooLong) => {
+                self.unclaim(&group);
                 let message = NoGroup::TooLong.to_string();
                 self.give_up(now, request, Reason::PromptTooLong, &message);
             }
         }
     }
 
+    /// The request's group with nothing held, or a new one with the provider drawn.
+    fn take_group(&mut self, now: MonoMs, request: RequestId) -> Option<Group> {
+        if let Some(group) = self.groups.remove(request) {
+            self.release_parts(&group);
+            return Some(Group {
+                parts: Vec::new(),
+                state: GroupState::Waiting { due: now },
+                ..group
+            });
+        }
+        let claim = self.draw_attempt();
+        let entry = self.requests.get(request)?;
+        let policy = self.records.in_force().policy();
+        let ask = Ask::new(&entry.submission.work, &entry.route, &entry.tried, policy);
+        let provider = self.router.draw_provider(&ask, &mut self.rng);
+        Some(Group::new(now, claim, provider))
+    }
+
+    /// Claims the engines that were chosen and no others.
+    fn claim(&mut self, group: &mut Group, waiter: Waiter, chosen: &ChosenGroup) {
+        if group.claimed != chosen.targets {
+            self.unclaim(group);
+            self.untold.extend(chosen.targets.iter().cloned());
+            group.claimed.clone_from(&chosen.targets);
+        }
+        let claim = Claim {
+            claim: waiter.claim,
+            since: waiter.since,
+            read_ms: chosen.read_ms,
+        };
+        for target in &group.claimed {
+            if let Some(state) = self.targets.get_mut(target) {
+                state.load.claim(claim);
+            }
+        }
+    }
+
+    fn unclaim(&mut self, group: &Group) {
+        for target in &group.claimed {
+            let state = self.targets.get_mut(target);
+            if state.is_some_and(|state| state.load.unclaim(group.claim)) {
+                self.untold.push(target.clone());
+            }
+        }
+    }
+
+    /// Tries again soon, with jitter so that daemons that collided don't do so again.
+    fn wait(&mut self, now: MonoMs, request: RequestId, mut group: Group) {
+        let full_ms = (BACK_OFF_MS << group.tries.min(8)).min(MAX_BACK_OFF_MS);
+        let due = now + self.rng.u64(full_ms / 2..=full_ms);
+        group.state = GroupState::Waiting { due };
+        self.groups.insert(request, group);
+    }
+
     fn part(&mut self, target: TargetName) -> Option<Part> {
         let reservation = self.draw_attempt();
         let state = self.targets.get(&target)?;
@@ -70,16 +143,26 @@
         })
     }
 
-    fn acquire(&mut self, now: MonoMs, request: RequestId, group: Group) {
-        let names: Vec<&str> = group.parts.iter().map(|p| p.target.as_str()).collect();
+    fn acquire(&mut self, now: MonoMs, request: RequestId, mut group: Group, chosen: ChosenGroup) {
+        let names: Vec<&str> = chosen.targets.iter().map(TargetName::as_str).collect();
         let text = format!(
             "asks {} for {} tokens each, try {}",
             names.join(", "),
-            group.part_tokens,
+            chosen.part_tokens,
             group.tries + 1
         );
-        self.groups.begin(request, group);
         self.decide(now, DecisionPart::Placement, Some(request), text);
+        group.part_tokens = chosen.part_tokens;
+        group.parts = chosen
+            .targets
+            .into_iter()
+            .filter_map(|target| self.part(target))
+            .collect();
+        group.state = GroupState::Acquiring {
+            next: 0,
+            asked: now,
+        };
+        self.groups.insert(request, group);
         self.ask_next(now, request);
     }
 
@@ -134,7 +217,7 @@
 
     /// Dispatches to the engine of the group that has the least to do.
     fn run_group(&mut self, now: MonoMs, request: RequestId) {
-        let Some(group) = self.groups.get(request) else {
+        let Some(group) = self.groups.get(request).cloned() else {
             return;
         };
         let Some(entry) = self.requests.get(request) else {
@@ -157,6 +240,7 @@
             leader.target
         );
         self.decide(now, DecisionPart::Placement, Some(request), text);
+        self.unclaim(&group);
         self.dispatch(now, request, &leader);
     }
 
@@ -174,11 +258,10 @@
         let Some(group) = self.groups.get(request) else {
             return;
         };
-        let tries = group.tries;
         let text = format!("{target} {says}");
         match group.state {
             GroupState::Held { .. } => self.on_part_lost(now, request, &text),
-            _ => self.put_off(now, request, tries, &text),
+            _ => self.put_off(now, request, &text),
         }
     }
 
@@ -194,11 +277,14 @@
         self.try_again(now, request, Reason::TargetLost, text);
     }
 
-    fn put_off(&mut self, now: MonoMs, request: RequestId, tries: u32, text: &str) {
-        self.release_group(request);
-        self.groups.back_off(now, request, tries, &mut self.rng);
+    fn put_off(&mut self, now: MonoMs, request: RequestId, text: &str) {
+        let Some(mut group) = self.take_group(now, request) else {
+            return;
+        };
+        group.tries += 1;
         let text = format!("put off: {text}");
         self.decide(now, DecisionPart::Placement, Some(request), text);
+        self.wait(now, request, group);
     }
 
     /// Does what is due for groups. Called at each tick.
@@ -207,8 +293,7 @@
             match due {
                 DueGroup::Try(request) => self.place(now, request),
                 DueGroup::Unanswered(request) => {
-                    let tries = self.groups.get(request).map_or(0, |group| group.tries);
-                    self.put_off(now, request, tries, "an engine didn't answer in time");
+                    self.put_off(now, request, "an engine didn't answer in time");
                 }
                 DueGroup::Renew(request) => self.renew(now, request),
             }
@@ -227,9 +312,13 @@
 
     /// Gives back what is or may be held for a request. Every end of a request comes through here.
     pub(super) fn release_group(&mut self, request: RequestId) {
-        let Some(group) = self.groups.remove(request) else {
-            return;
-        };
+        if let Some(group) = self.groups.remove(request) {
+            self.release_parts(&group);
+            self.unclaim(&group);
+        }
+    }
+
+    fn release_parts(&mut self, group: &Group) {
         for part in group.held() {
             self.release(&part.target, part.reservation);
         }
--- a/crates/core/src/core/on_load.rs
+++ b/crates/core/src/core/on_load.rs
@@ -15,6 +15,8 @@
     },
 };
 
+/// Time between full statements of this daemon's long work, in ms.
+const RESTATE_MS: u64 = 2_000;
 /// Part of a prompt's time that may be waiting if it is to teach the target's rate.
 const CLEAN_PART: f64 = 0.1;
 
@@ -23,11 +25,7 @@
     pub(super) fn priority_of(&self, entry: &Request) -> u8 {
         let policy = self.records.in_force().policy();
         let ask = Ask::new(&entry.submission.work, &entry.route, &entry.tried, policy);
-        match ask.weight {
-            Weight::Light => 2,
-            Weight::Medium => 4,
-            Weight::Long => 6,
-        }
+        ask.priorities.at(ask.weight)
     }
 
     /// Notes work that is sent, at its target and at those of its group.
@@ -97,13 +95,30 @@
         }
     }
 
+    /// States all long work again now and then. Guards against a word that got lost, and keeps claims
+    /// believed, which peers forget when a daemon dies.
+    pub(super) fn restate_loads(&mut self, now: MonoMs) {
+        if now.since(self.restated) < RESTATE_MS {
+            return;
+        }
+        self.restated = now;
+        let long = self
+            .targets
+            .iter()
+            .filter(|(_, state)| state.load.has_long())
+            .map(|(target, _)| target.clone());
+        self.untold.extend(long.collect::<Vec<_>>());
+    }
+
     /// Tells peers at once of heavy work that came or went here. Guards against two daemons that send
     /// heavy prompts to one target because each knows only of its own until the next report.
     pub(super) fn tell_loads(&mut self, now: MonoMs) {
         if self.untold.is_empty() {
             return;
         }
-        let targets = std::mem::take(&mut self.untold);
+        let mut targets = std::mem::take(&mut self.untold);
+        targets.sort();
+        targets.dedup();
         let loads: Vec<TargetLoad> = targets
             .iter()
             .filter_map(|target| self.load_of(now, target))
@@ -130,6 +145,7 @@
         let state = self.targets.get(target)?;
         let medium_ms = state.load.own_ms(now, Weight::Medium);
         let long_ms = state.load.own_ms(now, Weight::Long);
+        let (claimed_ms, since) = state.load.own_claims();
         Some(TargetLoad {
             origin: self.options.incarnation,
             number: self.load_number,
@@ -137,6 +153,8 @@
             in_flight: state.in_flight,
             prefill_left_ms: (medium_ms + long_ms) as u64,
             long_left_ms: long_ms as u64,
+            claimed_ms: claimed_ms as u64,
+            claim_age_ms: since.map_or(0, |since| now.since(since)),
         })
     }
 
--- a/crates/core/src/core/on_submit.rs
+++ b/crates/core/src/core/on_submit.rs
@@ -8,7 +8,7 @@
         decisions::Part,
         event::Submission,
         requests::{Flight, Request},
-        routing::{Ask, Choice, NoChoice, Scene},
+        routing::{Ask, Choice, NoChoice, Scene, Weight},
         time::MonoMs,
     },
     whinlatch_wire::{
@@ -75,6 +75,10 @@
         };
         let policy = self.records.in_force().policy();
         let ask = Ask::new(&entry.submission.work, &entry.route, &entry.tried, policy);
+        if ask.weight == Weight::Long {
+            self.place(now, request);
+            return;
+        }
         let scene = Scene {
             now,
             in_force: self.records.in_force(),
--- a/crates/core/src/core/on_tick.rs
+++ b/crates/core/src/core/on_tick.rs
@@ -21,6 +21,7 @@
         }
         self.expire(now);
         self.tend_groups(now);
+        self.restate_loads(now);
         self.read_platform(now);
         self.read_reports(now);
         self.open_links(now);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,7 +7,7 @@
 mod targets;
 
 pub use {
-    load_book::{Job, LeftWork, LoadBook},
+    load_book::{Claim, Job, LeftWork, LoadBook},
     members::{Member, Members},
     prefill_cost::{CostSums, PrefillCost, ReadSample},
     target_state::TargetState,
--- a/crates/core/src/fleet/load_book.rs
+++ b/crates/core/src/fleet/load_book.rs
@@ -42,6 +42,20 @@
 /// an old one that comes round again isn't taken for news.
 const PEER_MS: u64 = 120_000;
 
+/// How long a peer's claim is believed unless it is stated again, in ms.
+const CLAIM_MS: u64 = 5_000;
+
+/// A long prompt that waits for its turn at the target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Claim {
+    /// Names the claim.
+    pub claim: AttemptId,
+    /// When the request was taken in; who waits longer goes first.
+    pub since: MonoMs,
+    /// Predicted time to read it, in ms.
+    pub read_ms: f64,
+}
+
 /// Work that is left at a target, by weight.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct LeftWork {
@@ -61,6 +75,8 @@
     heard: MonoMs,
     medium_until: MonoMs,
     long_until: MonoMs,
+    claimed_ms: u64,
+    claimed_since: MonoMs,
 }
 
 /// What waits at a target, as seen from here: its lagging reports, corrected by what this daemon
@@ -68,6 +84,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LoadBook {
     jobs: Vec<Job>,
+    claims: Vec<Claim>,
     peers: Vec<PeerWork>,
     reported: MonoMs,
     reported_ms: f64,
@@ -129,6 +146,8 @@
             heard: now,
             medium_until: now + load.prefill_left_ms.saturating_sub(load.long_left_ms),
             long_until: now + load.long_left_ms,
+            claimed_ms: load.claimed_ms,
+            claimed_since: MonoMs(now.0.saturating_sub(load.claim_age_ms)),
         };
         self.peers
             .retain(|work| now.since(work.heard) <= PEER_MS || work.long_until > now);
@@ -146,6 +165,47 @@
         self.running
     }
 
+    /// Notes that a long prompt waits for its turn here.
+    pub fn claim(&mut self, claim: Claim) {
+        self.unclaim(claim.claim);
+        self.claims.push(claim);
+    }
+
+    /// Forgets a claim. Returns whether there was one.
+    pub fn unclaim(&mut self, claim: AttemptId) -> bool {
+        let before = self.claims.len();
+        self.claims.retain(|held| held.claim != claim);
+        self.claims.len() < before
+    }
+
+    /// This daemon's claims: their time in ms, and since when the first waits.
+    pub fn own_claims(&self) -> (f64, Option<MonoMs>) {
+        let total_ms = self.claims.iter().map(|claim| claim.read_ms).sum();
+        (total_ms, self.claims.iter().map(|claim| claim.since).min())
+    }
+
+    /// Whether this daemon has a long prompt here, sent or waiting.
+    pub fn has_long(&self) -> bool {
+        !self.claims.is_empty() || self.jobs.iter().any(|job| job.weight == Weight::Long)
+    }
+
+    /// Long work that goes before a request that waits since `since`, in ms: what is sent, and the
+    /// claims of those that wait longer. So a prompt that takes many engines is not passed by others
+    /// that take few.
+    pub fn ahead_ms(&self, now: MonoMs, since: MonoMs, claim: AttemptId) -> f64 {
+        let own = self
+            .claims
+            .iter()
+            .filter(|held| (held.since, held.claim) < (since, claim))
+            .map(|held| held.read_ms);
+        let peers = self
+            .peers
+            .iter()
+            .filter(|work| work.claimed_since < since && now.since(work.heard) <= CLAIM_MS)
+            .map(|work| work.claimed_ms as f64);
+        self.left(now).long_ms + own.sum::<f64>() + peers.sum::<f64>()
+    }
+
     /// Memory that is free, in tokens.
     pub fn free_tokens(&self) -> u64 {
         self.free_tokens.saturating_sub(self.since_tokens)
--- a/crates/core/src/placement/group.rs
+++ b/crates/core/src/placement/group.rs
@@ -2,7 +2,7 @@
     crate::time::MonoMs,
     std::net::SocketAddr,
     whinlatch_wire::{
-        ids::{AttemptId, Incarnation, TargetName},
+        ids::{AttemptId, Incarnation, ProviderName, TargetName},
         target::{GroupMember, ReserveRequest},
     },
 };
@@ -31,8 +31,8 @@
 /// How far a group is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GroupState {
-    /// Nothing is held; tried again at this moment.
-    BackingOff {
+    /// Nothing is held; the engines are claimed, and tried again at this moment.
+    Waiting {
         /// The moment.
         due: MonoMs,
     },
@@ -50,13 +50,19 @@
     },
 }
 
-/// Engines that together hold one prompt: all of them or none.
+/// Engines that together hold one long prompt, one or more: all of them or none.
 ///
 /// Parts are asked in the order of the targets' names, one at a time, and all are given back on the
 /// first refusal. Guards against two daemons that each hold what the other waits for: neither waits
 /// with something in hand, and both meet at the same first engine.
 #[derive(Debug, Clone)]
 pub struct Group {
+    /// Names the request's claim on engines while it waits.
+    pub claim: AttemptId,
+    /// The provider that was drawn for it.
+    pub provider: Option<ProviderName>,
+    /// Engines that are claimed.
+    pub claimed: Vec<TargetName>,
     /// Its engines in the order in which they are asked.
     pub parts: Vec<Part>,
     /// Tokens that each engine sets aside.
@@ -68,20 +74,23 @@
 }
 
 impl Group {
-    /// A group of which nothing is held, to be tried when it is due.
-    pub fn put_off(due: MonoMs, tries: u32) -> Self {
+    /// A group of which nothing is held or claimed.
+    pub fn new(now: MonoMs, claim: AttemptId, provider: Option<ProviderName>) -> Self {
         Self {
+            claim,
+            provider,
+            claimed: Vec::new(),
             parts: Vec::new(),
             part_tokens: 0,
-            state: GroupState::BackingOff { due },
-            tries,
+            state: GroupState::Waiting { due: now },
+            tries: 0,
         }
     }
 
     /// Parts that an engine holds or may hold.
     pub fn held(&self) -> &[Part] {
         match self.state {
-            GroupState::BackingOff { .. } => &[],
+            GroupState::Waiting { .. } => &[],
             GroupState::Acquiring { next, .. } => &self.parts[..=next],
             GroupState::Held { .. } => &self.parts,
         }
--- a/crates/core/src/placement/groups.rs
+++ b/crates/core/src/placement/groups.rs
@@ -5,11 +5,6 @@
     whinlatch_wire::ids::{AttemptId, RequestId},
 };
 
-/// Longest time before a group is tried again, in ms, doubled with each try up to the cap.
-const BACK_OFF_MS: u64 = 100;
-/// Cap of that time, in ms.
-const MAX_BACK_OFF_MS: u64 = 800;
-
 /// What is due for a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DueGroup {
@@ -44,8 +39,8 @@
         self.by_reservation.get(&reservation).copied()
     }
 
-    /// Begins to acquire a group.
-    pub fn begin(&mut self, request: RequestId, group: Group) {
+    /// Takes in a group, or its new state.
+    pub fn insert(&mut self, request: RequestId, group: Group) {
         for part in &group.parts {
             self.by_reservation.insert(part.reservation, request);
         }
@@ -62,26 +57,12 @@
         Some(group)
     }
 
-    /// Puts a request's group off, with jitter so that daemons that collided don't do so again.
-    pub fn back_off(
-        &mut self,
-        now: MonoMs,
-        request: RequestId,
-        tries: u32,
-        rng: &mut fastrand::Rng,
-    ) {
-        let full_ms = (BACK_OFF_MS << tries.min(8)).min(MAX_BACK_OFF_MS);
-        let due = now + rng.u64(full_ms / 4..=full_ms);
-        self.by_request
-            .insert(request, Group::put_off(due, tries + 1));
-    }
-
     /// What is due now.
     pub fn due(&self, now: MonoMs) -> Vec<DueGroup> {
         self.by_request
             .iter()
             .filter_map(|(request, group)| match group.state {
-                GroupState::BackingOff { due } if due <= now => Some(DueGroup::Try(*request)),
+                GroupState::Waiting { due } if due <= now => Some(DueGroup::Try(*request)),
                 GroupState::Acquiring { asked, .. } if now.since(asked) > RESERVE_WITHIN_MS => {
                     Some(DueGroup::Unanswered(*request))
                 }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -6,7 +6,7 @@
 mod router;
 
 pub use {
-    ask::{Ask, NoChoice, Weight},
+    ask::{Ask, NoChoice, Priorities, Weight},
     candidates::{Candidate, Candidates, tokens_of},
     free_share::FreeShare,
     router::{Choice, Router, Scene, choice},
--- a/crates/core/src/routing/ask.rs
+++ b/crates/core/src/routing/ask.rs
@@ -34,6 +34,34 @@
     }
 }
 
+/// Priorities at an engine by weight: 0 is most urgent, 9 least.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Priorities {
+    medium: u8,
+    long: u8,
+}
+
+impl Priorities {
+    /// Light prompts go first, since they hold up nobody; whether medium or long ones come next
+    /// follows from the policy's weights.
+    pub fn of(policy: &PolicyRecord) -> Self {
+        if policy.long_first_token_weight > policy.short_slowdown_weight {
+            Self { medium: 6, long: 4 }
+        } else {
+            Self { medium: 4, long: 6 }
+        }
+    }
+
+    /// The priority of a weight.
+    pub fn at(self, weight: Weight) -> u8 {
+        match weight {
+            Weight::Light => 2,
+            Weight::Medium => self.medium,
+            Weight::Long => self.long,
+        }
+    }
+}
+
 /// What a target is wanted for.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -45,6 +73,8 @@
     pub tried: &'a [TargetName],
     /// How long the prompt holds up others.
     pub weight: Weight,
+    /// Priorities at an engine.
+    pub priorities: Priorities,
 }
 
 impl<'a> Ask<'a> {
@@ -60,6 +90,7 @@
             route,
             tried,
             weight: Weight::of(prompt_tokens(work), policy),
+            priorities: Priorities::of(policy),
         }
     }
 
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -2,7 +2,7 @@
     super::{Ask, Candidate, Candidates, FreeShare, NoChoice, Weight, tokens_of},
     crate::{
         fleet::{TargetState, Targets},
-        placement::{ChosenGroup, NoGroup, choose_group},
+        placement::{ChosenGroup, NoGroup, Waiter, choose_group},
         records::InForce,
         time::MonoMs,
     },
@@ -16,8 +16,6 @@
 const BESIDE_MS: f64 = 150.0;
 /// What each request at work adds to the wait, in ms.
 const RUNNING_MS: f64 = 2.0;
-/// What a prompt waits at least where there is no memory for it, in ms.
-const NO_MEMORY_MS: f64 = 500.0;
 /// Choices whose predicted times differ by less than this are held to be equal, in ms.
 const NEAR_MS: f64 = 5.0;
 
@@ -92,30 +90,43 @@
         })
     }
 
-    /// Chooses a group of engines for a prompt beyond the memory of one.
+    /// Chooses the engines of a long prompt, of the provider that was drawn for it if they suffice.
     ///
     /// # Errors
-    /// [`NoGroup`] if no provider's engines have room.
+    /// [`NoGroup`] if no provider has enough engines.
     pub fn choose_group(
         &mut self,
         scene: &Scene<'_>,
         ask: &Ask<'_>,
+        waiter: Waiter,
+        drawn: Option<&ProviderName>,
         rng: &mut fastrand::Rng,
     ) -> Result<ChosenGroup, NoGroup> {
-        let drawn = draw_provider(&ask.route.providers, rng);
         let mut verdict = Err(NoGroup::TooLong);
         for share in in_order(&ask.route.providers, drawn) {
             let list = self
                 .candidates
                 .of(scene.in_force, scene.targets, ask.work, share);
-            verdict = choose_group(scene, ask, &list);
-            if verdict != Err(NoGroup::TooLong) {
-                break;
+            let chosen = choose_group(scene, ask, waiter, &list, rng);
+            if chosen.is_ok() {
+                return chosen;
+            }
+            if verdict == Err(NoGroup::TooLong) {
+                verdict = chosen;
             }
         }
         verdict
     }
 
+    /// Draws the provider of a request.
+    pub fn draw_provider(
+        &mut self,
+        ask: &Ask<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<ProviderName> {
+        draw_provider(&ask.route.providers, rng).cloned()
+    }
+
     /// Notes light work that is sent, which the share of free targets follows.
     pub fn note_light(&mut self, now: MonoMs, work_ms: f64) {
         self.free.note(now, work_ms);
@@ -176,23 +187,27 @@
     }
 }
 
-/// Predicted time until a prompt's turn comes, in ms: after those that weigh as much or less, and
-/// after the step under way of one that weighs more. Where there is no memory for it, it waits for
-/// them all.
+/// Predicted time until a prompt's turn comes, in ms: after those that are as urgent or more, and
+/// after the step under way of one that is less. Where there is no memory for it, it waits for all.
 fn wait_ms(now: MonoMs, state: &TargetState, ask: &Ask<'_>) -> f64 {
     let left = state.load.left(now);
     let running_ms = f64::from(state.load.running()) * RUNNING_MS;
-    let beside = |heavier_ms: f64| if heavier_ms > 0.0 { BESIDE_MS } else { 0.0 };
-    let all_ms = left.light_ms + left.medium_ms + left.long_ms;
-    if state.load.free_tokens() < tokens_of(ask.work) {
-        return running_ms + all_ms + NO_MEMORY_MS;
-    }
-    running_ms
-        + match ask.weight {
-            Weight::Light => left.light_ms + beside(left.medium_ms + left.long_ms),
-            Weight::Medium => left.light_ms + left.medium_ms + beside(left.long_ms),
-            Weight::Long => all_ms,
-        }
+    let parts = [
+        (Weight::Light, left.light_ms),
+        (Weight::Medium, left.medium_ms),
+        (Weight::Long, left.long_ms),
+    ];
+    let own = ask.priorities.at(ask.weight);
+    let waits_for = |weight: Weight| {
+        state.load.free_tokens() < tokens_of(ask.work) || ask.priorities.at(weight) <= own
+    };
+    let before_ms: f64 = parts
+        .iter()
+        .filter(|(w, _)| waits_for(*w))
+        .map(|(_, ms)| ms)
+        .sum();
+    let beside = parts.iter().any(|(w, ms)| !waits_for(*w) && *ms > 0.0);
+    running_ms + before_ms + if beside { BESIDE_MS } else { 0.0 }
 }
 
 fn read_ms(state: &TargetState, ask: &Ask<'_>) -> f64 {
--- a/crates/core/tests/policy/load_book.rs
+++ b/crates/core/tests/policy/load_book.rs
@@ -32,6 +32,8 @@
         in_flight: 1,
         prefill_left_ms,
         long_left_ms,
+        claimed_ms: 0,
+        claim_age_ms: 0,
     }
 }
 
--- a/crates/wire/src/peer/news.rs
+++ b/crates/wire/src/peer/news.rs
@@ -108,6 +108,12 @@
     /// The part of it that is of long prompts, in ms.
     #[serde(default)]
     pub long_left_ms: u64,
+    /// Time of long prompts that wait for their turn there and are not counted above, in ms.
+    #[serde(default)]
+    pub claimed_ms: u64,
+    /// How long the first of them has waited, in ms.
+    #[serde(default)]
+    pub claim_age_ms: u64,
 }
 
 /// What a client account used at one daemon of late.
