--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,7 +8,7 @@
 mod watchers;
 
 pub use {
-    load_book::{Job, LeftWork, LoadBook},
+    load_book::{Claim, Job, LeftWork, LoadBook},
     members::{Member, Members, Told},
     prefill_cost::{CostSums, PrefillCost, ReadSample},
     target_state::TargetState,
--- a/crates/core/tests/peers_suite/peers_links.rs
+++ b/crates/core/tests/peers_suite/peers_links.rs
@@ -223,6 +223,8 @@
         in_flight: number as u32,
         prefill_left_ms: 0,
         long_left_ms: 0,
+        claimed_ms: 0,
+        claim_age_ms: 0,
     };
 
     for number in (1..=100_000).chain([5]) {
