--- a/crates/bench/src/policy/engine.rs
+++ b/crates/bench/src/policy/engine.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         cost::{CHUNK_TOKENS, HELP_SLOWDOWN, MEMORY_TOKENS, SLOTS, STEP_ANSWER_TOKENS},
-        cost::{answers_us, read_us},
+        cost::{read_us, step_us},
         prefix_cache::PrefixCache,
     },
     std::collections::BTreeMap,
@@ -145,7 +145,7 @@
         let answers = self.running.iter().filter(|job| job.is_read()).count();
         let read = self.plan_reading();
         let slowed = 1.0 + HELP_SLOWDOWN * f64::from(self.helping);
-        let length_us = (read + answers_us(answers)) * self.slow * slowed;
+        let length_us = step_us(read, answers) * self.slow * slowed;
         self.busy = true;
         self.step += 1;
         Some(length_us.max(1.0) as u64)
@@ -222,6 +222,25 @@
         self.running.retain(|job| job.attempt != attempt);
     }
 
+    pub fn dbg(&self) -> String {
+        format!(
+            "busy={} help={} longs={} meds={} dec={} wait={} resv={} used={}",
+            self.busy,
+            self.helping,
+            self.running
+                .iter()
+                .filter(|j| !j.is_read() && j.prompt_tokens >= 100000)
+                .count(),
+            self.running
+                .iter()
+                .filter(|j| !j.is_read() && j.prompt_tokens < 100000)
+                .count(),
+            self.running.iter().filter(|j| j.is_read()).count(),
+            self.waiting.len(),
+            self.reservations.len(),
+            self.used_tokens()
+        )
+    }
     /// Breaks an attempt off. Returns it if it was here.
     pub fn take(&mut self, attempt: AttemptId) -> Option<Answer> {
         let mut jobs = self.waiting.iter().chain(&self.running);
--- a/crates/core/src/core/on_group.rs
+++ b/crates/core/src/core/on_group.rs
@@ -9,6 +9,7 @@
         placement::{
             ChosenGroup, DueGroup, Group, GroupState, NoGroup, Part, RESERVE_WITHIN_MS, Waiter,
         },
+        requests::Request,
         routing::{Ask, Scene, choice},
         time::MonoMs,
     },
@@ -19,9 +20,9 @@
     },
 };
 
-/// A long prompt is sent once no more than this is left of those before it at its engines, in ms.
-/// Earlier, and it would hold memory while it waits.
-const START_MS: f64 = 300.0;
+/// How much earlier a prompt is ranked for each ms that it takes to read, where only the first token
+/// of long prompts counts.
+const LONGEST_FIRST: f64 = 0.0;
 /// Longest time before a group is tried again, in ms, doubled with each try up to the cap.
 const BACK_OFF_MS: u64 = 50;
 /// Cap of that time, in ms.
@@ -47,17 +48,16 @@
             daemons: self.members.alive() + 1,
         };
         let waiter = Waiter {
-            since: entry.accepted,
+            since: self.rank_of(entry),
             claim: group.claim,
         };
-        let provider = group.provider.clone();
-        let chosen =
-            self.router
-                .choose_group(&scene, &ask, waiter, provider.as_ref(), &mut self.rng);
+        let chosen = self
+            .router
+            .choose_group(&scene, &ask, waiter, group.provider, &mut self.rng);
         match chosen {
             Ok(chosen) => {
-                self.claim(&mut group, waiter, &chosen);
-                if chosen.wait_ms <= START_MS {
+                self.claim(now, request, &mut group, waiter, &chosen);
+                if chosen.now {
                     self.acquire(now, request, group, chosen);
                 } else {
                     self.wait(now, request, group);
@@ -78,6 +78,16 @@
         }
     }
 
+    /// The moment that a long prompt's place in the order of waiters goes by. The longer it takes to
+    /// read, the earlier that moment, since its place among the others costs them least.
+    fn rank_of(&self, entry: &Request) -> MonoMs {
+        let policy = self.records.in_force().policy();
+        let ask = Ask::new(&entry.submission.work, &entry.route, &entry.tried, policy);
+        let read_ms = ask.prompt_tokens() as f64 * 0.05;
+        let ahead_ms = read_ms * LONGEST_FIRST * policy.long_first_token_weight;
+        MonoMs(entry.accepted.0.saturating_sub(ahead_ms as u64))
+    }
+
     /// The request's group with nothing held, or a new one with the provider drawn.
     fn take_group(&mut self, now: MonoMs, request: RequestId) -> Option<Group> {
         if let Some(group) = self.groups.remove(request) {
@@ -97,8 +107,19 @@
     }
 
     /// Claims the engines that were chosen and no others.
-    fn claim(&mut self, group: &mut Group, waiter: Waiter, chosen: &ChosenGroup) {
+    fn claim(
+        &mut self,
+        now: MonoMs,
+        request: RequestId,
+        group: &mut Group,
+        waiter: Waiter,
+        chosen: &ChosenGroup,
+    ) {
         if group.claimed != chosen.targets {
+            let names: Vec<&str> = chosen.targets.iter().map(TargetName::as_str).collect();
+            let names = names.join(", ");
+            let text = format!("claims {names}, free in {:.0} ms", chosen.wait_ms);
+            self.decide(now, DecisionPart::Placement, Some(request), text);
             self.unclaim(group);
             self.untold.extend(chosen.targets.iter().cloned());
             group.claimed.clone_from(&chosen.targets);
--- a/crates/core/src/core/on_load.rs
+++ b/crates/core/src/core/on_load.rs
@@ -49,6 +49,7 @@
             tokens: ask.prompt_tokens(),
             engines: group.map_or(1, |group| group.parts.len()),
             read_ms: choice.read_ms,
+            helps: false,
             memory_tokens: group.map_or(tokens_of(ask.work), |group| group.part_tokens),
             weight: ask.weight,
             clean: choice.wait_ms <= choice.read_ms * CLEAN_PART,
@@ -60,13 +61,15 @@
         }
         for target in &touched {
             if let Some(state) = self.targets.get_mut(target) {
-                state.load.sent(job);
+                let helps = *target != choice.target;
+                state.load.sent(Job { helps, ..job });
             }
         }
-        if ask.weight > Weight::Light {
+        if job.weight > Weight::Light {
             self.untold.extend(touched);
-        } else {
-            self.router.note_light(now, job.read_ms);
+        }
+        if job.weight < Weight::Long {
+            self.router.note_small(now, job.read_ms);
         }
     }
 
@@ -153,6 +156,7 @@
             in_flight: state.in_flight,
             prefill_left_ms: (medium_ms + long_ms) as u64,
             long_left_ms: long_ms as u64,
+            helping_ms: state.load.own_helping_ms(now) as u64,
             claimed_ms: claimed_ms as u64,
             claim_age_ms: since.map_or(0, |since| now.since(since)),
         })
--- a/crates/core/src/fleet/load_book.rs
+++ b/crates/core/src/fleet/load_book.rs
@@ -30,6 +30,8 @@
     pub engines: usize,
     /// Predicted time to read it, in ms.
     pub read_ms: f64,
+    /// Whether the target only helps another one to read it.
+    pub helps: bool,
     /// Memory that it takes here, in tokens.
     pub memory_tokens: u64,
     /// How long it holds up others.
@@ -65,6 +67,8 @@
     pub medium_ms: f64,
     /// Of long prompts, in ms.
     pub long_ms: f64,
+    /// For which it helps others to read long prompts, in ms.
+    pub helping_ms: f64,
 }
 
 /// Heavy work that another daemon has at the target.
@@ -75,6 +79,7 @@
     heard: MonoMs,
     medium_until: MonoMs,
     long_until: MonoMs,
+    helping_until: MonoMs,
     claimed_ms: u64,
     claimed_since: MonoMs,
 }
@@ -146,6 +151,7 @@
             heard: now,
             medium_until: now + load.prefill_left_ms.saturating_sub(load.long_left_ms),
             long_until: now + load.long_left_ms,
+            helping_until: now + load.helping_ms,
             claimed_ms: load.claimed_ms,
             claimed_since: MonoMs(now.0.saturating_sub(load.claim_age_ms)),
         };
@@ -189,10 +195,9 @@
         !self.claims.is_empty() || self.jobs.iter().any(|job| job.weight == Weight::Long)
     }
 
-    /// Long work that goes before a request that waits since `since`, in ms: what is sent, and the
-    /// claims of those that wait longer. So a prompt that takes many engines is not passed by others
-    /// that take few.
-    pub fn ahead_ms(&self, now: MonoMs, since: MonoMs, claim: AttemptId) -> f64 {
+    /// Long prompts that wait here and go before a request that waits since `since`, in ms: those
+    /// that wait longer. So a prompt that takes many engines is not passed by others that take few.
+    pub fn claimed_before_ms(&self, now: MonoMs, since: MonoMs, claim: AttemptId) -> f64 {
         let own = self
             .claims
             .iter()
@@ -203,7 +208,13 @@
             .iter()
             .filter(|work| work.claimed_since < since && now.since(work.heard) <= CLAIM_MS)
             .map(|work| work.claimed_ms as f64);
-        self.left(now).long_ms + own.sum::<f64>() + peers.sum::<f64>()
+        own.sum::<f64>() + peers.sum::<f64>()
+    }
+
+    /// Time of long prompts that wait for their turn here, in ms.
+    pub fn claimed_ms(&self, now: MonoMs) -> f64 {
+        let peers = self.peers.iter().filter(|w| now.since(w.heard) <= CLAIM_MS);
+        self.own_claims().0 + peers.map(|work| work.claimed_ms as f64).sum::<f64>()
     }
 
     /// Memory that is free, in tokens.
@@ -215,11 +226,17 @@
     pub fn own_ms(&self, now: MonoMs, weight: Weight) -> f64 {
         self.jobs
             .iter()
-            .filter(|job| job.weight == weight)
+            .filter(|job| job.weight == weight && !job.helps)
             .map(|job| job.left_ms(now))
             .sum()
     }
 
+    /// How long this daemon's prompts keep the target helping others, in ms.
+    pub fn own_helping_ms(&self, now: MonoMs) -> f64 {
+        let helps = self.jobs.iter().filter(|job| job.helps);
+        helps.map(|job| job.left_ms(now)).fold(0.0, f64::max)
+    }
+
     /// What is left of all daemons' work.
     pub fn left(&self, now: MonoMs) -> LeftWork {
         let peers = self.peers.iter();
@@ -229,6 +246,10 @@
         });
         let medium_ms = self.own_ms(now, Weight::Medium) + medium as f64;
         let long_ms = self.own_ms(now, Weight::Long) + long as f64;
+        let helping = self.peers.iter().map(|work| work.helping_until.since(now));
+        let helping_ms = self
+            .own_helping_ms(now)
+            .max(helping.max().unwrap_or(0) as f64);
         let done_ms = now.since(self.reported) as f64;
         let reported_ms = (self.reported_ms - done_ms).max(0.0);
         // Beside others the report can't tell light work apart, so only what was sent from here
@@ -238,6 +259,7 @@
             light_ms: self.since_ms + if alone { reported_ms } else { 0.0 },
             medium_ms,
             long_ms,
+            helping_ms,
         }
     }
 }
--- a/crates/core/src/placement/choose_group.rs
+++ b/crates/core/src/placement/choose_group.rs
@@ -8,11 +8,15 @@
     whinlatch_wire::ids::{AttemptId, TargetName},
 };
 
-/// Part of an engine's memory that a group leaves to others, so that light prompts don't have to wait
-/// until the group is through.
-const LEAVE_PART: u64 = 16;
-/// What is put on top of an engine's time if it seems to have no memory for its part, in ms: the
-/// answer of the prompt before is still under way.
+/// Part of an engine's memory that a group takes at most, in thousandths, so that light prompts don't
+/// have to wait until it is through.
+const USE_PER_MILLE: u64 = 940;
+/// Engines that a prompt may take beyond the fewest, if it can start at once on so many smaller parts.
+const MOST_EXTRA: usize = 2;
+/// A long prompt is sent once no more than this is left of those before it at its engines, in ms.
+/// Earlier, and it would hold memory while it waits.
+const START_MS: f64 = 300.0;
+/// What is put on top of an engine's time if it seems to have no memory for its part, in ms.
 const NO_MEMORY_MS: f64 = 2_000.0;
 /// Random part of an engine's time, in ms, so that daemons that choose at once don't all choose the
 /// same idle ones.
@@ -36,6 +40,8 @@
     pub targets: Vec<TargetName>,
     /// Tokens that each sets aside.
     pub part_tokens: u64,
+    /// Whether the prompt can start at once, as far as is known.
+    pub now: bool,
     /// Predicted time until the last of them is free, in ms.
     pub wait_ms: f64,
     /// Predicted time to read the prompt, in ms.
@@ -55,12 +61,14 @@
 struct Engine<'a> {
     target: &'a TargetName,
     state: &'a TargetState,
-    ahead_ms: f64,
+    memory_tokens: u64,
+    free_tokens: u64,
+    before_ms: f64,
     order_ms: f64,
 }
 
-/// Chooses the fewest engines whose memory holds equal parts of the prompt: those that are the first
-/// to be through with the long prompts that go before it.
+/// Chooses engines for a prompt, those that are the first to be through with the long prompts that go
+/// before it: the fewest on which it can start at once, else the fewest that hold it.
 ///
 /// # Errors
 /// [`NoGroup`] if there aren't enough engines.
@@ -68,31 +76,57 @@
     scene: &Scene<'_>,
     ask: &Ask<'_>,
     waiter: Waiter,
-    list: &[Candidate],
+    usable: &[Candidate],
     rng: &mut fastrand::Rng,
 ) -> Result<ChosenGroup, NoGroup> {
     let tokens = tokens_of(ask.work);
-    let count = fewest(list, tokens).ok_or(NoGroup::TooLong)?;
-    let part_tokens = tokens.div_ceil(count as u64);
-    let mut engines: Vec<Engine<'_>> = list
+    let fewest = fewest(usable, tokens).ok_or(NoGroup::TooLong)?;
+    let mut engines: Vec<Engine<'_>> = usable
         .iter()
-        .filter(|candidate| candidate.memory_tokens >= part_tokens)
-        .filter_map(|candidate| engine(scene, ask, waiter, candidate, part_tokens, rng))
+        .map(|candidate| engine(scene, ask, waiter, candidate, rng))
         .collect();
-    if engines.len() < count {
+    engines.sort_by(|a, b| a.order_ms.total_cmp(&b.order_ms));
+    let most = (fewest + MOST_EXTRA).min(engines.len());
+    let at_once = (fewest..=most).find_map(|count| {
+        let part_tokens = tokens.div_ceil(count as u64);
+        let ready = |e: &&Engine<'_>| e.before_ms <= START_MS && e.free_tokens >= part_tokens;
+        let chosen: Vec<&Engine<'_>> = engines.iter().filter(ready).take(count).collect();
+        (chosen.len() == count).then(|| chosen_group(ask, &chosen, part_tokens, true))
+    });
+    if let Some(group) = at_once {
+        return Ok(group);
+    }
+    let part_tokens = tokens.div_ceil(fewest as u64);
+    let memory_ms = |e: &Engine<'_>| {
+        let short = e.free_tokens < part_tokens;
+        e.order_ms + if short { NO_MEMORY_MS } else { 0.0 }
+    };
+    engines.retain(|e| e.memory_tokens >= part_tokens);
+    engines.sort_by(|a, b| memory_ms(a).total_cmp(&memory_ms(b)));
+    let chosen: Vec<&Engine<'_>> = engines.iter().take(fewest).collect();
+    if chosen.len() < fewest {
         return Err(NoGroup::NoneLive);
     }
-    engines.sort_by(|a, b| a.order_ms.total_cmp(&b.order_ms));
-    engines.truncate(count);
-    let read_ms = |e: &Engine<'_>| e.state.cost.read_ms(0, ask.prompt_tokens(), count);
+    Ok(chosen_group(ask, &chosen, part_tokens, false))
+}
+
+fn chosen_group(
+    ask: &Ask<'_>,
+    engines: &[&Engine<'_>],
+    part_tokens: u64,
+    now: bool,
+) -> ChosenGroup {
+    let count = engines.len();
+    let read_ms = |e: &&Engine<'_>| e.state.cost.read_ms(0, ask.prompt_tokens(), count);
     let mut targets: Vec<TargetName> = engines.iter().map(|e| e.target.clone()).collect();
     targets.sort();
-    Ok(ChosenGroup {
+    ChosenGroup {
         targets,
         part_tokens,
-        wait_ms: engines.iter().map(|e| e.ahead_ms).fold(0.0, f64::max),
+        now,
+        wait_ms: engines.iter().map(|e| e.before_ms).fold(0.0, f64::max),
         read_ms: engines.iter().map(read_ms).fold(0.0, f64::max),
-    })
+    }
 }
 
 fn engine<'a>(
@@ -100,34 +134,37 @@
     ask: &Ask<'_>,
     waiter: Waiter,
     candidate: &Candidate,
-    part_tokens: u64,
     rng: &mut fastrand::Rng,
-) -> Option<Engine<'a>> {
+) -> Engine<'a> {
     let state = scene.targets.at(candidate.place);
-    if !state.takes_work() {
-        return None;
-    }
     let target = scene.targets.name_at(candidate.place);
     let left = state.load.left(scene.now);
-    let ahead_ms = state.load.ahead_ms(scene.now, waiter.since, waiter.claim);
-    let has_memory = state.load.free_tokens() >= part_tokens;
-    let memory_ms = if has_memory { 0.0 } else { NO_MEMORY_MS };
+    let claimed_ms = state
+        .load
+        .claimed_before_ms(scene.now, waiter.since, waiter.claim);
+    let before_ms = left.long_ms + claimed_ms;
+    let read_ms = state.cost.read_ms(0, ask.prompt_tokens(), 1);
+    // Beside its help for others an engine reads at half its speed, until either is done.
+    let helping_ms = left.helping_ms.min(read_ms);
     let others_ms = left.light_ms + left.medium_ms + rng.f64() * JITTER_MS;
-    let tried_ms = if ask.tried.contains(target) { 1e9 } else { 0.0 };
-    Some(Engine {
+    let tried = !ask.tried.is_empty() && ask.tried.contains(target);
+    let tried_ms = if tried { 1e9 } else { 0.0 };
+    Engine {
         target,
         state,
-        ahead_ms,
-        order_ms: ahead_ms + memory_ms + others_ms + tried_ms,
-    })
+        memory_tokens: candidate.memory_tokens,
+        free_tokens: state.load.free_tokens(),
+        before_ms,
+        order_ms: before_ms + helping_ms + others_ms + tried_ms,
+    }
 }
 
 /// The fewest engines that hold the prompt, each with some memory left, or without if there are no
 /// more. `None` if not even all of them do.
 fn fewest(list: &[Candidate], tokens: u64) -> Option<usize> {
     let largest = list.iter().map(|candidate| candidate.memory_tokens).max()?;
-    let engines = |memory_tokens: u64| tokens.div_ceil(memory_tokens) as usize;
-    let leaving = engines(largest - largest / LEAVE_PART);
+    let engines = |memory_tokens: u64| tokens.div_ceil(memory_tokens.max(1)) as usize;
+    let leaving = engines(largest * USE_PER_MILLE / 1_000);
     let filling = engines(largest);
     [leaving, filling]
         .into_iter()
--- a/crates/core/src/placement/group.rs
+++ b/crates/core/src/placement/group.rs
@@ -2,7 +2,7 @@
     crate::time::MonoMs,
     std::net::SocketAddr,
     whinlatch_wire::{
-        ids::{AttemptId, Incarnation, ProviderName, TargetName},
+        ids::{AttemptId, Incarnation, TargetName},
         target::{GroupMember, ReserveRequest},
     },
 };
@@ -59,8 +59,8 @@
 pub struct Group {
     /// Names the request's claim on engines while it waits.
     pub claim: AttemptId,
-    /// The provider that was drawn for it.
-    pub provider: Option<ProviderName>,
+    /// The place of the provider that was drawn for it in its route.
+    pub provider: usize,
     /// Engines that are claimed.
     pub claimed: Vec<TargetName>,
     /// Its engines in the order in which they are asked.
@@ -75,7 +75,7 @@
 
 impl Group {
     /// A group of which nothing is held or claimed.
-    pub fn new(now: MonoMs, claim: AttemptId, provider: Option<ProviderName>) -> Self {
+    pub fn new(now: MonoMs, claim: AttemptId, provider: usize) -> Self {
         Self {
             claim,
             provider,
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -4,10 +4,12 @@
 mod candidates;
 mod free_share;
 mod router;
+mod shares;
 
 pub use {
     ask::{Ask, NoChoice, Priorities, Weight},
     candidates::{Candidate, Candidates, tokens_of},
     free_share::FreeShare,
     router::{Choice, Router, Scene, choice},
+    shares::Shares,
 };
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -1,21 +1,23 @@
 use {
-    super::{Ask, Candidate, Candidates, FreeShare, NoChoice, Weight, tokens_of},
+    super::{Ask, Candidate, Candidates, FreeShare, NoChoice, Shares, Weight, tokens_of},
     crate::{
         fleet::{TargetState, Targets},
         placement::{ChosenGroup, NoGroup, Waiter, choose_group},
         records::InForce,
         time::MonoMs,
     },
-    whinlatch_wire::{
-        ids::{ProviderName, TargetName},
-        record::ProviderShare,
-    },
+    whinlatch_wire::{ids::TargetName, record::ProviderShare},
 };
 
 /// What a prompt waits beside a heavier one at least, in ms: the rest of the step under way.
 const BESIDE_MS: f64 = 150.0;
 /// What each request at work adds to the wait, in ms.
 const RUNNING_MS: f64 = 2.0;
+/// What a light prompt rather waits than to go to a target for long ones, in ms, where only the first
+/// token of long prompts counts.
+const SPILL_LIGHT_MS: f64 = 300.0;
+/// The same for a medium prompt.
+const SPILL_MEDIUM_MS: f64 = 3_000.0;
 /// Choices whose predicted times differ by less than this are held to be equal, in ms.
 const NEAR_MS: f64 = 5.0;
 
@@ -48,6 +50,7 @@
 pub struct Router {
     candidates: Candidates,
     free: FreeShare,
+    shares: Shares,
     scores: Vec<(usize, f64)>,
 }
 
@@ -62,9 +65,9 @@
         ask: &Ask<'_>,
         rng: &mut fastrand::Rng,
     ) -> Result<Choice, NoChoice> {
-        let drawn = draw_provider(&ask.route.providers, rng);
+        let next = self.shares.next(ask.route, ask.weight, rng);
         let mut too_long = false;
-        for share in in_order(&ask.route.providers, drawn) {
+        for (place_of, share) in in_order(&ask.route.providers, next) {
             let list = self
                 .candidates
                 .of(scene.in_force, scene.targets, ask.work, share);
@@ -72,12 +75,12 @@
             if usable == 0 {
                 continue;
             }
-            if ask.weight > Weight::Light {
-                let part = f64::from(share.share_per_mille) / 1_000.0;
-                let policy = scene.in_force.policy();
-                let free = self.free.targets(policy, usable, scene.daemons, part);
-                self.scores.truncate(usable - free);
+            let long_zone = usable - self.kept_free(scene, share, usable);
+            let spill_ms = spill_ms(scene, ask);
+            for (_, score) in &mut self.scores[..long_zone] {
+                *score += spill_ms;
             }
+            self.shares.used(ask.route, ask.weight, place_of, rng);
             let place = self.near_best(rng);
             let state = scene.targets.at(place);
             let target = scene.targets.name_at(place);
@@ -99,37 +102,52 @@
         scene: &Scene<'_>,
         ask: &Ask<'_>,
         waiter: Waiter,
-        drawn: Option<&ProviderName>,
+        provider: usize,
         rng: &mut fastrand::Rng,
     ) -> Result<ChosenGroup, NoGroup> {
         let mut verdict = Err(NoGroup::TooLong);
-        for share in in_order(&ask.route.providers, drawn) {
+        for (_, share) in in_order(&ask.route.providers, provider) {
             let list = self
                 .candidates
                 .of(scene.in_force, scene.targets, ask.work, share);
-            let chosen = choose_group(scene, ask, waiter, &list, rng);
+            let usable: Vec<Candidate> = list
+                .iter()
+                .filter(|candidate| scene.targets.at(candidate.place).takes_work())
+                .copied()
+                .collect();
+            let kept_free = self.kept_free(scene, share, usable.len());
+            let long_zone = &usable[..usable.len() - kept_free];
+            let chosen = choose_group(scene, ask, waiter, long_zone, rng)
+                .or_else(|_| choose_group(scene, ask, waiter, &usable, rng));
             if chosen.is_ok() {
                 return chosen;
             }
-            if verdict == Err(NoGroup::TooLong) {
-                verdict = chosen;
+            // Engines that are away may come back; only if all of them can't hold it is it too long.
+            let memory: u64 = list.iter().map(|candidate| candidate.memory_tokens).sum();
+            if memory >= tokens_of(ask.work) {
+                verdict = Err(NoGroup::NoneLive);
             }
         }
         verdict
     }
 
-    /// Draws the provider of a request.
-    pub fn draw_provider(
-        &mut self,
-        ask: &Ask<'_>,
-        rng: &mut fastrand::Rng,
-    ) -> Option<ProviderName> {
-        draw_provider(&ask.route.providers, rng).cloned()
+    /// How many of the usable targets of a provider are kept free of long prompts.
+    fn kept_free(&self, scene: &Scene<'_>, share: &ProviderShare, usable: usize) -> usize {
+        let part = f64::from(share.share_per_mille) / 1_000.0;
+        let policy = scene.in_force.policy();
+        self.free.targets(policy, usable, scene.daemons, part)
     }
 
-    /// Notes light work that is sent, which the share of free targets follows.
-    pub fn note_light(&mut self, now: MonoMs, work_ms: f64) {
-        self.free.note(now, work_ms);
+    /// The provider of a long prompt, counted at once.
+    pub fn draw_provider(&mut self, ask: &Ask<'_>, rng: &mut fastrand::Rng) -> usize {
+        let next = self.shares.next(ask.route, ask.weight, rng);
+        self.shares.used(ask.route, ask.weight, next, rng);
+        next
+    }
+
+    /// Notes a light or medium prompt that is sent, which the share of free targets follows.
+    pub fn note_small(&mut self, now: MonoMs, read_ms: f64) {
+        self.free.note(now, read_ms);
     }
 
     /// Scores the targets that can take the work now. Those that were tried come last of all.
@@ -195,7 +213,7 @@
     let parts = [
         (Weight::Light, left.light_ms),
         (Weight::Medium, left.medium_ms),
-        (Weight::Long, left.long_ms),
+        (Weight::Long, left.long_ms + state.load.claimed_ms(now)),
     ];
     let own = ask.priorities.at(ask.weight);
     let waits_for = |weight: Weight| {
@@ -210,32 +228,34 @@
     running_ms + before_ms + if beside { BESIDE_MS } else { 0.0 }
 }
 
-fn read_ms(state: &TargetState, ask: &Ask<'_>) -> f64 {
-    state.cost.read_ms(0, ask.prompt_tokens(), 1)
+/// What a light or medium prompt rather waits than to go to a target for long prompts, in ms.
+fn spill_ms(scene: &Scene<'_>, ask: &Ask<'_>) -> f64 {
+    let policy = scene.in_force.policy();
+    let weights = policy.long_first_token_weight + policy.short_slowdown_weight;
+    let long = policy.long_first_token_weight / weights.max(f64::MIN_POSITIVE);
+    match ask.weight {
+        Weight::Light => SPILL_LIGHT_MS * long,
+        Weight::Medium => SPILL_MEDIUM_MS * long,
+        Weight::Long => 0.0,
+    }
 }
 
-/// The drawn provider first, then the others in the order of the record.
-fn in_order<'a>(
-    shares: &'a [ProviderShare],
-    drawn: Option<&ProviderName>,
-) -> impl Iterator<Item = &'a ProviderShare> {
-    let is_drawn = move |share: &&ProviderShare| Some(&share.provider) == drawn;
-    let first = shares.iter().filter(is_drawn);
-    first.chain(shares.iter().filter(move |share| !is_drawn(share)))
+fn read_ms(state: &TargetState, ask: &Ask<'_>) -> f64 {
+    state.cost.read_ms(0, ask.prompt_tokens(), 1)
 }
 
-/// Draws a provider by the shares of a route.
-pub fn draw_provider<'a>(
-    shares: &'a [ProviderShare],
-    rng: &mut fastrand::Rng,
-) -> Option<&'a ProviderName> {
-    let total: u32 = shares.iter().map(|share| share.share_per_mille).sum();
-    let mut point = rng.u32(0..total.max(1));
-    for share in shares {
-        if point < share.share_per_mille {
-            return Some(&share.provider);
-        }
-        point -= share.share_per_mille;
-    }
-    None
+/// The provider at `first`, then the others in the order of the record.
+fn in_order(
+    shares: &[ProviderShare],
+    first: usize,
+) -> impl Iterator<Item = (usize, &ProviderShare)> {
+    let others = shares
+        .iter()
+        .enumerate()
+        .filter(move |(place, _)| *place != first);
+    shares
+        .get(first)
+        .map(|share| (first, share))
+        .into_iter()
+        .chain(others)
 }
--- a/crates/core/tests/policy/load_book.rs
+++ b/crates/core/tests/policy/load_book.rs
@@ -18,6 +18,7 @@
         tokens: 1_000,
         engines: 1,
         read_ms,
+        helps: false,
         memory_tokens: 1_000,
         weight,
         clean: true,
@@ -32,6 +33,7 @@
         in_flight: 1,
         prefill_left_ms,
         long_left_ms,
+        helping_ms: 0,
         claimed_ms: 0,
         claim_age_ms: 0,
     }
--- a/crates/wire/src/peer/news.rs
+++ b/crates/wire/src/peer/news.rs
@@ -108,6 +108,9 @@
     /// The part of it that is of long prompts, in ms.
     #[serde(default)]
     pub long_left_ms: u64,
+    /// Time for which it helps others to read long prompts, not counted above, in ms.
+    #[serde(default)]
+    pub helping_ms: u64,
     /// Time of long prompts that wait for their turn there and are not counted above, in ms.
     #[serde(default)]
     pub claimed_ms: u64,
