--- a/crates/daemon/src/callers/listener.rs
+++ b/crates/daemon/src/callers/listener.rs
@@ -5,9 +5,12 @@
         net::{TcpListener, TcpStream},
         task,
     },
-    std::sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
     whinlatch_wire::caller::Reason,
 };
@@ -55,7 +58,8 @@
         shared: Arc::clone(shared),
     };
     let limit = shared.settings.limits.max_connections as usize;
-    if before >= limit + TOLD_OVER_LIMIT || set_options(&stream).is_err() {
+    let write_timeout = Duration::from_millis(shared.settings.limits.write_timeout_ms);
+    if before >= limit + TOLD_OVER_LIMIT || set_options(&stream, write_timeout).is_err() {
         return;
     }
     let shared = Arc::clone(shared);
--- a/crates/daemon/src/callers/open_requests.rs
+++ b/crates/daemon/src/callers/open_requests.rs
@@ -60,3 +60,7 @@
         let _closed = self.ended.recv().await;
     }
 }
+
+#[cfg(test)]
+#[path = "open_requests_test.rs"]
+mod tests;
--- a/crates/daemon/src/callers/write_answer.rs
+++ b/crates/daemon/src/callers/write_answer.rs
@@ -59,3 +59,7 @@
             .ok_or(io::ErrorKind::TimedOut)??;
     }
 }
+
+#[cfg(test)]
+#[path = "write_answer_test.rs"]
+mod tests;
--- a/crates/daemon/src/targets/connect.rs
+++ b/crates/daemon/src/targets/connect.rs
@@ -20,7 +20,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Questions without an answer after which the connection is broken.
 const KEEPALIVE_RETRIES: u32 = 3;
-/// Time that written bytes may stay without an acknowledgement.
+/// Time that bytes written to a target or peer may stay without an acknowledgement.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Opens a connection.
@@ -35,11 +35,12 @@
 }
 
 /// Guards against a connection that something between the two ends has lost track of: it stays
-/// open and silent. The system's own questions go unanswered then, and reads end with an error.
+/// open and silent. The system's own questions go unanswered then, and reads end with an error;
+/// written bytes stay without an acknowledgement, and after `unacknowledged` so do writes.
 ///
 /// # Errors
 /// The system refuses an option.
-pub fn set_options(stream: &TcpStream) -> io::Result<()> {
+pub fn set_options(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -47,7 +48,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged))
 }
 
 /// A connection that is shut down when it is dropped, whoever else holds a copy of it.
@@ -61,7 +62,7 @@
     /// The system refuses an option.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         let stream = Self(stream);
-        set_options(&stream.0)?;
+        set_options(&stream.0, USER_TIMEOUT)?;
         Ok(stream)
     }
 }
