--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -73,6 +73,7 @@
     book: DecisionBook,
     untold: Vec<TargetName>,
     load_number: u64,
+    restated: MonoMs,
     actions: Vec<Action>,
 }
 
@@ -108,6 +109,7 @@
             book: DecisionBook::default(),
             untold: Vec::new(),
             load_number: 0,
+            restated: now,
             actions: Vec::new(),
             options,
         }
@@ -119,10 +121,7 @@
         match event {
             Event::Tick => self.on_tick(now),
             Event::Platform(event) => self.on_platform(now, event),
-            Event::PeerUp { hello } => {
-                self.on_peer_up(now, &hello);
-                self.tell_leaving();
-            }
+            Event::PeerUp { hello } => self.on_peer_up(now, &hello),
             Event::PeerFrame { from, frame } => self.on_peer_frame(now, from, &frame),
             Event::PeerDown { address, peer } => self.on_peer_down(address, peer),
             Event::Submit(submission) => self.on_submit(now, *submission),
--- a/crates/core/src/core/on_tick.rs
+++ b/crates/core/src/core/on_tick.rs
@@ -43,6 +43,7 @@
         self.settle_poison(now);
         self.route_held(now);
         self.tend_groups(now);
+        self.restate_loads(now);
         self.give_orders(now);
         self.forget_old(now);
         self.stop_if_idle(now);
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -84,6 +84,8 @@
             in_flight: load,
             prefill_left_ms: number,
             long_left_ms: !number,
+            claimed_ms: number / 2,
+            claim_age_ms: number / 3,
         }
     });
     let poison = (any::<u64>(), prop::collection::vec(incarnation(), 0..3)).prop_map(
