--- a/demo.sh
+++ b/demo.sh
@@ -201,9 +201,12 @@
 # Completed answers that aren't whole, or differ from the answer that the same prompt got before.
 count_wrong_answers() {
   local file
-  for file in answers-prompts-a.json answers-prompts-b.json answers-prompts-c.json; do
-    prompt_lines "$file"
-  done | awk -v tokens=$ANSWER_TOKENS '
+  {
+    prompt_lines answers-long.json | sed 's/^1 /long /'
+    for file in answers-prompts-a.json answers-prompts-b.json answers-prompts-c.json; do
+      prompt_lines "$file"
+    done
+  } | awk -v tokens=$ANSWER_TOKENS '
     $2 != "completed" { next }
     { number = $1; words = $3; $1 = ""; $2 = ""; $3 = "" }
     words != tokens { wrong++; next }
