--- a/crates/core/tests/peers_suite/peers_links.rs
+++ b/crates/core/tests/peers_suite/peers_links.rs
@@ -225,6 +225,7 @@
         long_left_ms: 0,
         claimed_ms: 0,
         claim_age_ms: 0,
+        helping_ms: 0,
     };
 
     for number in (1..=100_000).chain([5]) {
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -86,6 +86,7 @@
             long_left_ms: !number,
             claimed_ms: number / 2,
             claim_age_ms: number / 3,
+            helping_ms: number / 4,
         }
     });
     let poison = (any::<u64>(), prop::collection::vec(incarnation(), 0..3)).prop_map(
