--- a/crates/wire/src/conf/settings.rs
+++ b/crates/wire/src/conf/settings.rs
@@ -65,7 +65,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 16 * 1_048_576,
-            max_header_bytes: 16_384,
+            max_header_bytes: 8_000,
             max_connections: 2_000,
             read_timeout_ms: 10_000,
             write_timeout_ms: 10_000,
