--- a/check.sh
+++ b/check.sh
@@ -27,6 +27,10 @@
 cargo build --workspace --bins --quiet
 cargo test --workspace --quiet -- --exact "${known_red[@]}"
 
+# Two seeds: planned work only, and faults of all kinds. Longer runs are made by hand.
+step "soak"
+cargo run --package whinlatch-soak --quiet -- --seeds 3 --seeds 7 --seconds 4
+
 step "specification"
 spec/check.sh
 
--- /dev/null
+++ b/crates/soak/tests/promises.rs
@@ -0,0 +1,233 @@
+//! Each promise that the soak holds against a run is found broken when it is.
+
+use {
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+    whinlatch_platform_standins::{ACCOUNT, CALL_PREFIX, STREAM_PREFIX},
+    whinlatch_soak::{Asked, Evidence, InstanceRun, Kind, Outcome, Plan, Run, Size, judge},
+};
+
+const ID: &str = "9c41";
+const RUN: InstanceRun = InstanceRun {
+    instance: 0,
+    starts: 1,
+};
+
+fn answered(status: u16, body: &str) -> Outcome {
+    Outcome::Answered {
+        status,
+        is_sealed: status == 200,
+        is_whole: true,
+        body: body.to_owned(),
+    }
+}
+
+fn asked(kind: Kind, outcome: Outcome) -> Asked {
+    let sent_at = Instant::now();
+    Asked {
+        id: ID.to_owned(),
+        kind,
+        run: Some(RUN),
+        was_kept: false,
+        sent_at,
+        ended_at: sent_at + Duration::from_millis(20),
+        outcome,
+    }
+}
+
+fn run_at(target: &str, path: &str) -> Run {
+    Run {
+        target: target.to_owned(),
+        path: path.to_owned(),
+        account: ACCOUNT.to_owned(),
+        has_key: false,
+        at: Instant::now(),
+    }
+}
+
+fn label_run(target: &str) -> Run {
+    run_at(target, &format!("{CALL_PREFIX}label"))
+}
+
+fn evidence(asked: Vec<Asked>, runs: Vec<Run>) -> Evidence {
+    Evidence {
+        is_planned: true,
+        asked,
+        runs: HashMap::from([(ID.to_owned(), runs)]),
+        orders: Vec::new(),
+        due: None,
+    }
+}
+
+fn broken(evidence: &Evidence) -> Vec<&'static str> {
+    let findings = judge(evidence);
+    findings.iter().map(|finding| finding.promise).collect()
+}
+
+#[test]
+fn a_call_that_is_served_once_breaks_nothing() {
+    let call = asked(Kind::Unsafe, answered(200, ID));
+
+    assert!(broken(&evidence(vec![call], vec![label_run("i-1")])).is_empty());
+}
+
+#[test]
+fn a_call_that_runs_twice_is_found() {
+    let call = asked(Kind::Unsafe, answered(200, ID));
+    let runs = vec![label_run("i-1"), label_run("i-2")];
+
+    assert_eq!(
+        broken(&evidence(vec![call], runs)),
+        ["runs as often as it may"]
+    );
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_found() {
+    let call = asked(Kind::Unsafe, answered(503, ""));
+
+    let runs = vec![label_run("i-1")];
+
+    assert_eq!(broken(&evidence(vec![call], runs)), ["a refusal is true"]);
+}
+
+#[test]
+fn an_answer_to_another_request_is_found() {
+    let call = asked(Kind::Unsafe, answered(200, "another"));
+
+    let runs = vec![label_run("i-1")];
+
+    let promise = "an answer is whole and one's own";
+    assert_eq!(broken(&evidence(vec![call], runs)), [promise]);
+}
+
+#[test]
+fn a_success_without_a_seal_is_found() {
+    let outcome = Outcome::Answered {
+        status: 200,
+        is_sealed: false,
+        is_whole: true,
+        body: ID.to_owned(),
+    };
+
+    let found = broken(&evidence(vec![asked(Kind::Safe, outcome)], Vec::new()));
+
+    assert_eq!(found, ["an answer is whole and one's own"]);
+}
+
+#[test]
+fn a_stream_that_ends_early_or_repeats_an_event_is_found() {
+    let event = format!("id: 1\ndata: {ID} 1\n\n");
+    let early = asked(Kind::Stream, answered(200, &event));
+    let doubled = asked(Kind::Stream, answered(200, &format!("{event}{event}")));
+    let runs = || vec![run_at("i-1", &format!("{STREAM_PREFIX}reply"))];
+
+    let promise = "an answer is whole and one's own";
+    assert_eq!(broken(&evidence(vec![early], runs())), [promise]);
+    assert_eq!(broken(&evidence(vec![doubled], runs())), [promise]);
+}
+
+#[test]
+fn a_published_route_that_is_unknown_is_found() {
+    let call = asked(Kind::Safe, answered(404, ""));
+
+    let found = broken(&evidence(vec![call], Vec::new()));
+
+    assert_eq!(found, ["a published route is served"]);
+}
+
+#[test]
+fn a_request_that_reaches_a_target_under_another_account_is_found() {
+    let call = asked(Kind::Unsafe, answered(200, ID));
+    let run = Run {
+        account: "others".to_owned(),
+        ..label_run("i-1")
+    };
+
+    let found = broken(&evidence(vec![call], vec![run]));
+
+    assert_eq!(found, ["a request reaches targets unchanged"]);
+}
+
+#[test]
+fn a_request_that_is_cut_off_by_planned_work_is_found_and_by_faults_is_not() {
+    let call = asked(Kind::Unsafe, Outcome::Closed);
+    let mut evidence = evidence(vec![call], vec![label_run("i-1")]);
+
+    assert_eq!(broken(&evidence), ["planned work cuts nothing off"]);
+    evidence.is_planned = false;
+    assert!(broken(&evidence).is_empty());
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_an_idle_connection_is_none() {
+    let call = Asked {
+        was_kept: true,
+        ..asked(Kind::Unsafe, Outcome::Closed)
+    };
+
+    assert!(broken(&evidence(vec![call], Vec::new())).is_empty());
+}
+
+#[test]
+fn an_answer_that_is_late_is_found_where_the_clock_counts() {
+    let call = asked(Kind::Unsafe, answered(200, ID));
+    let mut evidence = evidence(vec![call], vec![label_run("i-1")]);
+    evidence.due = Some(Duration::from_millis(10));
+
+    assert_eq!(broken(&evidence), ["an answer is in time"]);
+}
+
+#[test]
+fn a_run_of_what_nobody_asked_is_found() {
+    let evidence = evidence(Vec::new(), vec![label_run("i-1")]);
+
+    assert_eq!(broken(&evidence), ["nothing is made up"]);
+}
+
+/// A caller is served by a route of the newest version and, after that, by one that only the
+/// version before has, while both requests go to one run of an instance.
+#[test]
+fn a_configuration_that_reverts_is_found() {
+    let newer = asked(Kind::Probe { version: 3 }, answered(200, ID));
+    let later = newer.ended_at + Duration::from_millis(1);
+    let older = Asked {
+        sent_at: later,
+        ended_at: later,
+        ..asked(Kind::Probe { version: 2 }, answered(200, ID))
+    };
+
+    let found = broken(&evidence(vec![newer, older], Vec::new()));
+
+    assert_eq!(found, ["a configuration never reverts"]);
+}
+
+#[test]
+fn memory_that_is_never_given_back_is_found() {
+    let order = |operation: &str, id: &str| format!(r#"{{"Operation":"{operation}","Id":"{id}"}}"#);
+    let mut evidence = evidence(Vec::new(), Vec::new());
+    evidence.runs.clear();
+    evidence.orders = vec![vec![order("reserve", "t1"), order("release", "t1")]];
+
+    assert!(broken(&evidence).is_empty());
+    evidence.orders[0].push(order("reserve", "t2"));
+    assert_eq!(broken(&evidence), ["memory comes back"]);
+}
+
+#[test]
+fn a_seed_draws_the_same_plan_each_time_and_every_third_only_planned_work() {
+    let size = Size {
+        length_ms: 10_000,
+        troubles_per_s: 2.0,
+        instances: 5,
+        targets: 8,
+    };
+    let drawn = |seed| serde_json::to_string(&Plan::draw(seed, size)).unwrap();
+
+    assert_eq!(drawn(7), drawn(7));
+    assert_ne!(drawn(7), drawn(8));
+    assert!(Plan::draw(9, size).is_planned);
+    assert!(!Plan::draw(10, size).is_planned);
+}
