--- a/crates/daemon/src/entry/answers_whole.rs
+++ b/crates/daemon/src/entry/answers_whole.rs
@@ -134,7 +134,7 @@
     let whole = exchange_whole(state, context, target, connection, &bytes).await;
     match &whole {
         Ok(whole) => guard.failed = whole.head.status >= 500,
-        Err(fault) => note_crash(state, context, fault, was_reused),
+        Err(fault) => note_crash(state, context, target, fault, was_reused),
     }
     whole
 }
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -72,12 +72,14 @@
 pub fn note_crash(
     state: &EntryState,
     context: &RequestContext,
+    target: &TargetEntry,
     fault: &AttemptFault,
     was_reused: bool,
 ) {
     if fault.is_crash(was_reused) {
         let now = state.now();
-        state.serving().crashed(now, context.fingerprint);
+        let mut serving = state.serving();
+        serving.crashed(now, context.fingerprint, &target.id);
     }
 }
 
--- a/crates/daemon/src/entry/directory.rs
+++ b/crates/daemon/src/entry/directory.rs
@@ -10,8 +10,8 @@
     },
     crate::clock::timeout,
     async_std::net::{TcpListener, TcpStream},
-    std::sync::Arc,
-    whinlatch_platform::{ENTRY_TTL_S, READY_PATH, RESOLVE_PATH, resolve_body},
+    std::{net::IpAddr, sync::Arc},
+    whinlatch_platform::{ENTRY_TTL_S, MOST_ADDRESSES, READY_PATH, RESOLVE_PATH, resolve_body},
 };
 
 /// Bytes that the head of a question may have.
@@ -28,6 +28,10 @@
 
 async fn answer_questions(state: Arc<EntryState>, stream: TcpStream) {
     let mut input = Input::default();
+    // A connection that is closed already has no other end.
+    let Ok(caller) = stream.peer_addr() else {
+        return;
+    };
     loop {
         let read = read_question(&stream, &mut input);
         let Some(Some(head)) = timeout(state.clock.as_ref(), QUESTION_MS, read).await else {
@@ -35,7 +39,8 @@
         };
         let is_last = !head.is_kept;
         let answer = CallerAnswer::new(&stream, is_last);
-        if answer_question(&state, &head, &answer).await.is_err() || is_last {
+        let answered = answer_question(&state, caller.ip(), &head, &answer).await;
+        if answered.is_err() || is_last {
             return;
         }
     }
@@ -56,6 +61,7 @@
 
 async fn answer_question(
     state: &EntryState,
+    caller: IpAddr,
     head: &RequestHead,
     answer: &CallerAnswer<'_>,
 ) -> std::io::Result<()> {
@@ -64,14 +70,20 @@
             answer.whole(&success("application/json"), b"{}").await
         }
         READY_PATH => answer.own(503, "this instance isn't ready", None).await,
-        RESOLVE_PATH => resolve(state, answer).await,
+        RESOLVE_PATH => resolve(state, caller, answer).await,
         METRICS_PATH => metrics(state, answer).await,
         _ => answer.own(404, "there is nothing here", None).await,
     }
 }
 
-async fn resolve(state: &EntryState, answer: &CallerAnswer<'_>) -> std::io::Result<()> {
-    let addresses = state.serving().caller_addresses(state.now());
+async fn resolve(
+    state: &EntryState,
+    caller: IpAddr,
+    answer: &CallerAnswer<'_>,
+) -> std::io::Result<()> {
+    let addresses = state
+        .serving()
+        .caller_addresses(state.now(), caller, MOST_ADDRESSES);
     if addresses.is_empty() {
         return answer.own(503, "no instance is ready", None).await;
     }
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -107,12 +107,7 @@
         context: &RequestContext,
         refusal: Refusal,
     ) -> Self {
-        let message = match refusal {
-            Refusal::NoTarget => "no target takes the request now: come back",
-            Refusal::Overloaded { .. } => "the engines are too busy to answer in time: come back",
-            Refusal::BudgetUsed => "too many requests are being repeated: come back",
-            Refusal::Poison => "the request has broken off the work of several targets",
-        };
+        let message = refusal.message();
         if answer.may_have_run() {
             let message =
                 "an attempt failed, the request may have run, and no other target takes it";
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -1,6 +1,6 @@
-//! Links between instances. Each opens one to every other and only sends on it; what it hears comes
-//! over the links that the others open. One that breaks is opened anew and begins with all that the
-//! peer needs.
+//! Links between instances. Each opens those that it wants and those that peers ask for, and only
+//! sends on them; what it hears comes over the links that the others open. One that breaks is opened
+//! anew and begins with all that the peer needs.
 
 use {
     super::{
@@ -21,12 +21,17 @@
         tungstenite::{Bytes, Message},
     },
     futures::StreamExt,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, HashSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
     whinlatch_core::MonoMs,
     whinlatch_platform::read_configuration,
     whinlatch_serving::{
-        Serving,
-        fleet::{Frame, PlacementAnswer, PlacementAsk},
+        Recipients, Serving, WantedLinks,
+        fleet::{EngineGroup, Frame, PlacementAnswer, PlacementAsk},
     },
 };
 
@@ -49,12 +54,24 @@
 /// A gap between two ticks after which the process is taken to have been paused, in ms.
 const PAUSE_MS: u64 = 700;
 
-/// Keeps links to all peers and tells them what is new, for ever.
+/// What keeps links and tells news.
+struct Keeper {
+    state: Arc<EntryState>,
+    /// The peers that know this instance's prompts, and on which groups of engines.
+    informed: BTreeMap<SocketAddr, Vec<EngineGroup>>,
+    wanted: WantedLinks,
+}
+
+/// Keeps links to peers and tells them what is new, for ever.
 pub async fn keep_links(state: Arc<EntryState>) {
-    let mut informed: Vec<SocketAddr> = Vec::new();
     let mut next_beat = state.now();
     let mut next_tick = state.now();
     let mut last = state.now();
+    let mut keeper = Keeper {
+        state: Arc::clone(&state),
+        informed: BTreeMap::new(),
+        wanted: WantedLinks::default(),
+    };
     loop {
         state.clock.sleep(NEWS_MS).await;
         let now = state.now();
@@ -62,17 +79,12 @@
         last = now;
         if now >= next_tick {
             next_tick = now + TICK_MS;
-            tick(&state, now);
-            let linked = open_missing(&state, now);
-            inform(&state, now, &linked, &mut informed);
-            ask_for_missing(&state, now);
+            keeper.tick(now);
         }
-        tell_news(&state, &informed);
-        if now >= next_beat {
-            let heartbeat = state.serving().heartbeat(now);
-            let beat_ms = heartbeat.member.as_ref().map_or(0, |member| member.beat_ms);
-            next_beat = now + beat_ms;
-            state.send_to_all(&heartbeat);
+        keeper.tell_news(now);
+        keeper.tell_roster(now);
+        if now >= next_beat || state.serving().is_beat_due() {
+            next_beat = now + keeper.beat(now);
         }
     }
 }
@@ -85,61 +97,100 @@
     }
 }
 
-fn tick(state: &EntryState, now: MonoMs) {
-    let seeds = state.seed_peers();
-    let mut serving = state.serving();
-    serving.peers_told(now, &seeds);
-    serving.tick(now);
-    drop(serving);
-    state.pool.forget_old(now);
-}
+impl Keeper {
+    fn tick(&mut self, now: MonoMs) {
+        let state = &self.state;
+        let seeds = state.seed_peers();
+        let mut serving = state.serving();
+        serving.seeded(&seeds);
+        serving.tick(now);
+        let roster = serving.roster_news(now);
+        self.wanted = serving.wanted_links(now);
+        drop(serving);
+        state.pool.forget_old(now);
+        self.tell_all(roster);
+        let linked = self.open_missing(now);
+        self.inform(now, &linked);
+        self.ask_for_missing(now);
+    }
 
-/// Opens links that are missing. Returns the peers to which there is one.
-fn open_missing(state: &Arc<EntryState>, now: MonoMs) -> Vec<SocketAddr> {
-    let addresses = state.serving().peer_addresses();
-    let linked = state.links.retain(&addresses);
-    for address in addresses {
-        if let Some(queue) = state.links.open(address) {
-            let first = state.serving().greeting(now);
-            task::spawn(keep_link(Arc::clone(state), address, first, queue));
+    /// Closes links that aren't wanted any more and opens those that are missing. Returns the peers
+    /// to which there was one before.
+    fn open_missing(&self, now: MonoMs) -> HashSet<SocketAddr> {
+        let state = &self.state;
+        let wanted = |address: &SocketAddr| {
+            self.wanted.own.contains(address) || self.wanted.asked.contains(address)
+        };
+        let linked = state.links.retain(wanted);
+        let own = self.wanted.own.iter().map(|address| (*address, true));
+        let asked = self.wanted.asked.iter().map(|address| (*address, false));
+        for (address, asks_for_link) in own.chain(asked) {
+            if let Some(queue) = state.links.open(address) {
+                let first = state.serving().greeting(now, asks_for_link);
+                task::spawn(keep_link(Arc::clone(state), address, first, queue));
+            }
         }
+        linked
     }
-    linked
-}
 
-/// Tells those that are to know of all prompts, and didn't so far, what is at work.
-fn inform(state: &EntryState, now: MonoMs, linked: &[SocketAddr], informed: &mut Vec<SocketAddr>) {
-    let mut wanted = state.serving().informed_peers(now);
-    wanted.retain(|address| linked.contains(address));
-    let new: Vec<SocketAddr> = wanted
-        .iter()
-        .filter(|address| !informed.contains(address))
-        .copied()
-        .collect();
-    if !new.is_empty() {
-        let jobs = state.serving().jobs(now);
-        state.send(&new, &jobs);
+    /// Tells those that are to know of prompts, and didn't so far, what is at work.
+    fn inform(&mut self, now: MonoMs, linked: &HashSet<SocketAddr>) {
+        let mut wanted = self.state.serving().informed(now);
+        wanted.retain(|address, _| linked.contains(address));
+        for (address, groups) in &wanted {
+            if self.informed.get(address) != Some(groups) {
+                let jobs = self.state.serving().jobs(now, groups);
+                self.state.send(&[*address], &jobs);
+            }
+        }
+        self.informed = wanted;
     }
-    *informed = wanted;
-}
 
-fn ask_for_missing(state: &EntryState, now: MonoMs) {
-    let wants = state.serving().wants(now);
-    if let Some((peers, frame)) = wants {
-        state.send(&peers, &frame);
+    fn ask_for_missing(&self, now: MonoMs) {
+        let wants = self.state.serving().wants(now);
+        if let Some((peers, frame)) = wants {
+            self.state.send(&peers, &frame);
+        }
     }
-}
 
-fn tell_news(state: &EntryState, informed: &[SocketAddr]) {
-    let Some(news) = state.serving().take_news() else {
-        return;
-    };
-    // A request that breaks its targets may come to any instance next, and any instance may have
-    // streams at a target that can't be reached.
-    if news.crashes.is_empty() && news.unreachable.is_empty() {
-        state.send(informed, &news);
-    } else {
-        state.send_to_all(&news);
+    fn tell_roster(&self, now: MonoMs) {
+        let roster = {
+            let mut serving = self.state.serving();
+            serving
+                .is_roster_due()
+                .then(|| serving.roster_news(now))
+                .flatten()
+        };
+        self.tell_all(roster);
+    }
+
+    fn tell_all(&self, roster: Option<Frame>) {
+        if let Some(roster) = roster {
+            self.state.send_to_all(&roster);
+        }
+    }
+
+    fn tell_news(&self, now: MonoMs) {
+        let news = self.state.serving().take_news(now);
+        for (recipients, frame) in news {
+            match recipients {
+                Recipients::All => self.state.send_to_all(&frame),
+                Recipients::Some(to) => self.state.send(&to, &frame),
+            }
+        }
+    }
+
+    /// Sends a heartbeat over all links; those that this instance wants itself say so. Returns the
+    /// time until the next one, in ms.
+    fn beat(&self, now: MonoMs) -> u64 {
+        let mut heartbeat = self.state.serving().heartbeat(now);
+        let beat_ms = heartbeat.member.as_ref().map_or(0, |member| member.beat_ms);
+        let asked: Vec<SocketAddr> = self.wanted.asked.iter().copied().collect();
+        self.state.send(&asked, &heartbeat);
+        heartbeat.asks_for_link = true;
+        let own: Vec<SocketAddr> = self.wanted.own.iter().copied().collect();
+        self.state.send(&own, &heartbeat);
+        beat_ms
     }
 }
 
@@ -163,7 +214,13 @@
     state.log(&Decision::PeerLinked { peer: peer.clone() });
     let fault = send_all(&state, &mut socket, first, &queue).await;
     state.metrics.note_unlinked();
-    state.serving().peer_lost(state.now(), address);
+    let fault = match fault {
+        None => "the link isn't wanted any more".to_owned(),
+        Some(fault) => {
+            state.serving().peer_lost(state.now(), address);
+            fault
+        }
+    };
     state.log(&Decision::PeerLost { peer, fault });
     queue.close();
     clock.sleep(REOPEN_MS).await;
@@ -184,26 +241,27 @@
         .map_err(|fault| fault.to_string())
 }
 
+/// Sends until the link breaks, and returns why, or isn't wanted any more.
 async fn send_all(
     state: &EntryState,
     socket: &mut WebSocketStream<GuardedStream>,
     first: Frame,
     queue: &Receiver<Bytes>,
-) -> String {
+) -> Option<String> {
     let mut next = match encode(&first) {
         Ok(bytes) => Some(bytes),
-        Err(fault) => return fault.to_string(),
+        Err(fault) => return Some(fault.to_string()),
     };
     while let Some(bytes) = next {
         let sent = socket.send(Message::Binary(bytes));
         match timeout(state.clock.as_ref(), SEND_MS, sent).await {
             Some(Ok(())) => {}
-            Some(Err(fault)) => return fault.to_string(),
-            None => return "the peer takes nothing".to_owned(),
+            Some(Err(fault)) => return Some(fault.to_string()),
+            None => return Some("the peer takes nothing".to_owned()),
         }
         next = queue.recv().await.ok();
     }
-    "the link isn't wanted any more".to_owned()
+    None
 }
 
 /// Takes links that peers open, for ever.
@@ -279,7 +337,7 @@
 }
 
 fn answer(serving: &mut Serving, now: MonoMs, ask: &PlacementAsk) -> Frame {
-    let placement = serving.choose_engines(now, ask.job, &ask.prompt);
+    let placement = serving.choose_engines(now, ask.job, ask.group, &ask.prompt);
     Frame {
         answer: Some(PlacementAnswer {
             job: ask.job,
--- a/crates/daemon/src/entry/peer_links.rs
+++ b/crates/daemon/src/entry/peer_links.rs
@@ -2,7 +2,7 @@
     async_channel::{Receiver, Sender, TrySendError},
     async_tungstenite::tungstenite::Bytes,
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
     },
@@ -53,9 +53,9 @@
     }
 
     /// Forgets links that broke or aren't wanted any more. Returns the addresses of those left.
-    pub fn retain(&self, wanted: &[SocketAddr]) -> Vec<SocketAddr> {
+    pub fn retain(&self, wanted: impl Fn(&SocketAddr) -> bool) -> HashSet<SocketAddr> {
         let mut links = lock(&self.links);
-        links.retain(|address, frames| wanted.contains(address) && !frames.is_closed());
+        links.retain(|address, frames| wanted(address) && !frames.is_closed());
         links.keys().copied().collect()
     }
 
--- a/crates/daemon/src/entry/placing.rs
+++ b/crates/daemon/src/entry/placing.rs
@@ -6,7 +6,7 @@
     std::net::SocketAddr,
     whinlatch_serving::{
         PromptAsk, PromptPlace, Refusal,
-        fleet::{Frame, JobId, Placement, PlacementAsk},
+        fleet::{EngineGroup, Frame, JobId, Placement, PlacementAsk},
     },
 };
 
@@ -27,25 +27,33 @@
     state: &'a EntryState,
     ask: &PromptAsk,
 ) -> Result<(PromptPlace, JobGuard<'a>), Refusal> {
-    let now = state.now();
-    let (job, deciders) = {
+    let (job, groups) = {
         let mut serving = state.serving();
-        let job = serving.may_place(now, ask)?;
-        (job, serving.deciders(now))
+        (
+            serving.may_place(state.now(), ask)?,
+            serving.groups_to_try(),
+        )
     };
     let guard = JobGuard::new(state, job);
-    let place = find(state, job, ask, deciders).await?;
-    Ok((place, guard))
+    let mut refusal = Refusal::NoTarget;
+    for group in groups {
+        match find(state, job, group, ask).await {
+            Ok(place) => return Ok((place, guard)),
+            Err(fault) => refusal = fault,
+        }
+    }
+    Err(refusal)
 }
 
 async fn find(
     state: &EntryState,
     job: JobId,
+    group: EngineGroup,
     ask: &PromptAsk,
-    deciders: Vec<SocketAddr>,
 ) -> Result<PromptPlace, Refusal> {
+    let deciders = state.serving().deciders(state.now(), group);
     for peer in deciders.into_iter().take(ASKED) {
-        let Some(placement) = ask_peer(state, peer, job, ask).await else {
+        let Some(placement) = ask_peer(state, peer, job, group, ask).await else {
             continue;
         };
         if let Some(place) = state.serving().take_up(state.now(), &placement?) {
@@ -55,7 +63,7 @@
     }
     let now = state.now();
     let mut serving = state.serving();
-    let placement = serving.choose_engines(now, job, ask)?;
+    let placement = serving.choose_engines(now, job, group, ask)?;
     serving.take_up(now, &placement).ok_or(Refusal::NoTarget)
 }
 
@@ -64,13 +72,16 @@
     state: &EntryState,
     peer: SocketAddr,
     job: JobId,
+    group: EngineGroup,
     ask: &PromptAsk,
 ) -> Option<Result<Placement, Refusal>> {
     let awaited = state.links.await_answer(job);
+    state.serving().asked_in(job, group);
     let frame = Frame {
         ask: Some(PlacementAsk {
             job,
             reply_to: state.settings.peer_address,
+            group,
             prompt: ask.clone(),
         }),
         ..Frame::default()
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -183,6 +183,7 @@
         revision: 0,
         ready: false,
         leaving: false,
+        said_at_ms: 0,
     }
 }
 
--- a/crates/daemon/src/entry/store_reader.rs
+++ b/crates/daemon/src/entry/store_reader.rs
@@ -23,13 +23,13 @@
 /// alone.
 const WATCH_MS: u64 = 900;
 /// Time that a watch of an instance of a large fleet waits for news, in ms, unless it is one of
-/// those that hear of everything at once: their heartbeats tell the others when a watch of theirs
-/// has gone silent. Each watch is a call, and the store's calls don't grow with the fleet.
+/// those that watch closely for all: their heartbeats tell the others when a watch of theirs has
+/// gone silent. Each watch is a call, and the store's calls don't grow with the fleet.
 const LONG_WATCH_MS: u64 = 8_000;
 /// Time between two watches, in ms: targets that start or are replaced write one after the other,
 /// and each change by itself would cost a call.
 const GATHER_MS: u64 = 50;
-/// The same for an instance of a large fleet that isn't told of everything at once, in ms. It stays
+/// The same for an instance of a large fleet that doesn't watch closely for all, in ms. It stays
 /// well below the two seconds in which a leaving target is to be left alone.
 const LONG_GATHER_MS: u64 = 250;
 /// Time between two looks whether peers know more, in ms.
@@ -127,7 +127,7 @@
     /// Lets changes that follow each other closely gather, so that one call brings them all.
     async fn gather(&self) {
         let now = self.state.now();
-        let gather_ms = if self.state.serving().is_informed(now) {
+        let gather_ms = if self.state.serving().watches_closely(now) {
             GATHER_MS
         } else {
             LONG_GATHER_MS
@@ -142,7 +142,7 @@
 
     async fn history(&mut self, revision: u64) -> Result<History, ReadFault> {
         let now = self.state.now();
-        let watch_ms = if self.state.serving().is_informed(now) {
+        let watch_ms = if self.state.serving().watches_closely(now) {
             WATCH_MS
         } else {
             LONG_WATCH_MS
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -112,7 +112,7 @@
                 || self.answer.progress().sends > self.context.route.max_attempts
                 || tried.len() >= MOST_TARGETS;
             if is_over || !may_repeat {
-                return self.give_up(Refusal::NoTarget).await;
+                return self.give_up(Refusal::NoAttempt).await;
             }
         }
     }
@@ -154,7 +154,8 @@
 
     async fn give_up(&self, refusal: Refusal) -> Ended {
         if self.answer.has_begun() {
-            return Ended::cut("no engine resumes the stream".to_owned());
+            let message = refusal.message();
+            return Ended::cut(format!("no engine resumes the stream: {message}"));
         }
         Ended::refused(self.answer, self.context, refusal).await
     }
@@ -190,7 +191,7 @@
             }
         };
         if let Err(fault) = &end {
-            note_crash(state, self.context, fault, was_reused);
+            note_crash(state, self.context, &place.engine, fault, was_reused);
         }
         end
     }
--- a/crates/serving/src/engines/engine_loads.rs
+++ b/crates/serving/src/engines/engine_loads.rs
@@ -2,7 +2,7 @@
     super::{EngineLoad, Part, WorkRate, Writer},
     crate::{
         catalog::EngineSpec,
-        fleet::{JobId, Placed},
+        fleet::{EngineGroup, JobId, Placed},
         names::TargetId,
         placement::value_of,
     },
@@ -30,7 +30,7 @@
 pub struct EngineLoads {
     engines: HashMap<TargetId, EngineLoad>,
     jobs: HashMap<JobId, Job>,
-    work: WorkRate,
+    work: HashMap<EngineGroup, WorkRate>,
 }
 
 impl EngineLoads {
@@ -56,9 +56,9 @@
         self.engines.get(id)
     }
 
-    /// Share of the engines' time that was given reading of late.
-    pub fn used(&mut self, now: MonoMs, engines: usize) -> f64 {
-        self.work.used(now, engines)
+    /// Share of the time of a group's engines that was given reading of late.
+    pub fn used(&mut self, now: MonoMs, group: EngineGroup, engines: usize) -> f64 {
+        self.work.entry(group).or_default().used(now, engines)
     }
 
     /// A prompt at work.
@@ -66,14 +66,15 @@
         self.jobs.get(&id)
     }
 
-    /// Notes a prompt that was sent.
-    pub fn placed(&mut self, now: MonoMs, spec: &EngineSpec, placed: Placed) {
+    /// Notes a prompt that was sent to engines of a group.
+    pub fn placed(&mut self, now: MonoMs, spec: &EngineSpec, group: EngineGroup, placed: Placed) {
         if self.jobs.contains_key(&placed.job) {
             return;
         }
         let degree = placed.engines.len().max(1);
         let part_ms = spec.part_ms(placed.prompt_tokens, degree);
-        self.work.add(now, spec.read_ms(placed.prompt_tokens));
+        let work = self.work.entry(group).or_default();
+        work.add(now, spec.read_ms(placed.prompt_tokens));
         let part_tokens = placed.prompt_tokens.max(1) as f64 / degree as f64;
         let slack_ms = u64::try_from(placed.slack_ms).unwrap_or(0);
         let value = value_of(placed.prompt_tokens);
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -1,12 +1,18 @@
 //! The other instances: who they are, which of them serve, and what they are told.
 
+mod engine_groups;
 mod frame;
+mod known;
 mod member_book;
+mod roster;
 
 pub use {
+    engine_groups::{EngineGroup, EngineGroups},
     frame::{
-        EnginePace, Frame, JobId, Member, Placed, Placement, PlacementAnswer, PlacementAsk,
+        Crash, EnginePace, Frame, JobId, Member, Placed, Placement, PlacementAnswer, PlacementAsk,
         PublishedText, Reserved, Wants,
     },
-    member_book::MemberBook,
+    known::Known,
+    member_book::{MemberBook, hash},
+    roster::Roster,
 };
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -1,4 +1,5 @@
 use {
+    super::{EngineGroup, Roster},
     crate::{
         PromptAsk, Refusal,
         names::{FailureDomain, TargetId},
@@ -41,6 +42,32 @@
     pub ready: bool,
     /// Whether it was told to stop.
     pub leaving: bool,
+    /// When it says so, in ms by a clock of its own: of two statements of a run the later one holds,
+    /// whichever way they come.
+    pub said_at_ms: u64,
+}
+
+impl Member {
+    /// Whether it says the same as another of its beats, but for what changes with each change that
+    /// is published.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let comparable = Self {
+            version: other.version,
+            revision: other.revision,
+            said_at_ms: other.said_at_ms,
+            ..self.clone()
+        };
+        comparable == *other
+    }
+}
+
+/// A target that broke off the work on a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The target.
+    pub target: TargetId,
 }
 
 /// A prompt that was sent to engines, and what it is expected to do there.
@@ -129,6 +156,8 @@
     pub job: JobId,
     /// Where the answer goes.
     pub reply_to: SocketAddr,
+    /// The engines among which to choose.
+    pub group: EngineGroup,
     /// What is asked.
     pub prompt: PromptAsk,
 }
@@ -160,6 +189,12 @@
     /// Addresses at which peers of the sender link.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<SocketAddr>,
+    /// Whether the sender wants the receiver to link back.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub asks_for_link: bool,
+    /// Which instances the sender hears from.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub roster: Option<Roster>,
     /// Whether `placed` lists all that the sender has at work.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub is_snapshot: bool,
@@ -193,9 +228,12 @@
     /// Engines whose pace was seen to change.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub paces: Vec<EnginePace>,
-    /// Requests whose target broke off.
+    /// Targets that broke off the work on a request.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
+    /// Requests that were broken off before and have been served now.
     #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<Fingerprint>,
+    pub served: Vec<Fingerprint>,
 }
 
 impl Frame {
--- a/crates/serving/src/fleet/member_book.rs
+++ b/crates/serving/src/fleet/member_book.rs
@@ -1,132 +1,328 @@
 use {
-    super::Member,
-    std::{cmp::Reverse, collections::HashMap, net::SocketAddr},
+    super::{EngineGroup, Known, Member, Roster},
+    std::{
+        cmp::Reverse,
+        collections::{HashMap, HashSet},
+        net::{IpAddr, SocketAddr},
+    },
     whinlatch_core::MonoMs,
-    xxhash_rust::xxh3::xxh3_64,
+    xxhash_rust::xxh3::Xxh3,
 };
 
-/// Heartbeats that may fail to come before an instance isn't named to callers: loss of a few
-/// packets in a hundred delays one by a second at most and rarely takes an instance out.
-const SILENT_BEATS: u64 = 3;
-/// Silence that is borne in any case, in ms.
-const LEAST_SILENT_MS: u64 = 1_250;
-/// Time for a sign of life after a link to an instance broke, in ms.
-const DOUBT_MS: u64 = 400;
-/// Silence after which an instance is forgotten, in ms.
+/// Silence after which an instance is forgotten, in ms: over the time for which a fleet is cut in
+/// two on most days, so that the two parts find each other again.
 const FORGOTTEN_MS: u64 = 60_000;
-/// Addresses that a frame tells at most.
-const TOLD_ADDRESSES: usize = 128;
-/// Instances up to which each is told of all prompts of the others: what that costs grows with the
-/// square of their number, and is under a hundredth of a core each at this one.
+/// Time for which a roster counts after its sender was taken for silent, in ms: others have listed
+/// its instances by then, so that they aren't all left out at once.
+const ROSTER_GRACE_MS: u64 = 1_500;
+/// Instances up to which each links to all others and is told of all their prompts: what that costs
+/// grows with the square of their number, and is under a hundredth of a core each at this one.
 const SMALL_FLEET: usize = 12;
-/// Instances of a larger fleet that are told of all prompts and choose engines for the others: one
+/// Instances of a larger fleet that link to all others and tell each who is alive: any one of them
+/// is enough.
+const HUBS: usize = 3;
+/// Hubs that an instance hears itself before it leaves its seeds alone.
+const ENOUGH_HUBS: usize = 2;
+/// Instances that are told of all prompts on a group of engines and choose for the others: one
 /// chooses, two know all that it knows when it is gone.
-const INFORMED: usize = 3;
-
-#[derive(Debug, Clone)]
-struct Heard {
-    member: Member,
-    last: MonoMs,
-}
-
-impl Heard {
-    fn is_fresh(&self, now: MonoMs) -> bool {
-        let silent_ms = (SILENT_BEATS * self.member.beat_ms).max(LEAST_SILENT_MS);
-        now.since(self.last) < silent_ms
-    }
-}
+const DECIDERS: usize = 3;
+/// Instances among which the free part of a budget is divided before any other was heard of, if
+/// there are seeds: an instance that starts cut off from all must not take all of it.
+const ASSUMED_FLEET: usize = SMALL_FLEET;
 
 /// The instances that this one has heard of, by the address at which they link.
 #[derive(Debug, Default)]
 pub struct MemberBook {
-    heard: HashMap<SocketAddr, Heard>,
+    known: HashMap<SocketAddr, Known>,
     told: HashMap<SocketAddr, MonoMs>,
+    seeds: Vec<SocketAddr>,
+    announced: HashMap<SocketAddr, Member>,
     most: usize,
 }
 
 impl MemberBook {
+    /// Whether an instance says something else of itself than before.
+    pub fn is_news(&self, member: &Member) -> bool {
+        let known = self.known.get(&member.peer_address);
+        known.is_none_or(|known| !known.member.says_the_same(member))
+    }
+
     /// Takes in what an instance says of itself. Returns the run that it replaces, if any.
-    pub fn heard(&mut self, now: MonoMs, member: Member) -> Option<u64> {
+    pub fn heard(&mut self, now: MonoMs, member: Member, asks_for_link: bool) -> Option<u64> {
+        let address = member.peer_address;
+        let former = self.know(now, member);
+        if let Some(known) = self.known.get_mut(&address) {
+            known.hear(now);
+            if asks_for_link {
+                known.ask(now);
+            }
+        }
+        former
+    }
+
+    /// Notes what is said of an instance. Returns the run that it replaces, if any.
+    fn know(&mut self, now: MonoMs, member: Member) -> Option<u64> {
         let address = member.peer_address;
-        let run = member.run;
         self.told.remove(&address);
-        let former = self.heard.insert(address, Heard { member, last: now });
-        self.most = self.most.max(self.heard.len() + 1);
+        let former = if let Some(known) = self.known.get_mut(&address) {
+            known.says(member)
+        } else {
+            self.known.insert(address, Known::new(now, member));
+            None
+        };
+        self.most = self.most.max(self.known.len() + 1);
         former
-            .map(|former| former.member.run)
-            .filter(|former| *former != run)
     }
 
-    /// Takes any frame of a run for a sign of life.
-    pub fn lives(&mut self, now: MonoMs, run: u64) {
-        for heard in self.heard.values_mut() {
-            if heard.member.run == run {
-                heard.last = now;
+    /// Takes in which instances another one hears from. Returns the runs that are replaced.
+    ///
+    /// A run that is heard here goes before another one of which others tell: they know of the
+    /// former run still.
+    pub fn roster(
+        &mut self,
+        now: MonoMs,
+        own: SocketAddr,
+        from: SocketAddr,
+        roster: Roster,
+    ) -> Vec<u64> {
+        let is_gone = |address: &SocketAddr| roster.is_full || roster.gone.contains(address);
+        for (address, known) in &mut self.known {
+            if is_gone(address) {
+                known.listed_by.retain(|teller| *teller != from);
+            }
+        }
+        let mut replaced = Vec::new();
+        for member in roster.listed {
+            let address = member.peer_address;
+            if address == own {
+                continue;
+            }
+            let is_former =
+                |known: &Known| known.is_heard(now, 0) && known.member.run != member.run;
+            if self.known.get(&address).is_some_and(is_former) {
+                continue;
             }
+            replaced.extend(self.know(now, member));
+            if let Some(known) = self.known.get_mut(&address)
+                && !known.listed_by.contains(&from)
+            {
+                known.listed_by.push(from);
+            }
+        }
+        replaced
+    }
+
+    /// Takes any frame of an instance for a sign of life.
+    pub fn lives(&mut self, now: MonoMs, run: u64) {
+        let known = self.known.values_mut();
+        for known in known.filter(|known| known.member.run == run) {
+            known.hear(now);
         }
     }
 
+    /// Where a run links.
+    pub fn address_of(&self, run: u64) -> Option<SocketAddr> {
+        let known = self.known.iter();
+        let mut of_run = known.filter(|(_, known)| known.member.run == run);
+        of_run.next().map(|(address, _)| *address)
+    }
+
     /// A link to an instance broke: unless it is heard of soon, it counts as silent.
     pub fn doubt(&mut self, now: MonoMs, address: SocketAddr) {
-        if let Some(heard) = self.heard.get_mut(&address) {
-            let silent_ms = (SILENT_BEATS * heard.member.beat_ms).max(LEAST_SILENT_MS);
-            let doubted = MonoMs((now.0 + DOUBT_MS).saturating_sub(silent_ms));
-            heard.last = heard.last.min(doubted);
+        if let Some(known) = self.known.get_mut(&address) {
+            known.doubt(now);
         }
     }
 
-    /// Takes in addresses that a peer, or the settings, tell of.
+    /// Takes in addresses that a peer tells of.
     pub fn told(&mut self, now: MonoMs, own: SocketAddr, addresses: &[SocketAddr]) {
         for address in addresses {
-            if *address != own && !self.heard.contains_key(address) {
+            if *address != own && !self.known.contains_key(address) {
                 self.told.entry(*address).or_insert(now);
             }
         }
     }
 
-    /// Addresses to keep a link to.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.heard.keys().chain(self.told.keys()).copied().collect()
+    /// Takes in the addresses that the settings tell of.
+    pub fn seeded(&mut self, own: SocketAddr, addresses: &[SocketAddr]) {
+        let others = addresses.iter().filter(|address| **address != own);
+        self.seeds = others.copied().collect();
     }
 
-    /// Addresses to tell peers of: only those heard of lately, so that the address of an instance
-    /// that is gone for good isn't told in circles for ever.
-    pub fn fresh_addresses(&self, now: MonoMs) -> Vec<SocketAddr> {
-        self.fresh(now)
-            .map(|member| member.peer_address)
-            .take(TOLD_ADDRESSES)
-            .collect()
+    /// Whether there are too many instances for each to link to all others.
+    pub fn is_large(&self) -> bool {
+        self.known.len() + self.told.len() + 1 > SMALL_FLEET
+    }
+
+    /// Addresses to which this instance wants a link for a reason of its own, and asks the other
+    /// to link back.
+    ///
+    /// In a large fleet these are the hubs, and those that choose engines for this instance in
+    /// `groups`. A hub wants all it has ever heard of lately: so two parts of a fleet that were cut
+    /// from each other find each other again, without anybody asking seeds for it.
+    pub fn wanted(&self, now: MonoMs, own: &Member, groups: &[EngineGroup]) -> HashSet<SocketAddr> {
+        let mut wanted: HashSet<SocketAddr> = self.told.keys().copied().collect();
+        let hubs = self.hubs(now, own);
+        let is_hub = hubs.contains(&own.peer_address);
+        if is_hub || !self.is_large() {
+            wanted.extend(self.known.keys());
+        }
+        let heard_hubs = hubs
+            .iter()
+            .filter_map(|hub| self.known.get(hub))
+            .filter(|hub| hub.is_heard(now, 0));
+        if is_hub || !self.is_large() || heard_hubs.count() < ENOUGH_HUBS {
+            wanted.extend(&self.seeds);
+        }
+        wanted.extend(hubs);
+        for group in groups {
+            wanted.extend(self.deciders(now, own, *group));
+        }
+        wanted.remove(&own.peer_address);
+        wanted
+    }
+
+    /// Addresses of those that asked this instance to link to them.
+    pub fn asking(&self, now: MonoMs) -> impl Iterator<Item = SocketAddr> {
+        self.known
+            .iter()
+            .filter(move |(_, known)| known.wants_link(now))
+            .map(|(address, _)| *address)
     }
 
-    /// The instances that are heard of now.
+    /// Addresses to tell peers of: in a small fleet all that are alive, else where the hubs are.
+    pub fn addresses_to_tell(&self, now: MonoMs, own: &Member) -> Vec<SocketAddr> {
+        if self.is_large() {
+            return self.hubs(now, own);
+        }
+        self.fresh(now).map(|member| member.peer_address).collect()
+    }
+
+    /// The instances that are taken for alive.
     pub fn fresh(&self, now: MonoMs) -> impl Iterator<Item = &Member> {
-        self.heard
+        let tellers: HashSet<SocketAddr> = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.is_heard(now, ROSTER_GRACE_MS))
+            .map(|(address, _)| *address)
+            .collect();
+        self.known
             .values()
-            .filter(move |heard| heard.is_fresh(now))
-            .map(|heard| &heard.member)
+            .filter(move |known| {
+                let is_listed = || {
+                    known
+                        .listed_by
+                        .iter()
+                        .any(|teller| tellers.contains(teller))
+                };
+                known.is_heard(now, 0) || is_listed()
+            })
+            .map(|known| &known.member)
+    }
+
+    /// The instances that spoke for themselves of late.
+    pub fn heard_now(&self, now: MonoMs) -> impl Iterator<Item = &Member> {
+        self.known
+            .values()
+            .filter(move |known| known.is_heard(now, 0))
+            .map(|known| &known.member)
+    }
+
+    /// All that this instance hears itself, as a hub tells it where a link begins; nobody, if it
+    /// is no hub, which takes back what it told before.
+    pub fn full_roster(&self, now: MonoMs, own: &Member) -> Roster {
+        let listed = if self.is_hub(now, own) {
+            self.heard_now(now).cloned().collect()
+        } else {
+            Vec::new()
+        };
+        Roster {
+            is_full: true,
+            listed,
+            gone: Vec::new(),
+        }
+    }
+
+    /// What a hub has to tell since the last call; `None` if nothing changed.
+    pub fn roster_news(&mut self, now: MonoMs, own: &Member) -> Option<Roster> {
+        let heard: HashMap<SocketAddr, Member> = if self.is_hub(now, own) {
+            self.heard_now(now)
+                .map(|member| (member.peer_address, member.clone()))
+                .collect()
+        } else {
+            HashMap::new()
+        };
+        let is_news = |member: &&Member| {
+            let former = self.announced.get(&member.peer_address);
+            former.is_none_or(|former| !former.says_the_same(member))
+        };
+        let listed: Vec<Member> = heard.values().filter(is_news).cloned().collect();
+        let gone: Vec<SocketAddr> = self
+            .announced
+            .keys()
+            .filter(|address| !heard.contains_key(*address))
+            .copied()
+            .collect();
+        self.announced = heard;
+        let roster = Roster {
+            is_full: false,
+            listed,
+            gone,
+        };
+        (roster != Roster::default()).then_some(roster)
     }
 
-    /// The instances that are told of all prompts, `own` among them if it is one, in an order that
-    /// all instances agree on; the first of them chooses engines for those that aren't.
+    /// The instances that link to all others and tell who is alive, in an order that all instances
+    /// agree on; none in a small fleet.
+    ///
+    /// Views of the list may differ: an instance then hears from other hubs than its peers do,
+    /// which tell it the same.
+    pub fn hubs(&self, now: MonoMs, own: &Member) -> Vec<SocketAddr> {
+        if !self.is_large() {
+            return Vec::new();
+        }
+        self.strongest(now, own, HUBS, |member| !member.leaving)
+    }
+
+    /// Whether this instance is a hub.
+    pub fn is_hub(&self, now: MonoMs, own: &Member) -> bool {
+        self.hubs(now, own).contains(&own.peer_address)
+    }
+
+    /// The instances that are told of all prompts on a group of engines, `own` among them if it is
+    /// one, in an order that all instances agree on; the first of them chooses engines for those
+    /// that aren't. All instances, in a small fleet.
     ///
     /// The load that this answers: many instances, of which each alone sees few prompts and must
     /// not spend its little processor time on hearing of all others. Views of the list may differ:
     /// a choice by another instance, or alone, costs time and nothing else.
-    pub fn informed(&self, now: MonoMs, own: &Member) -> Vec<SocketAddr> {
+    pub fn deciders(&self, now: MonoMs, own: &Member, group: EngineGroup) -> Vec<SocketAddr> {
+        let serves = |member: &Member| member.ready && !member.leaving;
+        if !self.is_large() {
+            return self.strongest(now, own, usize::MAX, serves);
+        }
+        let mut pool = self.strongest(now, own, DECIDERS * group.count as usize, serves);
+        pool.sort_by_cached_key(|address| hash(u64::from(group.number), *address));
+        pool.truncate(DECIDERS);
+        pool
+    }
+
+    /// Those with the most processor time, `own` among them.
+    fn strongest(
+        &self,
+        now: MonoMs,
+        own: &Member,
+        count: usize,
+        is_fit: impl Fn(&Member) -> bool,
+    ) -> Vec<SocketAddr> {
         let mut members: Vec<&Member> = self
             .fresh(now)
             .chain([own])
-            .filter(|member| member.ready && !member.leaving)
+            .filter(|member| is_fit(member))
             .collect();
-        members.sort_by_key(|member| {
-            let hash = xxh3_64(member.peer_address.to_string().as_bytes());
-            (Reverse(member.cpu_millis), hash)
+        members.sort_by_cached_key(|member| {
+            (Reverse(member.cpu_millis), hash(0, member.peer_address))
         });
-        let count = if self.is_large() {
-            INFORMED
-        } else {
-            members.len()
-        };
         members
             .iter()
             .take(count)
@@ -134,37 +330,53 @@
             .collect()
     }
 
-    /// Whether there are too many instances for each to be told of all prompts.
-    pub fn is_large(&self) -> bool {
-        self.heard.len() + 1 > SMALL_FLEET
-    }
-
-    /// The runs that were not heard of for a while; their work is over or about to be.
+    /// The runs that are not taken for alive; their work is over or about to be.
     pub fn silent_runs(&self, now: MonoMs) -> Vec<u64> {
-        self.heard
+        let fresh: HashSet<u64> = self.fresh(now).map(|member| member.run).collect();
+        self.known
             .values()
-            .filter(|heard| !heard.is_fresh(now))
-            .map(|heard| heard.member.run)
+            .map(|known| known.member.run)
+            .filter(|run| !fresh.contains(run))
             .collect()
     }
 
     /// This process was paused: nobody could be heard, which says nothing of the others.
     pub fn excuse_all(&mut self, now: MonoMs) {
-        for heard in self.heard.values_mut() {
-            heard.last = now;
+        for known in self.known.values_mut() {
+            known.excuse(now);
         }
     }
 
     /// Most instances that were known at once, this one among them: how many share a budget.
     pub fn most(&self) -> usize {
+        if self.most == 0 && !self.seeds.is_empty() {
+            return ASSUMED_FLEET;
+        }
         self.most.max(1)
     }
 
     /// Forgets instances that are gone.
     pub fn forget_old(&mut self, now: MonoMs) {
-        self.heard
-            .retain(|_, heard| now.since(heard.last) < FORGOTTEN_MS);
+        let fresh: HashSet<SocketAddr> =
+            self.fresh(now).map(|member| member.peer_address).collect();
+        self.known.retain(|address, known| {
+            if fresh.contains(address) {
+                known.last = now;
+            }
+            now.since(known.last) < FORGOTTEN_MS
+        });
         self.told
             .retain(|_, since| now.since(*since) < FORGOTTEN_MS);
     }
 }
+
+/// A number that is the same on all instances for the same address and salt.
+pub fn hash(salt: u64, address: SocketAddr) -> u64 {
+    let mut hasher = Xxh3::with_seed(salt);
+    match address.ip() {
+        IpAddr::V4(ip) => hasher.update(&ip.octets()),
+        IpAddr::V6(ip) => hasher.update(&ip.octets()),
+    }
+    hasher.update(&address.port().to_be_bytes());
+    hasher.digest()
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -14,4 +14,6 @@
 
 mod serving;
 
-pub use serving::{CallAsk, CallPlace, PromptAsk, PromptPlace, Refusal, Serving};
+pub use serving::{
+    CallAsk, CallPlace, PromptAsk, PromptPlace, Recipients, Refusal, Serving, WantedLinks,
+};
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -3,20 +3,31 @@
 mod asks;
 mod calls;
 mod configured;
+mod members;
+mod news;
 mod peers;
 mod prompts;
 
-pub use asks::{CallAsk, CallPlace, PromptAsk, PromptPlace, Refusal};
+pub use {
+    asks::{CallAsk, CallPlace, PromptAsk, PromptPlace, Refusal},
+    members::WantedLinks,
+    news::Recipients,
+};
 
 use {
     crate::{
         catalog::Configuration,
         engines::EngineLoads,
-        fleet::{Frame, Member, MemberBook, PublishedText},
+        fleet::{EngineGroup, EngineGroups, JobId, Member, MemberBook, PublishedText, hash},
         retries::{CrashBook, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetBook},
     },
-    std::{net::SocketAddr, sync::Arc},
+    news::News,
+    std::{
+        collections::HashMap,
+        net::{IpAddr, SocketAddr},
+        sync::Arc,
+    },
     whinlatch_core::MonoMs,
 };
 
@@ -32,8 +43,15 @@
     members: MemberBook,
     budget: FleetBudget,
     crashes: CrashBook,
-    news: Frame,
+    groups: EngineGroups,
+    /// The groups of engines in which peers were asked to choose for a prompt of this instance.
+    asked_groups: HashMap<JobId, Vec<EngineGroup>>,
+    news: News,
     next_job: u64,
+    /// What this instance said last of whether it serves.
+    told_ready: bool,
+    /// Whether a hub has heard something new of somebody.
+    is_roster_due: bool,
     behind_since: Option<MonoMs>,
     rng: fastrand::Rng,
 }
@@ -52,8 +70,12 @@
             members: MemberBook::default(),
             budget: FleetBudget::new(rule),
             crashes: CrashBook::default(),
-            news: Frame::default(),
+            groups: EngineGroups::default(),
+            asked_groups: HashMap::new(),
+            news: News::default(),
             next_job: 0,
+            told_ready: false,
+            is_roster_due: false,
             behind_since: None,
         }
     }
@@ -74,8 +96,12 @@
         self.own.leaving = true;
     }
 
-    /// Addresses that callers may use: the instances that are heard of and ready.
-    pub fn caller_addresses(&self, now: MonoMs) -> Vec<SocketAddr> {
+    /// Addresses that a caller may use: the instances that are taken for alive and ready.
+    ///
+    /// Callers take note of `most` addresses and close connections to those that a later answer
+    /// lacks. So where there are more, each caller is always told the same ones, whichever instance
+    /// it asks, and all callers together all of them.
+    pub fn caller_addresses(&self, now: MonoMs, caller: IpAddr, most: usize) -> Vec<SocketAddr> {
         let own = self.is_ready().then_some(self.own.caller_address);
         let peers = self
             .members
@@ -83,6 +109,11 @@
             .filter(|member| member.ready && !member.leaving)
             .map(|member| member.caller_address);
         let mut addresses: Vec<SocketAddr> = own.into_iter().chain(peers).collect();
+        if addresses.len() > most {
+            let salt = hash(0, SocketAddr::new(caller, 0));
+            addresses.sort_by_cached_key(|address| hash(salt, *address));
+            addresses.truncate(most);
+        }
         addresses.sort_unstable();
         addresses
     }
@@ -96,12 +127,20 @@
         }
         self.members.forget_old(now);
         self.crashes.forget_old(now);
+        self.fit_groups();
         let targets = &self.targets;
         self.engines
             .forget_old(now, |id| targets.entry(id).is_some());
         self.calls.retain(|id| targets.entry(id).is_some());
     }
 
+    fn fit_groups(&mut self) {
+        let is_engine = |service: &str| self.spec_of_service(service).is_some();
+        let engines = self.targets.all_ready();
+        let engines = engines.filter(|entry| is_engine(&entry.service)).count();
+        self.groups.fit(engines);
+    }
+
     /// The process was paused: what it heard before says nothing of now.
     pub fn woke(&mut self, now: MonoMs) {
         self.members.excuse_all(now);
--- a/crates/serving/src/serving/asks.rs
+++ b/crates/serving/src/serving/asks.rs
@@ -8,6 +8,12 @@
     serde::{Deserialize, Serialize},
 };
 
+/// Shortest time after which a refused caller may come back, in ms: a pass of a busy engine.
+pub const LEAST_RETRY_MS: u64 = 250;
+/// Time that is told to a caller when a service has no target, in ms: about the time in which a
+/// crashed target is back.
+const NO_TARGET_RETRY_MS: u64 = 500;
+
 /// A prompt that wants engines.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PromptAsk {
@@ -83,8 +89,33 @@
         /// When to come back, in ms.
         retry_after_ms: u64,
     },
+    /// It was sent to as many targets as it may.
+    NoAttempt,
     /// The request has broken off the work of several targets.
     Poison,
     /// The budget for repeats is used up.
     BudgetUsed,
 }
+
+impl Refusal {
+    /// When the caller may come back, in ms; `None` if coming back is of no use.
+    pub fn retry_after_ms(self) -> Option<u64> {
+        match self {
+            Self::NoTarget | Self::NoAttempt => Some(NO_TARGET_RETRY_MS),
+            Self::Overloaded { retry_after_ms } => Some(retry_after_ms),
+            Self::BudgetUsed => Some(LEAST_RETRY_MS),
+            Self::Poison => None,
+        }
+    }
+
+    /// Why, for the caller and the log.
+    pub fn message(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no target takes the request now: come back",
+            Self::NoAttempt => "several targets didn't take the request: come back",
+            Self::Overloaded { .. } => "the engines are too busy to answer in time: come back",
+            Self::BudgetUsed => "too many requests are being repeated: come back",
+            Self::Poison => "the request has broken off the work of several targets",
+        }
+    }
+}
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -3,6 +3,7 @@
 use {
     super::{CallAsk, CallPlace, Refusal, Serving},
     crate::{
+        fleet::Crash,
         names::{ServiceName, TargetId},
         retries::Fingerprint,
     },
@@ -38,7 +39,7 @@
         fingerprint: Fingerprint,
         is_repeat: bool,
     ) -> Result<(), Refusal> {
-        if self.crashes.is_poison(fingerprint) {
+        if self.crashes.is_poison(now, fingerprint) {
             return Err(Refusal::Poison);
         }
         let instances = self.members.most();
@@ -61,17 +62,24 @@
     /// Notes that no connection to a target could be had.
     pub fn unreachable(&mut self, now: MonoMs, target: &TargetId) {
         self.calls.unreachable(now, target);
-        self.news.unreachable.push(target.clone());
+        self.news.for_all().unreachable.push(target.clone());
     }
 
     /// Notes that a target served a request.
     pub fn served(&mut self, fingerprint: Fingerprint) {
-        self.crashes.served(fingerprint);
+        if self.crashes.served(fingerprint) {
+            self.news.for_all().served.push(fingerprint);
+        }
     }
 
     /// Notes that a target broke off the work on a request.
-    pub fn crashed(&mut self, now: MonoMs, fingerprint: Fingerprint) {
-        self.crashes.note(now, fingerprint);
-        self.news.crashes.push(fingerprint);
+    pub fn crashed(&mut self, now: MonoMs, fingerprint: Fingerprint, target: &TargetId) {
+        let crash = Crash {
+            fingerprint,
+            target: target.clone(),
+        };
+        if self.crashes.note(now, &crash) {
+            self.news.for_all().crashes.push(crash);
+        }
     }
 }
--- /dev/null
+++ b/crates/serving/src/serving/members.rs
@@ -0,0 +1,150 @@
+//! Which other instances there are, and which links are kept to them.
+
+use {
+    super::Serving,
+    crate::{
+        fleet::{Frame, Member},
+        targets::TargetEntry,
+    },
+    std::{collections::HashSet, net::SocketAddr},
+    whinlatch_core::MonoMs,
+};
+
+/// Time between heartbeats in a small fleet, in ms.
+const BEAT_MS: u64 = 250;
+/// Time between heartbeats in a large fleet, in ms: a hub of three hundred instances then spends a
+/// few hundredths of a core on them.
+const LARGE_FLEET_BEAT_MS: u64 = 500;
+/// Addresses that a heartbeat tells. A link begins with all of them, so that these only mend what a
+/// lost link kept from somebody.
+const BEAT_ADDRESSES: usize = 4;
+
+/// The links that an instance is to have.
+#[derive(Debug, Default)]
+pub struct WantedLinks {
+    /// Those that it wants for a reason of its own; the peer is asked to link back.
+    pub own: HashSet<SocketAddr>,
+    /// Those that only the peer has asked for.
+    pub asked: HashSet<SocketAddr>,
+}
+
+impl Serving {
+    /// Address at which peers link to this instance.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.own.peer_address
+    }
+
+    /// Number of peers that are taken for alive.
+    pub fn peers(&self, now: MonoMs) -> usize {
+        self.members.fresh(now).count()
+    }
+
+    /// Takes in addresses at which peers may be found, as the settings have them.
+    pub fn seeded(&mut self, addresses: &[SocketAddr]) {
+        self.members.seeded(self.own.peer_address, addresses);
+    }
+
+    /// What this instance says of itself.
+    pub fn own_member(&self, now: MonoMs) -> Member {
+        let beat_ms = if self.members.is_large() {
+            LARGE_FLEET_BEAT_MS
+        } else {
+            BEAT_MS
+        };
+        Member {
+            ready: self.is_ready(),
+            version: self.version(),
+            revision: self.targets.revision(),
+            beat_ms,
+            said_at_ms: now.0,
+            ..self.own.clone()
+        }
+    }
+
+    /// The links to keep.
+    pub fn wanted_links(&self, now: MonoMs) -> WantedLinks {
+        let own_member = self.own_member(now);
+        let own = self.members.wanted(now, &own_member, &self.own_groups());
+        let asking = self.members.asking(now);
+        let asked = asking.filter(|address| !own.contains(address)).collect();
+        WantedLinks { own, asked }
+    }
+
+    /// Whether this instance is one of those that watch the store closely, for all: their
+    /// heartbeats tell the others when a watch of theirs has gone silent.
+    pub fn watches_closely(&self, now: MonoMs) -> bool {
+        !self.members.is_large() || self.members.is_hub(now, &self.own_member(now))
+    }
+
+    /// The engines whose reports this instance is to read for all: those of the groups for which it
+    /// is the first that chooses.
+    pub fn reported_engines(&self, now: MonoMs) -> Vec<TargetEntry> {
+        let own = self.own_member(now);
+        let groups: Vec<_> = (0..self.groups.count())
+            .map(|number| self.groups.group(number))
+            .filter(|group| {
+                let deciders = self.members.deciders(now, &own, *group);
+                deciders.first() == Some(&own.peer_address)
+            })
+            .collect();
+        self.targets
+            .all_ready()
+            .filter(|entry| groups.iter().any(|group| group.has(&entry.id)))
+            .filter(|entry| self.spec_of_service(&entry.service).is_some())
+            .cloned()
+            .collect()
+    }
+
+    /// What a link begins with: this instance, where peers link, and whom it hears.
+    pub fn greeting(&self, now: MonoMs, asks_for_link: bool) -> Frame {
+        let own = self.own_member(now);
+        Frame {
+            peers: self.members.addresses_to_tell(now, &own),
+            roster: Some(self.members.full_roster(now, &own)),
+            asks_for_link,
+            member: Some(own),
+            ..Frame::default()
+        }
+    }
+
+    /// Whether a heartbeat is due ahead of time, since this instance began or ceased to serve: until
+    /// its peers know, callers aren't sent to it, or still are.
+    pub fn is_beat_due(&self) -> bool {
+        self.told_ready != self.is_ready()
+    }
+
+    /// Whether a hub has something to tell ahead of time.
+    pub fn is_roster_due(&self) -> bool {
+        self.is_roster_due
+    }
+
+    /// A heartbeat: this instance, and where a few of its peers link, others each time.
+    pub fn heartbeat(&mut self, now: MonoMs) -> Frame {
+        let own = self.own_member(now);
+        self.told_ready = own.ready;
+        let mut peers = self.members.addresses_to_tell(now, &own);
+        self.rng.shuffle(&mut peers);
+        peers.truncate(BEAT_ADDRESSES);
+        Frame {
+            peers,
+            member: Some(own),
+            ..Frame::default()
+        }
+    }
+
+    /// What a hub has to tell all of who is alive.
+    pub fn roster_news(&mut self, now: MonoMs) -> Option<Frame> {
+        self.is_roster_due = false;
+        let own = self.own_member(now);
+        let roster = self.members.roster_news(now, &own)?;
+        Some(Frame {
+            roster: Some(roster),
+            ..Frame::default()
+        })
+    }
+
+    /// A link to a peer broke.
+    pub fn peer_lost(&mut self, now: MonoMs, address: SocketAddr) {
+        self.members.doubt(now, address);
+    }
+}
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -4,21 +4,15 @@
     super::Serving,
     crate::{
         catalog::{Configuration, EngineSpec},
-        fleet::{EnginePace, Frame, JobId, Member, Placed, Wants},
+        fleet::{Crash, EnginePace, Frame, JobId, Member, Placed, Roster, Wants},
+        names::TargetId,
+        retries::Fingerprint,
         targets::TargetEntry,
     },
     std::net::SocketAddr,
     whinlatch_core::MonoMs,
 };
 
-/// Time between heartbeats of an instance that is told of everything, in ms.
-const BEAT_MS: u64 = 250;
-/// Time between heartbeats of the other instances of a large fleet, in ms: sixty of them then cost
-/// each other some five thousandths of a core.
-const SLOW_BEAT_MS: u64 = 1_000;
-/// Addresses that a heartbeat tells. A link begins with all of them, so that these only mend what a
-/// lost link kept from somebody; all of sixty in each made most of a large fleet's bytes.
-const BEAT_ADDRESSES: usize = 4;
 /// Time after which an instance that lacks what a peer knows takes its own way to the store to be
 /// out of order, in ms: the store tells all of a change within some ten, and instances let changes
 /// gather for a quarter of a second.
@@ -26,83 +20,19 @@
 /// Peers that are asked at once for what is lacking.
 const ASKED_PEERS: usize = 2;
 
-impl Serving {
-    /// Address at which peers link to this instance.
-    pub fn peer_address(&self) -> SocketAddr {
-        self.own.peer_address
-    }
-
-    /// Number of peers that are heard of.
-    pub fn peers(&self, now: MonoMs) -> usize {
-        self.members.fresh(now).count()
-    }
-
-    /// Addresses to keep a link to.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.members.addresses()
-    }
-
-    /// Takes in addresses at which peers may be found.
-    pub fn peers_told(&mut self, now: MonoMs, addresses: &[SocketAddr]) {
-        let own = self.own.peer_address;
-        self.members.told(now, own, addresses);
-    }
-
-    /// What this instance says of itself.
-    pub fn own_member(&self, now: MonoMs) -> Member {
-        let member = Member {
-            ready: self.is_ready(),
-            version: self.version(),
-            revision: self.targets.revision(),
-            ..self.own.clone()
-        };
-        let is_informed = self
-            .members
-            .informed(now, &member)
-            .contains(&member.peer_address);
-        Member {
-            beat_ms: if is_informed { BEAT_MS } else { SLOW_BEAT_MS },
-            ..member
-        }
-    }
-
-    /// Addresses of the peers that are told of all prompts.
-    pub fn informed_peers(&self, now: MonoMs) -> Vec<SocketAddr> {
-        let mut informed = self.members.informed(now, &self.own_member(now));
-        informed.retain(|address| *address != self.own.peer_address);
-        informed
-    }
-
-    /// Addresses of the peers that choose engines for this instance's prompts, the first one
-    /// first; none if it chooses itself.
-    pub fn deciders(&self, now: MonoMs) -> Vec<SocketAddr> {
-        if !self.members.is_large() {
-            return Vec::new();
-        }
-        let informed = self.members.informed(now, &self.own_member(now));
-        let own = informed
-            .iter()
-            .position(|address| *address == self.own.peer_address);
-        match own {
-            Some(_) => Vec::new(),
-            None => informed,
-        }
-    }
+/// What all instances are to know at once.
+struct Warnings {
+    crashes: Vec<Crash>,
+    served: Vec<Fingerprint>,
+    unreachable: Vec<TargetId>,
+}
 
-    /// The engines whose reports this instance is to read for all; none unless it is the first of
-    /// those that are told of everything.
-    pub fn reported_engines(&self, now: MonoMs) -> Vec<TargetEntry> {
-        let informed = self.members.informed(now, &self.own_member(now));
-        if informed.first() != Some(&self.own.peer_address) {
-            return Vec::new();
-        }
-        self.targets
-            .all_ready()
-            .filter(|entry| self.spec_of_service(&entry.service).is_some())
-            .cloned()
-            .collect()
-    }
+fn keep<T>(mut told: Vec<T>, is_news: impl FnMut(&T) -> bool) -> Vec<T> {
+    told.retain(is_news);
+    told
+}
 
+impl Serving {
     /// Takes in the pace that an engine reports of itself.
     pub fn pace_reported(&mut self, now: MonoMs, engine: &TargetEntry, pace: f64) {
         let Some(spec) = self.spec_of_service(&engine.service) else {
@@ -110,53 +40,11 @@
         };
         if self.engines.paced(now, &spec, &engine.id, pace) {
             let id = engine.id.clone();
-            self.news.paces.push(EnginePace { id, pace });
-        }
-    }
-
-    /// Whether this instance is one of those that are told of everything at once.
-    pub fn is_informed(&self, now: MonoMs) -> bool {
-        self.deciders(now).is_empty()
-    }
-
-    /// What a link begins with: this instance, and where all its peers link.
-    pub fn greeting(&self, now: MonoMs) -> Frame {
-        Frame {
-            member: Some(self.own_member(now)),
-            peers: self.members.fresh_addresses(now),
-            ..Frame::default()
-        }
-    }
-
-    /// A heartbeat: this instance, and where a few of its peers link, others each time.
-    pub fn heartbeat(&mut self, now: MonoMs) -> Frame {
-        let mut greeting = self.greeting(now);
-        self.rng.shuffle(&mut greeting.peers);
-        greeting.peers.truncate(BEAT_ADDRESSES);
-        greeting
-    }
-
-    /// All prompts that this instance has at work, for a peer that is to know of them from now on.
-    pub fn jobs(&self, now: MonoMs) -> Frame {
-        let jobs = || self.engines.jobs_of(self.own.run);
-        Frame {
-            member: Some(self.own_member(now)),
-            is_snapshot: true,
-            placed: jobs().map(|job| job.placed.clone()).collect(),
-            begun: jobs()
-                .filter(|job| job.has_begun)
-                .map(|job| job.placed.job)
-                .collect(),
-            ..Frame::default()
+            let group = self.groups.of(&id);
+            self.news.of(group).paces.push(EnginePace { id, pace });
         }
     }
 
-    /// What happened since the last call, to be told to the peers that are told of all prompts.
-    pub fn take_news(&mut self) -> Option<Frame> {
-        let news = std::mem::take(&mut self.news);
-        (!news.is_empty()).then_some(news)
-    }
-
     /// Notes since when a peer knows something published that this instance doesn't.
     pub(super) fn notice_behind(&mut self, now: MonoMs) {
         let is_behind = self.ahead(now).next().is_some();
@@ -219,11 +107,6 @@
         }
     }
 
-    /// A link to a peer broke.
-    pub fn peer_lost(&mut self, now: MonoMs, address: SocketAddr) {
-        self.members.doubt(now, address);
-    }
-
     /// Takes in what a peer tells. `decode` reads a published configuration.
     pub fn on_frame(
         &mut self,
@@ -233,12 +116,13 @@
         decode: impl Fn(&str) -> Option<Configuration>,
     ) {
         self.members.lives(now, from);
-        if let Some(member) = frame.member
-            && let Some(former) = self.members.heard(now, member)
-        {
-            self.engines.drop_run(former, &[]);
+        if let Some(member) = frame.member {
+            self.take_member(now, member, frame.asks_for_link, frame.roster);
+        } else if let Some(roster) = frame.roster {
+            self.take_roster(now, from, roster);
         }
-        self.peers_told(now, &frame.peers);
+        let own = self.own.peer_address;
+        self.members.told(now, own, &frame.peers);
         if let Some(published) = frame.configuration
             && published.version > self.version()
             && let Some(configuration) = decode(&published.text)
@@ -248,12 +132,12 @@
         for change in &frame.targets {
             self.targets.told(now, change);
         }
-        for fingerprint in frame.crashes {
-            self.crashes.note(now, fingerprint);
-        }
-        for target in &frame.unreachable {
-            self.calls.unreachable(now, target);
-        }
+        let warnings = Warnings {
+            crashes: frame.crashes,
+            served: frame.served,
+            unreachable: frame.unreachable,
+        };
+        self.take_warnings(now, warnings);
         for seen in &frame.paces {
             if let Some(spec) = self.spec_of_target(&seen.id) {
                 self.engines.paced(now, &spec, &seen.id, seen.pace);
@@ -265,7 +149,7 @@
         }
         for placed in frame.placed {
             if let Some(spec) = self.spec_of(&placed) {
-                self.engines.placed(now, &spec, placed);
+                self.count_placed(now, &spec, placed);
             }
         }
         for job in frame.begun {
@@ -276,6 +160,53 @@
         }
     }
 
+    fn take_member(
+        &mut self,
+        now: MonoMs,
+        member: Member,
+        asks_for_link: bool,
+        roster: Option<Roster>,
+    ) {
+        let address = member.peer_address;
+        self.is_roster_due |= self.members.is_news(&member);
+        if let Some(former) = self.members.heard(now, member, asks_for_link) {
+            self.engines.drop_run(former, &[]);
+        }
+        if let Some(roster) = roster {
+            self.take_roster_of(now, address, roster);
+        }
+    }
+
+    fn take_roster(&mut self, now: MonoMs, from: u64, roster: Roster) {
+        if let Some(address) = self.members.address_of(from) {
+            self.take_roster_of(now, address, roster);
+        }
+    }
+
+    fn take_roster_of(&mut self, now: MonoMs, address: SocketAddr, roster: Roster) {
+        let own = self.own.peer_address;
+        for former in self.members.roster(now, own, address, roster) {
+            self.engines.drop_run(former, &[]);
+        }
+    }
+
+    /// Takes in requests that break their targets or don't, and targets that can't be reached. A hub
+    /// passes on what is new, since not all instances link to each other: such a request may come to
+    /// any instance next, and any instance may have streams at such a target.
+    fn take_warnings(&mut self, now: MonoMs, told: Warnings) {
+        let new = Warnings {
+            crashes: keep(told.crashes, |crash| self.crashes.note(now, crash)),
+            served: keep(told.served, |request| self.crashes.served(*request)),
+            unreachable: keep(told.unreachable, |id| self.calls.unreachable(now, id)),
+        };
+        if self.members.is_hub(now, &self.own_member(now)) {
+            let news = self.news.for_all();
+            news.crashes.extend(new.crashes);
+            news.served.extend(new.served);
+            news.unreachable.extend(new.unreachable);
+        }
+    }
+
     pub(super) fn spec_of(&self, placed: &Placed) -> Option<EngineSpec> {
         self.spec_of_target(placed.engines.first()?)
     }
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -1,11 +1,11 @@
 //! Prompts: which engines read them, and what was seen of it.
 
 use {
-    super::{PromptAsk, PromptPlace, Refusal, Serving},
+    super::{PromptAsk, PromptPlace, Refusal, Serving, asks::LEAST_RETRY_MS},
     crate::{
         catalog::EngineSpec,
         engines::EngineLoad,
-        fleet::{EnginePace, JobId, Placed, Placement, Reserved},
+        fleet::{EngineGroup, EnginePace, JobId, Placed, Placement, Reserved},
         names::TargetId,
         placement::{Candidate, PromptShape, choose, work_loss},
         targets::TargetEntry,
@@ -14,23 +14,9 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// Shortest time after which a refused caller may come back, in ms: a pass of a busy engine.
-const LEAST_RETRY_MS: u64 = 250;
-/// Time that is told to a caller when a service has no target, in ms: about the time in which a
-/// crashed target is back.
-const NO_TARGET_RETRY_MS: u64 = 500;
-
-impl Refusal {
-    /// When the caller may come back, in ms; `None` if coming back is of no use.
-    pub fn retry_after_ms(self) -> Option<u64> {
-        match self {
-            Self::NoTarget => Some(NO_TARGET_RETRY_MS),
-            Self::Overloaded { retry_after_ms } => Some(retry_after_ms),
-            Self::BudgetUsed => Some(LEAST_RETRY_MS),
-            Self::Poison => None,
-        }
-    }
-}
+/// Groups of engines that are tried for a prompt before it is refused: a full group beside one that
+/// has room is chance, two are a load.
+const TRIED_GROUPS: usize = 2;
 
 impl Serving {
     /// Whether a prompt may be sent at all. Returns its name.
@@ -46,8 +32,23 @@
         })
     }
 
-    /// Chooses engines for a prompt of this instance or another, counts it as sent there and tells
-    /// those that are to know.
+    /// The groups of engines to try for a prompt, one after the other: the first at random, and
+    /// another one should that be too busy.
+    pub fn groups_to_try(&mut self) -> Vec<EngineGroup> {
+        let mut groups = self.own_groups();
+        self.rng.shuffle(&mut groups);
+        groups.truncate(TRIED_GROUPS);
+        groups
+    }
+
+    /// Notes that a peer is asked to choose for a prompt: it may have counted it as sent, whatever
+    /// becomes of its answer.
+    pub fn asked_in(&mut self, job: JobId, group: EngineGroup) {
+        self.asked_groups.entry(job).or_default().push(group);
+    }
+
+    /// Chooses engines of a group for a prompt of this instance or another, counts it as sent there
+    /// and tells those that are to know.
     ///
     /// # Errors
     /// A [`Refusal`]; the prompt has not been sent.
@@ -55,17 +56,18 @@
         &mut self,
         now: MonoMs,
         job: JobId,
+        group: EngineGroup,
         ask: &PromptAsk,
     ) -> Result<Placement, Refusal> {
         let spec = self
             .spec_of_service(&ask.service)
             .ok_or(Refusal::NoTarget)?;
-        let entries = self.usable_engines(now, ask);
+        let entries = self.usable_engines(now, group, ask);
         if entries.is_empty() {
             return Err(Refusal::NoTarget);
         }
         self.engines.advance(now, &spec, &entries);
-        let used = self.engines.used(now, entries.len());
+        let used = self.engines.used(now, group, entries.len());
         let loads: Vec<&EngineLoad> = entries
             .iter()
             .filter_map(|id| self.engines.get(id))
@@ -102,8 +104,8 @@
             reserved: shape.reserved,
             goes_first: choice.goes_first,
         };
-        self.engines.placed(now, &spec, placed.clone());
-        self.news.placed.push(placed.clone());
+        self.count_placed(now, &spec, placed.clone());
+        self.news.of(group).placed.push(placed.clone());
         Ok(Placement {
             placed,
             first_event_ms: choice.first_event_ms,
@@ -121,7 +123,7 @@
             .collect();
         let mut entries = entries.filter(|entries| !entries.is_empty())?;
         if let Some(spec) = self.spec_of(placed) {
-            self.engines.placed(now, &spec, placed.clone());
+            self.count_placed(now, &spec, placed.clone());
         }
         let helpers = entries.split_off(1);
         Some(PromptPlace {
@@ -134,11 +136,19 @@
         })
     }
 
-    fn usable_engines(&self, now: MonoMs, ask: &PromptAsk) -> Vec<TargetId> {
+    pub(super) fn count_placed(&mut self, now: MonoMs, spec: &EngineSpec, placed: Placed) {
+        if let Some(engine) = placed.engines.first() {
+            let group = self.groups.of(engine);
+            self.engines.placed(now, spec, group, placed);
+        }
+    }
+
+    fn usable_engines(&self, now: MonoMs, group: EngineGroup, ask: &PromptAsk) -> Vec<TargetId> {
         let ready: Vec<&TargetId> = self
             .targets
             .ready(&ask.service)
             .map(|entry| &entry.id)
+            .filter(|id| group.has(id))
             .filter(|id| !ask.tried.contains(id))
             .collect();
         let reachable: Vec<TargetId> = ready
@@ -171,13 +181,18 @@
     /// Notes the first event of a prompt.
     pub fn prompt_begun(&mut self, now: MonoMs, job: JobId) {
         self.note_begun(now, job);
-        self.news.begun.push(job);
+        for group in self.groups_of(job) {
+            self.news.of(group).begun.push(job);
+        }
     }
 
     /// Notes that a prompt is over.
     pub fn prompt_ended(&mut self, job: JobId) {
+        for group in self.groups_of(job) {
+            self.news.of(group).ended.push(job);
+        }
+        self.asked_groups.remove(&job);
         self.engines.ended(job);
-        self.news.ended.push(job);
     }
 
     /// Notes an event of a stream of an engine, which tells when its passes end.
@@ -187,7 +202,8 @@
         };
         if let Some(pace) = self.engines.event_seen(now, &spec, &engine.id) {
             let id = engine.id.clone();
-            self.news.paces.push(EnginePace { id, pace });
+            let group = self.groups.of(&id);
+            self.news.of(group).paces.push(EnginePace { id, pace });
         }
     }
 }
--- a/crates/serving/src/targets/calls.rs
+++ b/crates/serving/src/targets/calls.rs
@@ -90,10 +90,12 @@
         }
     }
 
-    /// Notes that no connection to a target could be had.
-    pub fn unreachable(&mut self, now: MonoMs, target: &TargetId) {
+    /// Notes that no connection to a target could be had. Returns whether that is news.
+    pub fn unreachable(&mut self, now: MonoMs, target: &TargetId) -> bool {
         let load = self.by_target.entry(target.clone()).or_default();
+        let is_news = load.unreachable_until <= now;
         load.unreachable_until = now + UNREACHABLE_MS;
+        is_news
     }
 
     /// Forgets targets that aren't published any more.
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -6,6 +6,8 @@
 mod fixture;
 #[path = "serving/instances.rs"]
 mod instances;
+#[path = "serving/large_fleet.rs"]
+mod large_fleet;
 #[path = "serving/placement.rs"]
 mod placement;
 #[path = "serving/properties.rs"]
--- /dev/null
+++ b/crates/serving/tests/serving/large_fleet.rs
@@ -0,0 +1,386 @@
+//! Fleets in which not every instance links to every other.
+
+use {
+    super::fixture::{GROUP, START, instance, member, place},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+    },
+    whinlatch_core::MonoMs,
+    whinlatch_serving::{
+        Recipients, Serving,
+        catalog::Configuration,
+        fleet::{EngineGroups, Frame, Member, MemberBook, Roster},
+    },
+};
+
+/// Time between two looks of the instances, in ms.
+const LOOK_MS: u64 = 250;
+/// Addresses of which callers take note.
+const MOST_ADDRESSES: usize = 64;
+
+fn no_configuration(_text: &str) -> Option<Configuration> {
+    None
+}
+
+/// Instances with the links between them; frames arrive at once, in order.
+struct Fleet {
+    now: MonoMs,
+    alive: BTreeMap<SocketAddr, Serving>,
+    runs: BTreeMap<SocketAddr, u64>,
+    links: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// Whether a frame can go from one to the other.
+    parts: BTreeMap<SocketAddr, u8>,
+}
+
+impl Fleet {
+    /// Instances that know the first two of them as seeds.
+    fn start(count: u64) -> Self {
+        let mut fleet = Self {
+            now: START,
+            alive: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            links: BTreeSet::new(),
+            parts: BTreeMap::new(),
+        };
+        for run in 1..=count {
+            let serving = instance(run, 4);
+            let address = serving.peer_address();
+            fleet.runs.insert(address, run);
+            fleet.alive.insert(address, serving);
+        }
+        let seeds: Vec<SocketAddr> = fleet.alive.keys().take(2).copied().collect();
+        for serving in fleet.alive.values_mut() {
+            serving.seeded(&seeds);
+        }
+        fleet
+    }
+
+    fn can_reach(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        self.alive.contains_key(&to) && self.parts.get(&from) == self.parts.get(&to)
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, frame: Frame) {
+        if self.can_reach(from, to) {
+            let run = self.runs[&from];
+            let now = self.now;
+            let receiver = self.alive.get_mut(&to).unwrap();
+            receiver.on_frame(now, run, frame, no_configuration);
+        }
+    }
+
+    /// One look of each instance: what changed is told, links are kept, and all beat.
+    fn look(&mut self) {
+        self.now = self.now + LOOK_MS;
+        let addresses: Vec<SocketAddr> = self.alive.keys().copied().collect();
+        for from in addresses {
+            let now = self.now;
+            let serving = self.alive.get_mut(&from).unwrap();
+            serving.tick(now);
+            let roster = serving.roster_news(now);
+            let wanted = serving.wanted_links(now);
+            let links: BTreeSet<SocketAddr> = wanted.own.union(&wanted.asked).copied().collect();
+            let former = self.links_of(from);
+            if let Some(roster) = roster {
+                for to in former.intersection(&links) {
+                    self.deliver(from, *to, roster.clone());
+                }
+            }
+            self.links.retain(|(source, _)| *source != from);
+            for to in links {
+                let asks = wanted.own.contains(&to);
+                if !self.can_reach(from, to) {
+                    self.alive.get_mut(&from).unwrap().peer_lost(now, to);
+                    continue;
+                }
+                self.links.insert((from, to));
+                let serving = self.alive.get_mut(&from).unwrap();
+                let frame = if former.contains(&to) {
+                    Frame {
+                        asks_for_link: asks,
+                        ..serving.heartbeat(now)
+                    }
+                } else {
+                    serving.greeting(now, asks)
+                };
+                self.deliver(from, to, frame);
+            }
+        }
+    }
+
+    fn looks(&mut self, count: usize) {
+        for _ in 0..count {
+            self.look();
+        }
+    }
+
+    fn links_of(&self, from: SocketAddr) -> BTreeSet<SocketAddr> {
+        let links = self.links.iter();
+        links
+            .filter(|(source, _)| *source == from)
+            .map(|(_, to)| *to)
+            .collect()
+    }
+
+    /// How many peers each instance takes for alive.
+    fn known(&self) -> Vec<usize> {
+        self.alive
+            .values()
+            .map(|serving| serving.peers(self.now))
+            .collect()
+    }
+
+    /// The instances to which most others link.
+    fn hubs(&self) -> Vec<SocketAddr> {
+        let mut counts: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+        for (_, to) in &self.links {
+            *counts.entry(*to).or_default() += 1;
+        }
+        let many = self.alive.len() / 2;
+        counts.retain(|_, count| *count > many);
+        counts.into_keys().collect()
+    }
+
+    fn kill(&mut self, address: SocketAddr) {
+        self.alive.remove(&address);
+        self.links.retain(|(from, _)| *from != address);
+    }
+}
+
+/// Three hundred instances that all link to each other have no processor time left, and take half a
+/// minute to come back after they were all killed.
+#[test]
+fn in_a_large_fleet_all_know_all_over_a_few_links() {
+    let mut fleet = Fleet::start(60);
+
+    fleet.looks(24);
+
+    assert!(
+        fleet.known().iter().all(|known| *known == 59),
+        "{:?}",
+        fleet.known()
+    );
+    let hubs = fleet.hubs();
+    assert!((3..=5).contains(&hubs.len()), "{hubs:?}");
+    for address in fleet.alive.keys().filter(|address| !hubs.contains(address)) {
+        let links = fleet.links_of(*address).len();
+        assert!(links <= 6, "{address} has {links}");
+    }
+}
+
+/// Callers are sent to an instance that has lost power, by all instances that don't link to it.
+#[test]
+fn an_instance_that_died_is_known_to_be_gone_by_all() {
+    let mut fleet = Fleet::start(40);
+    fleet.looks(12);
+    let hubs = fleet.hubs();
+    let victim = *fleet
+        .alive
+        .keys()
+        .find(|address| !hubs.contains(address))
+        .unwrap();
+
+    fleet.kill(victim);
+    fleet.looks(8);
+
+    assert!(
+        fleet.known().iter().all(|known| *known == 38),
+        "{:?}",
+        fleet.known()
+    );
+}
+
+/// A caller connects to an instance that has just ended: one instance named it to the last. It had
+/// heard it before, and heard no more of it but through others, whose word that it leaves it took
+/// for older than what it had heard.
+#[test]
+fn an_instance_that_leaves_is_named_by_nobody_whoever_heard_it_last() {
+    let hub = member(2, 8_000);
+    let ready = member(3, 8_100);
+    let leaving = Member {
+        leaving: true,
+        said_at_ms: 20,
+        ..ready.clone()
+    };
+    let roster = Roster {
+        listed: vec![leaving],
+        ..Roster::default()
+    };
+    let own = member(1, 7_000).peer_address;
+    let mut members = MemberBook::default();
+    members.heard(START, hub.clone(), false);
+    members.heard(START, ready.clone(), false);
+
+    members.roster(START + 20, own, hub.peer_address, roster);
+    members.heard(START + 1_500, hub, false);
+
+    let fresh: Vec<&Member> = members.fresh(START + 2_000).collect();
+    let named = fresh.iter().find(|member| member.run == ready.run);
+    assert!(named.is_some_and(|member| member.leaving));
+}
+
+/// Callers are told of one instance only, of each: those that told all others who is alive have
+/// died together.
+#[test]
+fn the_death_of_all_hubs_leaves_nobody_out_for_long() {
+    let mut fleet = Fleet::start(40);
+    fleet.looks(12);
+
+    for hub in fleet.hubs() {
+        fleet.kill(hub);
+    }
+    let left = fleet.alive.len();
+    fleet.looks(24);
+
+    assert!(
+        fleet.known().iter().all(|known| *known == left - 1),
+        "{:?}",
+        fleet.known()
+    );
+}
+
+/// Each half of a fleet that was cut in two for a while goes on by itself for good, and the callers
+/// of either never hear of the other's instances again.
+#[test]
+fn the_parts_of_a_fleet_find_each_other_again() {
+    let mut fleet = Fleet::start(40);
+    fleet.looks(12);
+    let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+    for (number, address) in addresses.iter().enumerate() {
+        fleet.parts.insert(*address, (number % 2) as u8);
+    }
+    fleet.looks(40);
+    assert!(
+        fleet.known().iter().all(|known| *known == 19),
+        "{:?}",
+        fleet.known()
+    );
+
+    fleet.parts.clear();
+    fleet.looks(24);
+
+    assert!(
+        fleet.known().iter().all(|known| *known == 39),
+        "{:?}",
+        fleet.known()
+    );
+}
+
+/// Sixty instances hear of each prompt of all others, and have no processor time left for their
+/// own callers: three are told, and choose for the rest.
+#[test]
+fn in_a_large_fleet_three_instances_choose_for_all() {
+    let mut fleet = Fleet::start(20);
+    fleet.looks(12);
+
+    let deciders: Vec<_> = fleet
+        .alive
+        .values()
+        .map(|serving| serving.deciders(fleet.now, GROUP))
+        .filter(|deciders| !deciders.is_empty())
+        .collect();
+
+    assert_eq!(deciders.len(), 17);
+    assert!(deciders.iter().all(|other| *other == deciders[0]));
+    assert_eq!(deciders[0].len(), 3);
+}
+
+/// All callers go to the same sixty-four of a hundred instances, and the rest stand idle; or each
+/// answer names others, and callers close their connections each second.
+#[test]
+fn each_caller_is_told_the_same_instances_and_all_callers_all_of_them() {
+    let mut fleet = Fleet::start(100);
+    fleet.looks(16);
+    let named = |serving: &Serving, caller: u8| {
+        let caller = IpAddr::V4(Ipv4Addr::new(10, 9, 0, caller));
+        serving.caller_addresses(fleet.now, caller, MOST_ADDRESSES)
+    };
+    let servings: Vec<&Serving> = fleet.alive.values().collect();
+
+    for caller in 0..10 {
+        assert_eq!(named(servings[0], caller), named(servings[1], caller));
+        assert_eq!(named(servings[0], caller).len(), MOST_ADDRESSES);
+    }
+    let all: BTreeSet<SocketAddr> = (0..20)
+        .flat_map(|caller| named(servings[0], caller))
+        .collect();
+    assert_eq!(all.len(), 100);
+}
+
+/// A request that brings down what runs it goes on to a fourth target: its caller repeats it at an
+/// instance that doesn't link to the one where it was seen.
+#[test]
+fn hubs_pass_on_what_brings_down_targets() {
+    let mut fleet = Fleet::start(30);
+    fleet.looks(12);
+    let hubs = fleet.hubs();
+    let mut others = fleet.alive.keys().filter(|address| !hubs.contains(address));
+    let (first, second) = (*others.next().unwrap(), *others.next().unwrap());
+    let now = fleet.now;
+    for target in ["e-00", "e-01", "e-02"] {
+        let serving = fleet.alive.get_mut(&first).unwrap();
+        serving.crashed(now, 7, &target.into());
+    }
+
+    for from in [vec![first], hubs].concat() {
+        let news = fleet.alive.get_mut(&from).unwrap().take_news(now);
+        for (recipients, frame) in news {
+            assert_eq!(recipients, Recipients::All);
+            for to in fleet.links_of(from) {
+                fleet.deliver(from, to, frame.clone());
+            }
+        }
+    }
+
+    let mut ask = super::fixture::ask(5_000);
+    ask.fingerprint = 7;
+    let refused = fleet.alive.get_mut(&second).unwrap().may_place(now, &ask);
+    assert_eq!(refused, Err(whinlatch_serving::Refusal::Poison));
+}
+
+/// One instance chooses for three thousand engines, takes milliseconds for each prompt, and all
+/// others give up waiting for it.
+#[test]
+fn many_engines_are_divided_into_groups_of_a_bounded_size() {
+    let mut groups = EngineGroups::default();
+    let count_for = |groups: &mut EngineGroups, engines| {
+        groups.fit(engines);
+        groups.count()
+    };
+
+    assert_eq!(count_for(&mut groups, 69), 1);
+    assert_eq!(count_for(&mut groups, 303), 4);
+    assert_eq!(count_for(&mut groups, 3_000), 32);
+    // A few engines that go and come back change nothing.
+    assert_eq!(count_for(&mut groups, 2_000), 32);
+    assert_eq!(count_for(&mut groups, 600), 16);
+}
+
+#[test]
+fn an_engine_belongs_to_one_group() {
+    let mut groups = EngineGroups::default();
+    groups.fit(300);
+
+    for number in 0..300 {
+        let engine = format!("e-{number}");
+        let having = (0..groups.count()).filter(|group| groups.group(*group).has(&engine));
+        assert_eq!(having.count(), 1);
+        assert!(groups.of(&engine).has(&engine));
+    }
+}
+
+/// Groups of engines are full one after the other: prompts go to each of them alike.
+#[test]
+fn prompts_are_divided_among_groups() {
+    let mut serving = instance(1, 200);
+    serving.tick(START);
+    let groups = serving.own_groups();
+
+    let tried: BTreeSet<u32> = (0..200)
+        .map(|_| serving.groups_to_try()[0].number)
+        .collect();
+
+    assert_eq!(groups.len(), 4);
+    assert_eq!(tried.len(), 4);
+    place(&mut serving, START, 5_000).unwrap();
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -63,6 +63,8 @@
     pub id: String,
     /// What it is about.
     pub kind: Kind,
+    /// Its path.
+    pub path: String,
     /// The run that it was sent to, if the same run was there at its end.
     pub run: Option<InstanceRun>,
     /// Whether its connection had carried a request before.
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -23,6 +23,8 @@
 const THINK_MS: u64 = 60;
 /// Share of the streams that their caller leaves, in hundredths.
 const LEAVE_PERCENT: u8 = 8;
+/// Tenths of the requests that are all alike, as those for something popular.
+const POPULAR_TENTHS: u8 = 4;
 /// Lengths of prompts, in tokens: short, read by several engines, larger than an engine's memory.
 const PROMPT_TOKENS: [u64; 4] = [2_000, 5_000, 120_000, 700_000];
 
@@ -72,7 +74,7 @@
     pub fn is_served_by(&mut self, instance: usize) -> bool {
         self.list = vec![instance];
         self.listed_at = Some(Instant::now());
-        let ask = Ask::new("GET", format!("{SAFE_PREFIX}listing"));
+        let ask = Ask::new("GET", format!("{SAFE_PREFIX}0"));
         let asked = self.ask(Kind::Safe, &ask);
         let is_served = asked
             .as_ref()
@@ -110,6 +112,7 @@
         Some(Asked {
             id: ask.id.clone(),
             kind,
+            path: ask.path.clone(),
             run: is_same_run.then_some(run),
             was_kept,
             sent_at,
@@ -156,9 +159,19 @@
         }
     }
 
+    /// A path below a prefix: a popular one, or one of many.
+    fn draw_path(&mut self, prefix: &str) -> String {
+        let number = match self.rng.u8(..10) {
+            ..POPULAR_TENTHS => 0,
+            _ => self.rng.u32(..),
+        };
+        format!("{prefix}{number}")
+    }
+
     fn draw_prompt(&mut self) -> Ask {
         let tokens = PROMPT_TOKENS[self.rng.usize(..PROMPT_TOKENS.len())];
-        Ask::prompt(format!("{STREAM_PREFIX}reply"), tokens)
+        let path = self.draw_path(STREAM_PREFIX);
+        Ask::prompt(path, tokens)
     }
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,15 +1,34 @@
 //! The program of the soak: a line of JSON a run, and exit code 1 if a promise wasn't kept.
 
 use {
-    std::process::ExitCode,
+    signal_hook::consts::{SIGINT, SIGTERM},
+    std::{
+        io,
+        process::ExitCode,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+    },
     whinlatch_soak::{options, play},
 };
 
 fn main() -> ExitCode {
     let options = options().run();
+    let is_stopped = match stop_flag() {
+        Ok(flag) => flag,
+        Err(fault) => {
+            eprintln!("signals can't be awaited: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
     let mut is_clean = true;
     for seed in options.seeds.iter().cloned().flatten() {
-        let line = play(seed, &options).and_then(|played| {
+        if is_stopped.load(Ordering::SeqCst) {
+            eprintln!("stopped before seed {seed}");
+            return ExitCode::FAILURE;
+        }
+        let line = play(seed, &options, &is_stopped).and_then(|played| {
             is_clean &= played.findings.is_empty();
             Ok(serde_json::to_string(&played)?)
         });
@@ -27,3 +46,12 @@
         ExitCode::FAILURE
     }
 }
+
+/// Set by a signal to stop: the run ends early then, and with it the processes that it started.
+fn stop_flag() -> io::Result<Arc<AtomicBool>> {
+    let flag = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&flag))?;
+    }
+    Ok(flag)
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,9 @@
 
 /// Longest of a trouble, in ms; several overlap.
 const TROUBLE_MS: Range<u64> = 300..3_000;
+/// Time for which a target that leaves serves what it has, in ms: over the two seconds for which
+/// instances may still send to it.
+const LEAVING_MS: u64 = 2_500;
 /// Every third seed has planned work only, during which nothing may be cut off.
 const PLANNED_EVERY: u64 = 3;
 
@@ -123,17 +126,28 @@
         let is_planned = seed.is_multiple_of(PLANNED_EVERY);
         let count = (size.length_ms as f64 / 1_000.0 * size.troubles_per_s).ceil() as usize;
         let mut steps: Vec<Step> = (0..count)
-            .map(|_| Step {
-                at_ms: rng.u64(..size.length_ms),
-                for_ms: rng.u64(TROUBLE_MS),
-                trouble: draw_trouble(&mut rng, size, is_planned),
-            })
+            .map(|_| draw_step(&mut rng, size, is_planned))
             .collect();
         steps.sort_by_key(|step| step.at_ms);
         Self { is_planned, steps }
     }
 }
 
+fn draw_step(rng: &mut fastrand::Rng, size: Size, is_planned: bool) -> Step {
+    let at_ms = rng.u64(..size.length_ms);
+    let drawn_ms = rng.u64(TROUBLE_MS);
+    let trouble = draw_trouble(rng, size, is_planned);
+    let for_ms = match trouble {
+        Trouble::Replace(_) => LEAVING_MS + drawn_ms,
+        _ => drawn_ms,
+    };
+    Step {
+        at_ms,
+        for_ms,
+        trouble,
+    }
+}
+
 fn draw_trouble(rng: &mut fastrand::Rng, size: Size, is_planned: bool) -> Trouble {
     let instance = rng.usize(..size.instances);
     let target = rng.usize(..size.targets);
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -5,13 +5,12 @@
         finding::Finding,
         ledger::{Asked, InstanceRun, Kind, Outcome, Run},
         target::{DOUBLED_BODY, events_of},
-        world::World,
     },
     std::{
         collections::{HashMap, HashSet},
         time::{Duration, Instant},
     },
-    whinlatch_platform_standins::{ACCOUNT, CALL_PREFIX, SAFE_PREFIX, STREAM_PREFIX, echo_event},
+    whinlatch_platform_standins::{ACCOUNT, echo_event},
 };
 
 /// Statuses that promise that a request has not run and never will.
@@ -133,15 +132,9 @@
 }
 
 fn reaches_targets_unchanged(asked: &Asked, runs: &[Run]) -> Option<Finding> {
-    let path = match asked.kind {
-        Kind::Safe => format!("{SAFE_PREFIX}listing"),
-        Kind::Unsafe => format!("{CALL_PREFIX}label"),
-        Kind::Stream => format!("{STREAM_PREFIX}reply"),
-        Kind::Probe { version } => format!("{}x", World::probe_prefix(version)),
-    };
     let wrong = runs
         .iter()
-        .find(|run| run.path != path || run.account != ACCOUNT || run.has_key)?;
+        .find(|run| run.path != asked.path || run.account != ACCOUNT || run.has_key)?;
     let seen = format!("{} reached a target as {wrong:?}", asked.id);
     Some(Finding::new("a request reaches targets unchanged", seen))
 }
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -68,6 +68,10 @@
     pub service: &'static str,
     /// Name of its present run.
     pub id: String,
+    /// Whether it has announced that it leaves.
+    pub is_leaving: bool,
+    /// Whether it has crashed.
+    pub is_down: bool,
     mood: Arc<Mutex<Option<Mood>>>,
     standin: TargetStandin,
 }
@@ -87,6 +91,8 @@
             relay: relay_to(standin.address())?,
             service: if is_engine { ENGINES } else { PLAIN },
             id,
+            is_leaving: false,
+            is_down: false,
             mood,
             standin,
         })
