--- a/crates/serving/src/placement/choose.rs
+++ b/crates/serving/src/placement/choose.rs
@@ -203,12 +203,13 @@
         .fold(first.finish_ms, f64::max);
     let harm = first.harm + shares.iter().map(|share| share.harm).sum::<f64>();
     let helpers = (degree - 1) as f64 * LOSS_PER_HELPER;
+    let paused = pause_loss(spec, shape, candidates[first.place].load, part, finish_ms);
     Some(Choice {
         engines,
         goes_first: part.goes_first,
         first_event_ms: finish_ms,
-        loss: own_loss(finish_ms) + harm + helpers,
-        gain: value - late_loss(finish_ms),
+        loss: own_loss(finish_ms) + harm + paused + helpers,
+        gain: value - late_loss(finish_ms) - paused,
         harm,
     })
 }
@@ -247,13 +248,39 @@
             let mut first = share(now, spec, candidate, place, part, part.goes_first);
             first.harm += answer_loss(spec, shape, candidate.load);
             first.harm += LIKING_GAIN * (1.0 - candidate.liking);
-            first
-        })
-        .min_by(|left, right| {
-            let left_loss = left.harm + own_loss(left.finish_ms);
-            let right_loss = right.harm + own_loss(right.finish_ms);
-            left_loss.total_cmp(&right_loss)
+            let paused = pause_loss(spec, shape, candidate.load, part, first.finish_ms);
+            (first.harm + paused + own_loss(first.finish_ms), first)
         })
+        .min_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_loss, first)| first)
+}
+
+/// What a prompt loses by its own first pause: what its engine has still to read for others when
+/// its first event comes is read beside its next one.
+///
+/// The load that this answers: bursts of long prompts, whose parts are read newest first. A prompt
+/// that comes in time overtakes older parts, and is paused by them for seconds.
+fn pause_loss(
+    spec: &EngineSpec,
+    shape: &PromptShape,
+    load: &EngineLoad,
+    part: OwnPart,
+    finish_ms: f64,
+) -> f64 {
+    let (tokens, waiting_ms) = load.waiting_tokens();
+    if waiting_ms <= 0.0 {
+        return 0.0;
+    }
+    let room_tokens = spec.pass_read_tokens() as f64;
+    let left = if load.writers.is_empty() {
+        let part_ms = part.ms * load.pace;
+        ((waiting_ms + part_ms - finish_ms) / waiting_ms).clamp(0.0, 1.0)
+    } else {
+        (1.0 - (room_tokens - part.tokens).max(0.0) / tokens.max(1.0)).max(0.0)
+    };
+    let read_ms = left * waiting_ms * (room_tokens / (left * tokens).max(1.0)).min(1.0);
+    let pause_ms = load.base_ms(spec) + read_ms;
+    LATE_LOSS * value_of(shape.prompt_tokens) * lateness(pause_ms, shape.pause_limit_ms)
 }
 
 /// What a part costs the streams and prompts that are on an engine already, and when it is read.
