--- a/check.sh
+++ b/check.sh
@@ -27,9 +27,14 @@
 cargo build --workspace --bins --quiet
 cargo test --workspace --quiet -- --exact "${known_red[@]}"
 
-# Two seeds: planned work only, and faults of all kinds. Longer runs are made by hand.
+# Two short seeds, of planned work only and of faults of all kinds, and those that ever showed a fault.
+# Longer runs are made by hand.
 step "soak"
-cargo run --package whinlatch-soak --quiet -- --seeds 3 --seeds 7 --seconds 4
+target/debug/whinlatch-soak --seeds 3 --seeds 7 --seconds 4
+grep -v '^#' crates/soak/regressions.txt | while IFS='|' read -r options _; do
+  # shellcheck disable=SC2086
+  target/debug/whinlatch-soak $options
+done
 
 step "specification"
 spec/check.sh
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -33,6 +33,9 @@
     /// Nothing came for longer than a sound target needs.
     #[error("the target is silent")]
     Silent,
+    /// The target takes requests and works on none.
+    #[error("the target doesn't begin to work on it")]
+    Idle,
     /// The answer is a success without a seal, so it isn't the target's.
     #[error("the target's answer bears no seal")]
     Unsealed,
--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -26,15 +26,14 @@
 pub async fn read_reports(state: Arc<EntryState>) {
     loop {
         state.clock.sleep(REPORT_EVERY_MS).await;
-        let engines = state.serving().reported_engines(state.now());
+        let engines = state.serving().reported_engines();
         join_all(engines.iter().map(|engine| read(&state, engine))).await;
     }
 }
 
 async fn read(state: &EntryState, engine: &TargetEntry) {
-    let report = timeout(state.clock.as_ref(), REPORT_MS, ask(state, engine)).await;
     // An engine that doesn't answer shows that to the prompts that are sent to it.
-    let Some(Ok(body)) = report else {
+    let Some(body) = report(state, engine).await else {
         return;
     };
     match read_pace(&body) {
@@ -48,6 +47,12 @@
     }
 }
 
+/// An engine's report; `None` if it gives none in time.
+pub async fn report(state: &EntryState, engine: &TargetEntry) -> Option<Vec<u8>> {
+    let report = timeout(state.clock.as_ref(), REPORT_MS, ask(state, engine)).await;
+    report?.ok()
+}
+
 async fn ask(state: &EntryState, engine: &TargetEntry) -> Result<Vec<u8>, AttemptFault> {
     let mut connection = connection(state, engine).await?;
     let request = format!(
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -81,10 +81,11 @@
             next_tick = now + TICK_MS;
             keeper.tick(now);
         }
-        keeper.tell_news(now);
+        keeper.tell_news();
         keeper.tell_roster(now);
         if now >= next_beat || state.serving().is_beat_due() {
-            next_beat = now + keeper.beat(now);
+            keeper.beat(now);
+            next_beat = now + state.serving().beat_ms();
         }
     }
 }
@@ -135,7 +136,7 @@
 
     /// Tells those that are to know of prompts, and didn't so far, what is at work.
     fn inform(&mut self, now: MonoMs, linked: &HashSet<SocketAddr>) {
-        let mut wanted = self.state.serving().informed(now);
+        let mut wanted = self.state.serving().informed();
         wanted.retain(|address, _| linked.contains(address));
         for (address, groups) in &wanted {
             if self.informed.get(address) != Some(groups) {
@@ -170,8 +171,8 @@
         }
     }
 
-    fn tell_news(&self, now: MonoMs) {
-        let news = self.state.serving().take_news(now);
+    fn tell_news(&self) {
+        let news = self.state.serving().take_news();
         for (recipients, frame) in news {
             match recipients {
                 Recipients::All => self.state.send_to_all(&frame),
@@ -180,17 +181,16 @@
         }
     }
 
-    /// Sends a heartbeat over all links; those that this instance wants itself say so. Returns the
-    /// time until the next one, in ms.
-    fn beat(&self, now: MonoMs) -> u64 {
+    /// Sends a heartbeat over all links; to those that this instance wants itself, it says so.
+    fn beat(&self, now: MonoMs) {
         let mut heartbeat = self.state.serving().heartbeat(now);
-        let beat_ms = heartbeat.member.as_ref().map_or(0, |member| member.beat_ms);
         let asked: Vec<SocketAddr> = self.wanted.asked.iter().copied().collect();
         self.state.send(&asked, &heartbeat);
-        heartbeat.asks_for_link = true;
+        if let Some(beat) = &mut heartbeat.beat {
+            beat.asks_for_link = true;
+        }
         let own: Vec<SocketAddr> = self.wanted.own.iter().copied().collect();
         self.state.send(&own, &heartbeat);
-        beat_ms
     }
 }
 
--- a/crates/daemon/src/entry/placing.rs
+++ b/crates/daemon/src/entry/placing.rs
@@ -51,7 +51,7 @@
     group: EngineGroup,
     ask: &PromptAsk,
 ) -> Result<PromptPlace, Refusal> {
-    let deciders = state.serving().deciders(state.now(), group);
+    let deciders = state.serving().deciders(group);
     for peer in deciders.into_iter().take(ASKED) {
         let Some(placement) = ask_peer(state, peer, job, group, ask).await else {
             continue;
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -2,13 +2,14 @@
     super::{
         attempt::{AttemptFault, connection},
         decision_line::Decision,
+        engine_reports::report,
         entry_state::EntryState,
     },
     crate::{clock::timeout, entropy::random_u64},
     async_std::task,
     futures::future::{join, join_all, pending},
-    std::{convert::Infallible, net::SocketAddr, sync::Arc},
-    whinlatch_platform::{ORDER_PATH, release_body, reserve_body},
+    std::{net::SocketAddr, sync::Arc},
+    whinlatch_platform::{MemoryUse, ORDER_PATH, read_memory_use, release_body, reserve_body},
     whinlatch_serving::{PromptPlace, targets::TargetEntry},
 };
 
@@ -17,6 +18,12 @@
 const HOLD_MS: u64 = 3_000;
 /// Time between two renewals, in ms: two may fail before the memory lapses.
 const RENEW_MS: u64 = 1_000;
+/// Time after which it is looked up whether a prompt uses the memory, in ms: most prompts have
+/// begun by then.
+const LOOK_UP_AFTER_MS: u64 = 4_500;
+/// Time after which a prompt that doesn't use the memory is given up, in ms: no memory may be set
+/// aside in vain for nine seconds, and an order and a report may take their whole time before.
+const GIVEN_UP_AFTER_MS: u64 = 6_500;
 /// Time for the answer to an order, in ms.
 const ORDER_MS: u64 = 400;
 /// Tokens that are set aside at the engine that answers: a block of an engine's memory. What counts
@@ -104,17 +111,46 @@
         own.chain(helpers).collect()
     }
 
-    /// Renews the memory, for ever. An engine that doesn't renew it may serve on all the same; it
-    /// cuts the prompt off itself where it doesn't.
-    pub async fn keep(&self) -> Infallible {
+    /// Renews the memory until it turns out that the prompt doesn't use it. An engine that doesn't
+    /// renew it may serve on all the same; it cuts the prompt off itself where it doesn't.
+    ///
+    /// Guards against an engine that takes requests, works on none and carries out orders all the
+    /// same: its memory would be out of use for as long as the prompt's caller waits.
+    pub async fn keep(&self) -> AttemptFault {
         if self.holds().next().is_none() {
             return pending().await;
         }
+        let began = self.state.now();
+        let mut was_used = false;
         loop {
             self.state.clock.sleep(RENEW_MS).await;
             if let Err(fault) = self.order_all(self.holds()).await {
                 self.note_trouble("isn't renewed", &fault);
             }
+            let kept_ms = self.state.now().since(began);
+            if kept_ms < LOOK_UP_AFTER_MS || was_used {
+                continue;
+            }
+            match self.memory_use().await {
+                Some(MemoryUse::Used) => was_used = true,
+                // Whoever doesn't know of the memory doesn't keep it either.
+                Some(MemoryUse::Unknown) => {}
+                Some(MemoryUse::Unused) | None if kept_ms < GIVEN_UP_AFTER_MS => {}
+                Some(MemoryUse::Unused) | None => return AttemptFault::Idle,
+            }
+        }
+    }
+
+    /// What the first engine that sets memory aside says of it; `None` if it says nothing.
+    async fn memory_use(&self) -> Option<MemoryUse> {
+        let hold = self.holds().next()?;
+        let body = report(self.state, &hold.engine).await?;
+        match read_memory_use(&body, &self.id) {
+            Ok(memory_use) => Some(memory_use),
+            Err(fault) => {
+                self.note_trouble("can't be looked up", &fault.to_string());
+                None
+            }
         }
     }
 
--- a/crates/daemon/src/entry/store_reader.rs
+++ b/crates/daemon/src/entry/store_reader.rs
@@ -8,7 +8,7 @@
     },
     crate::{clock::timeout, targets::connect_within},
     futures::{FutureExt, pin_mut, select},
-    std::{io, sync::Arc, time::Duration},
+    std::{convert::Infallible, io, sync::Arc, time::Duration},
     thiserror::Error,
     whinlatch_core::MonoMs,
     whinlatch_platform::{
@@ -68,10 +68,12 @@
         state: &state,
         connection: None,
         lost_at: None,
+        reading: None,
+        watched: None,
     };
     loop {
-        let fault = match reader.read_all().await {
-            Ok(revision) => reader.watch(revision).await,
+        let fault = match reader.follow().await {
+            Ok(never) => match never {},
             Err(fault) => fault,
         };
         reader.failed(&fault);
@@ -80,54 +82,87 @@
     }
 }
 
+/// Pages that were read so far. They aren't a snapshot: what is missing is missing as of the first
+/// one's revision.
+struct Reading {
+    revision: u64,
+    targets: Vec<TargetChange>,
+    after: Option<String>,
+}
+
 struct StoreReader<'a> {
     state: &'a EntryState,
     connection: Option<TargetConnection>,
     lost_at: Option<MonoMs>,
+    /// What a reading of all that is published has so far.
+    reading: Option<Reading>,
+    /// Revision up to which all changes are known here.
+    watched: Option<u64>,
 }
 
 impl StoreReader<'_> {
+    /// Reads what isn't known yet, and then each change, until that fails.
+    ///
+    /// What was read is kept when a call fails: hundreds of instances that start at once use up the
+    /// store's calls, and would begin anew at each refusal for good; and all would read everything
+    /// again after each short trouble of the store.
+    async fn follow(&mut self) -> Result<Infallible, ReadFault> {
+        let mut revision = match self.watched {
+            Some(revision) => revision,
+            None => self.read_all().await?,
+        };
+        loop {
+            self.watched = Some(revision);
+            let history = self.history(revision).await?;
+            revision = revision.max(history.revision);
+            self.apply(history.changes);
+            self.gather().await;
+        }
+    }
+
     /// Reads all that is published. Returns the revision from which a watch goes on.
     async fn read_all(&mut self) -> Result<u64, ReadFault> {
-        let page = self.range(&key_request()).await?;
-        let revision = page.revision;
-        self.apply(page.changes);
-        let mut targets = Vec::new();
-        let mut after: Option<String> = None;
+        let mut reading = match self.reading.take() {
+            Some(reading) => reading,
+            None => self.begin_reading().await?,
+        };
         loop {
-            let page = self.range(&range_request(after.as_deref())).await?;
-            targets.extend(self.apply_configurations(page.changes));
-            after = page.next_after;
-            if after.is_none() {
+            let request = range_request(reading.after.as_deref());
+            let page = match self.range(&request).await {
+                Ok(page) => page,
+                Err(fault) => {
+                    self.reading = Some(reading);
+                    return Err(fault);
+                }
+            };
+            reading
+                .targets
+                .extend(self.apply_configurations(page.changes));
+            reading.after = page.next_after;
+            if reading.after.is_none() {
                 break;
             }
         }
-        // Pages aren't a snapshot: what is missing is missing as of the first one's revision.
         let now = self.state.now();
         self.state
             .serving()
-            .targets_published(now, revision, targets);
-        Ok(revision)
+            .targets_published(now, reading.revision, reading.targets);
+        Ok(reading.revision)
     }
 
-    /// Watches until that fails.
-    async fn watch(&mut self, mut revision: u64) -> ReadFault {
-        loop {
-            match self.history(revision).await {
-                Ok(history) => {
-                    revision = revision.max(history.revision);
-                    self.apply(history.changes);
-                    self.gather().await;
-                }
-                Err(fault) => return fault,
-            }
-        }
+    async fn begin_reading(&mut self) -> Result<Reading, ReadFault> {
+        let page = self.range(&key_request()).await?;
+        self.apply(page.changes);
+        Ok(Reading {
+            revision: page.revision,
+            targets: Vec::new(),
+            after: None,
+        })
     }
 
     /// Lets changes that follow each other closely gather, so that one call brings them all.
     async fn gather(&self) {
-        let now = self.state.now();
-        let gather_ms = if self.state.serving().watches_closely(now) {
+        let gather_ms = if self.state.serving().watches_closely() {
             GATHER_MS
         } else {
             LONG_GATHER_MS
@@ -141,8 +176,7 @@
     }
 
     async fn history(&mut self, revision: u64) -> Result<History, ReadFault> {
-        let now = self.state.now();
-        let watch_ms = if self.state.serving().watches_closely(now) {
+        let watch_ms = if self.state.serving().watches_closely() {
             WATCH_MS
         } else {
             LONG_WATCH_MS
@@ -197,12 +231,14 @@
     fn failed(&mut self, fault: &ReadFault) {
         self.state.metrics.note_store_failure();
         if let ReadFault::Content(fault) = fault {
+            self.watched = None;
             let fault = fault.to_string();
             self.state.log(&Decision::Unreadable { fault });
             return;
         }
         // The store is there: it said that a history is gone, or only this watch is out of order.
         if matches!(fault, ReadFault::Status(GONE) | ReadFault::Behind) {
+            self.watched = None;
             return;
         }
         self.state.serving().store_failed();
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -187,7 +187,7 @@
             pin_mut!(served, kept);
             match select(served, kept).await {
                 Either::Left((end, _)) => end,
-                Either::Right((never, _)) => match never {},
+                Either::Right((fault, _)) => Err(fault),
             }
         };
         if let Err(fault) = &end {
--- a/crates/daemon/tests/entry/streams.rs
+++ b/crates/daemon/tests/entry/streams.rs
@@ -272,3 +272,21 @@
         .any(|order| order.contains("release"));
     assert!(!given_back);
 }
+
+/// Memory of an engine is out of use for ten seconds: the engine takes requests, works on none and
+/// carries out orders all the same, and the instance renews what no request uses.
+#[async_std::test]
+async fn memory_that_no_request_uses_is_given_back() {
+    let engines = ["e-1", "e-2", "e-3"].map(|id| target(id, Behaviour::Hang));
+    for engine in &engines {
+        engine.leave_memory_unused();
+    }
+    let world = world(&engines.each_ref(), &[]).await;
+    let mut caller = world.connect();
+
+    caller.write(&prompt(180_000).text());
+
+    super::fixture::until(|| engines.iter().any(|engine| !engine.orders().is_empty())).await;
+    let holder = engines.iter().find(|engine| !engine.orders().is_empty());
+    holder.unwrap().wait_for_order("release");
+}
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -47,6 +47,17 @@
     pub said_at_ms: u64,
 }
 
+/// A heartbeat of an instance of which nothing has changed but what it knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Version of the configuration that it has in force.
+    pub version: u64,
+    /// Revision of the store of the newest change that it knows.
+    pub revision: u64,
+    /// Whether it wants the receiver to link back.
+    pub asks_for_link: bool,
+}
+
 impl Member {
     /// Whether it says the same as another of its beats, but for what changes with each change that
     /// is published.
@@ -184,14 +195,15 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Frame {
-    /// The sender.
+    /// The sender, where the receiver may not know it or it has changed.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub member: Option<Member>,
     /// Addresses at which peers of the sender link.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<SocketAddr>,
-    /// Whether the sender wants the receiver to link back.
-    #[serde(skip_serializing_if = "std::ops::Not::not")]
-    pub asks_for_link: bool,
+    /// A heartbeat.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub beat: Option<Beat>,
     /// Which instances the sender hears from.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub roster: Option<Roster>,
--- a/crates/serving/src/fleet/member_book.rs
+++ b/crates/serving/src/fleet/member_book.rs
@@ -1,7 +1,6 @@
 use {
-    super::{EngineGroup, Known, Member, Roster},
+    super::{Beat, EngineGroup, Known, Member, Ranks, Roster},
     std::{
-        cmp::Reverse,
         collections::{HashMap, HashSet},
         net::{IpAddr, SocketAddr},
     },
@@ -18,14 +17,8 @@
 /// Instances up to which each links to all others and is told of all their prompts: what that costs
 /// grows with the square of their number, and is under a hundredth of a core each at this one.
 const SMALL_FLEET: usize = 12;
-/// Instances of a larger fleet that link to all others and tell each who is alive: any one of them
-/// is enough.
-const HUBS: usize = 3;
 /// Hubs that an instance hears itself before it leaves its seeds alone.
 const ENOUGH_HUBS: usize = 2;
-/// Instances that are told of all prompts on a group of engines and choose for the others: one
-/// chooses, two know all that it knows when it is gone.
-const DECIDERS: usize = 3;
 /// Instances among which the free part of a budget is divided before any other was heard of, if
 /// there are seeds: an instance that starts cut off from all must not take all of it.
 const ASSUMED_FLEET: usize = SMALL_FLEET;
@@ -37,6 +30,7 @@
     told: HashMap<SocketAddr, MonoMs>,
     seeds: Vec<SocketAddr>,
     announced: HashMap<SocketAddr, Member>,
+    ranks: Ranks,
     most: usize,
 }
 
@@ -48,14 +42,11 @@
     }
 
     /// Takes in what an instance says of itself. Returns the run that it replaces, if any.
-    pub fn heard(&mut self, now: MonoMs, member: Member, asks_for_link: bool) -> Option<u64> {
+    pub fn heard(&mut self, now: MonoMs, member: Member) -> Option<u64> {
         let address = member.peer_address;
         let former = self.know(now, member);
         if let Some(known) = self.known.get_mut(&address) {
             known.hear(now);
-            if asks_for_link {
-                known.ask(now);
-            }
         }
         former
     }
@@ -112,19 +103,23 @@
         replaced
     }
 
-    /// Takes any frame of an instance for a sign of life.
-    pub fn lives(&mut self, now: MonoMs, run: u64) {
-        let known = self.known.values_mut();
-        for known in known.filter(|known| known.member.run == run) {
-            known.hear(now);
-        }
+    /// Takes any frame of an instance for a sign of life. Returns where it links, if that is known.
+    pub fn lives(&mut self, now: MonoMs, run: u64) -> Option<SocketAddr> {
+        let mut known = self.known.iter_mut();
+        let (address, known) = known.find(|(_, known)| known.member.run == run)?;
+        known.hear(now);
+        Some(*address)
     }
 
-    /// Where a run links.
-    pub fn address_of(&self, run: u64) -> Option<SocketAddr> {
-        let known = self.known.iter();
-        let mut of_run = known.filter(|(_, known)| known.member.run == run);
-        of_run.next().map(|(address, _)| *address)
+    /// Takes in a heartbeat that says nothing new of its instance.
+    pub fn beat(&mut self, now: MonoMs, address: SocketAddr, beat: Beat) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.member.version = known.member.version.max(beat.version);
+            known.member.revision = known.member.revision.max(beat.revision);
+            if beat.asks_for_link {
+                known.ask(now);
+            }
+        }
     }
 
     /// A link to an instance broke: unless it is heard of soon, it counts as silent.
@@ -160,10 +155,15 @@
     /// In a large fleet these are the hubs, and those that choose engines for this instance in
     /// `groups`. A hub wants all it has ever heard of lately: so two parts of a fleet that were cut
     /// from each other find each other again, without anybody asking seeds for it.
-    pub fn wanted(&self, now: MonoMs, own: &Member, groups: &[EngineGroup]) -> HashSet<SocketAddr> {
+    pub fn wanted(
+        &self,
+        now: MonoMs,
+        own: SocketAddr,
+        groups: &[EngineGroup],
+    ) -> HashSet<SocketAddr> {
         let mut wanted: HashSet<SocketAddr> = self.told.keys().copied().collect();
-        let hubs = self.hubs(now, own);
-        let is_hub = hubs.contains(&own.peer_address);
+        let hubs = self.ranks.hubs();
+        let is_hub = hubs.contains(&own);
         if is_hub || !self.is_large() {
             wanted.extend(self.known.keys());
         }
@@ -174,11 +174,11 @@
         if is_hub || !self.is_large() || heard_hubs.count() < ENOUGH_HUBS {
             wanted.extend(&self.seeds);
         }
-        wanted.extend(hubs);
+        wanted.extend(hubs.iter().copied());
         for group in groups {
-            wanted.extend(self.deciders(now, own, *group));
+            wanted.extend(self.ranks.deciders(*group));
         }
-        wanted.remove(&own.peer_address);
+        wanted.remove(&own);
         wanted
     }
 
@@ -191,9 +191,9 @@
     }
 
     /// Addresses to tell peers of: in a small fleet all that are alive, else where the hubs are.
-    pub fn addresses_to_tell(&self, now: MonoMs, own: &Member) -> Vec<SocketAddr> {
+    pub fn addresses_to_tell(&self, now: MonoMs) -> Vec<SocketAddr> {
         if self.is_large() {
-            return self.hubs(now, own);
+            return self.ranks.hubs().to_vec();
         }
         self.fresh(now).map(|member| member.peer_address).collect()
     }
@@ -230,8 +230,8 @@
 
     /// All that this instance hears itself, as a hub tells it where a link begins; nobody, if it
     /// is no hub, which takes back what it told before.
-    pub fn full_roster(&self, now: MonoMs, own: &Member) -> Roster {
-        let listed = if self.is_hub(now, own) {
+    pub fn full_roster(&self, now: MonoMs, own: SocketAddr) -> Roster {
+        let listed = if self.ranks.hubs().contains(&own) {
             self.heard_now(now).cloned().collect()
         } else {
             Vec::new()
@@ -244,8 +244,8 @@
     }
 
     /// What a hub has to tell since the last call; `None` if nothing changed.
-    pub fn roster_news(&mut self, now: MonoMs, own: &Member) -> Option<Roster> {
-        let heard: HashMap<SocketAddr, Member> = if self.is_hub(now, own) {
+    pub fn roster_news(&mut self, now: MonoMs, own: SocketAddr) -> Option<Roster> {
+        let heard: HashMap<SocketAddr, Member> = if self.ranks.hubs().contains(&own) {
             self.heard_now(now)
                 .map(|member| (member.peer_address, member.clone()))
                 .collect()
@@ -272,62 +272,16 @@
         (roster != Roster::default()).then_some(roster)
     }
 
-    /// The instances that link to all others and tell who is alive, in an order that all instances
-    /// agree on; none in a small fleet.
-    ///
-    /// Views of the list may differ: an instance then hears from other hubs than its peers do,
-    /// which tell it the same.
-    pub fn hubs(&self, now: MonoMs, own: &Member) -> Vec<SocketAddr> {
-        if !self.is_large() {
-            return Vec::new();
-        }
-        self.strongest(now, own, HUBS, |member| !member.leaving)
+    /// Which instances have a task for all others, as of the last [`Self::rank`].
+    pub fn ranks(&self) -> &Ranks {
+        &self.ranks
     }
 
-    /// Whether this instance is a hub.
-    pub fn is_hub(&self, now: MonoMs, own: &Member) -> bool {
-        self.hubs(now, own).contains(&own.peer_address)
-    }
-
-    /// The instances that are told of all prompts on a group of engines, `own` among them if it is
-    /// one, in an order that all instances agree on; the first of them chooses engines for those
-    /// that aren't. All instances, in a small fleet.
-    ///
-    /// The load that this answers: many instances, of which each alone sees few prompts and must
-    /// not spend its little processor time on hearing of all others. Views of the list may differ:
-    /// a choice by another instance, or alone, costs time and nothing else.
-    pub fn deciders(&self, now: MonoMs, own: &Member, group: EngineGroup) -> Vec<SocketAddr> {
-        let serves = |member: &Member| member.ready && !member.leaving;
-        if !self.is_large() {
-            return self.strongest(now, own, usize::MAX, serves);
-        }
-        let mut pool = self.strongest(now, own, DECIDERS * group.count as usize, serves);
-        pool.sort_by_cached_key(|address| hash(u64::from(group.number), *address));
-        pool.truncate(DECIDERS);
-        pool
-    }
-
-    /// Those with the most processor time, `own` among them.
-    fn strongest(
-        &self,
-        now: MonoMs,
-        own: &Member,
-        count: usize,
-        is_fit: impl Fn(&Member) -> bool,
-    ) -> Vec<SocketAddr> {
-        let mut members: Vec<&Member> = self
-            .fresh(now)
-            .chain([own])
-            .filter(|member| is_fit(member))
-            .collect();
-        members.sort_by_cached_key(|member| {
-            (Reverse(member.cpu_millis), hash(0, member.peer_address))
-        });
-        members
-            .iter()
-            .take(count)
-            .map(|member| member.peer_address)
-            .collect()
+    /// Ranks the instances anew. It weighs all of them against each other, so that it is done when
+    /// something changes and a few times a second, and not for each prompt.
+    pub fn rank(&mut self, now: MonoMs, own: &Member) {
+        let ranks = Ranks::new(self.is_large(), self.fresh(now).chain([own]));
+        self.ranks = ranks;
     }
 
     /// The runs that are not taken for alive; their work is over or about to be.
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -48,8 +48,8 @@
     asked_groups: HashMap<JobId, Vec<EngineGroup>>,
     news: News,
     next_job: u64,
-    /// What this instance said last of whether it serves.
-    told_ready: bool,
+    /// What the last heartbeat said of this instance.
+    told: Option<Member>,
     /// Whether a hub has heard something new of somebody.
     is_roster_due: bool,
     behind_since: Option<MonoMs>,
@@ -74,7 +74,7 @@
             asked_groups: HashMap::new(),
             news: News::default(),
             next_job: 0,
-            told_ready: false,
+            told: None,
             is_roster_due: false,
             behind_since: None,
         }
@@ -128,12 +128,18 @@
         self.members.forget_old(now);
         self.crashes.forget_old(now);
         self.fit_groups();
+        self.rank(now);
         let targets = &self.targets;
         self.engines
             .forget_old(now, |id| targets.entry(id).is_some());
         self.calls.retain(|id| targets.entry(id).is_some());
     }
 
+    fn rank(&mut self, now: MonoMs) {
+        let own = self.own_member(now);
+        self.members.rank(now, &own);
+    }
+
     fn fit_groups(&mut self) {
         let is_engine = |service: &str| self.spec_of_service(service).is_some();
         let engines = self.targets.all_ready();
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -3,7 +3,7 @@
 use {
     super::Serving,
     crate::{
-        fleet::{Frame, Member},
+        fleet::{Beat, Frame, Member},
         targets::TargetEntry,
     },
     std::{collections::HashSet, net::SocketAddr},
@@ -46,16 +46,11 @@
 
     /// What this instance says of itself.
     pub fn own_member(&self, now: MonoMs) -> Member {
-        let beat_ms = if self.members.is_large() {
-            LARGE_FLEET_BEAT_MS
-        } else {
-            BEAT_MS
-        };
         Member {
             ready: self.is_ready(),
             version: self.version(),
             revision: self.targets.revision(),
-            beat_ms,
+            beat_ms: self.beat_ms(),
             said_at_ms: now.0,
             ..self.own.clone()
         }
@@ -63,28 +58,33 @@
 
     /// The links to keep.
     pub fn wanted_links(&self, now: MonoMs) -> WantedLinks {
-        let own_member = self.own_member(now);
-        let own = self.members.wanted(now, &own_member, &self.own_groups());
+        let own_address = self.own.peer_address;
+        let own = self.members.wanted(now, own_address, &self.own_groups());
         let asking = self.members.asking(now);
         let asked = asking.filter(|address| !own.contains(address)).collect();
         WantedLinks { own, asked }
     }
 
+    /// Whether this instance tells all others who is alive.
+    pub(super) fn is_hub(&self) -> bool {
+        let hubs = self.members.ranks().hubs();
+        hubs.contains(&self.own.peer_address)
+    }
+
     /// Whether this instance is one of those that watch the store closely, for all: their
     /// heartbeats tell the others when a watch of theirs has gone silent.
-    pub fn watches_closely(&self, now: MonoMs) -> bool {
-        !self.members.is_large() || self.members.is_hub(now, &self.own_member(now))
+    pub fn watches_closely(&self) -> bool {
+        !self.members.is_large() || self.is_hub()
     }
 
     /// The engines whose reports this instance is to read for all: those of the groups for which it
     /// is the first that chooses.
-    pub fn reported_engines(&self, now: MonoMs) -> Vec<TargetEntry> {
-        let own = self.own_member(now);
+    pub fn reported_engines(&self) -> Vec<TargetEntry> {
         let groups: Vec<_> = (0..self.groups.count())
             .map(|number| self.groups.group(number))
             .filter(|group| {
-                let deciders = self.members.deciders(now, &own, *group);
-                deciders.first() == Some(&own.peer_address)
+                let deciders = self.members.ranks().deciders(*group);
+                deciders.first() == Some(&self.own.peer_address)
             })
             .collect();
         self.targets
@@ -97,12 +97,11 @@
 
     /// What a link begins with: this instance, where peers link, and whom it hears.
     pub fn greeting(&self, now: MonoMs, asks_for_link: bool) -> Frame {
-        let own = self.own_member(now);
         Frame {
-            peers: self.members.addresses_to_tell(now, &own),
-            roster: Some(self.members.full_roster(now, &own)),
-            asks_for_link,
-            member: Some(own),
+            member: Some(self.own_member(now)),
+            beat: Some(self.beat(asks_for_link)),
+            peers: self.members.addresses_to_tell(now),
+            roster: Some(self.members.full_roster(now, self.own.peer_address)),
             ..Frame::default()
         }
     }
@@ -110,7 +109,9 @@
     /// Whether a heartbeat is due ahead of time, since this instance began or ceased to serve: until
     /// its peers know, callers aren't sent to it, or still are.
     pub fn is_beat_due(&self) -> bool {
-        self.told_ready != self.is_ready()
+        self.told
+            .as_ref()
+            .is_some_and(|told| told.ready != self.is_ready())
     }
 
     /// Whether a hub has something to tell ahead of time.
@@ -118,25 +119,48 @@
         self.is_roster_due
     }
 
-    /// A heartbeat: this instance, and where a few of its peers link, others each time.
+    /// A heartbeat: what this instance knows, what has changed of it, and where a few of its peers
+    /// link, others each time.
     pub fn heartbeat(&mut self, now: MonoMs) -> Frame {
         let own = self.own_member(now);
-        self.told_ready = own.ready;
-        let mut peers = self.members.addresses_to_tell(now, &own);
+        let is_news = !self
+            .told
+            .as_ref()
+            .is_some_and(|told| told.says_the_same(&own));
+        self.told = Some(own.clone());
+        let mut peers = self.members.addresses_to_tell(now);
         self.rng.shuffle(&mut peers);
         peers.truncate(BEAT_ADDRESSES);
         Frame {
+            member: is_news.then_some(own),
+            beat: Some(self.beat(false)),
             peers,
-            member: Some(own),
             ..Frame::default()
         }
     }
 
+    /// Time between two heartbeats, in ms.
+    pub fn beat_ms(&self) -> u64 {
+        if self.members.is_large() {
+            LARGE_FLEET_BEAT_MS
+        } else {
+            BEAT_MS
+        }
+    }
+
+    fn beat(&self, asks_for_link: bool) -> Beat {
+        Beat {
+            version: self.version(),
+            revision: self.targets.revision(),
+            asks_for_link,
+        }
+    }
+
     /// What a hub has to tell all of who is alive.
     pub fn roster_news(&mut self, now: MonoMs) -> Option<Frame> {
         self.is_roster_due = false;
-        let own = self.own_member(now);
-        let roster = self.members.roster_news(now, &own)?;
+        let own = self.own.peer_address;
+        let roster = self.members.roster_news(now, own)?;
         Some(Frame {
             roster: Some(roster),
             ..Frame::default()
--- a/crates/serving/src/serving/news.rs
+++ b/crates/serving/src/serving/news.rs
@@ -58,22 +58,21 @@
 
     /// Addresses of the peers that choose engines of a group for this instance's prompts, the first
     /// one first; none if it chooses itself.
-    pub fn deciders(&self, now: MonoMs, group: EngineGroup) -> Vec<SocketAddr> {
-        let own = self.own_member(now);
-        let deciders = self.members.deciders(now, &own, group);
-        if !self.members.is_large() || deciders.contains(&own.peer_address) {
+    pub fn deciders(&self, group: EngineGroup) -> Vec<SocketAddr> {
+        let ranks = self.members.ranks();
+        let deciders = ranks.deciders(group);
+        if !ranks.is_large() || deciders.contains(&self.own.peer_address) {
             return Vec::new();
         }
         deciders
     }
 
     /// The peers that are told of this instance's prompts, and for which groups of engines.
-    pub fn informed(&self, now: MonoMs) -> BTreeMap<SocketAddr, Vec<EngineGroup>> {
-        let own = self.own_member(now);
+    pub fn informed(&self) -> BTreeMap<SocketAddr, Vec<EngineGroup>> {
         let mut informed: BTreeMap<SocketAddr, Vec<EngineGroup>> = BTreeMap::new();
         for group in self.own_groups() {
-            for address in self.members.deciders(now, &own, group) {
-                if address != own.peer_address {
+            for address in self.members.ranks().deciders(group) {
+                if address != self.own.peer_address {
                     informed.entry(address).or_default().push(group);
                 }
             }
@@ -103,19 +102,16 @@
     }
 
     /// What happened since the last call, and who is to be told of it.
-    pub fn take_news(&mut self, now: MonoMs) -> Vec<(Recipients, Frame)> {
+    pub fn take_news(&mut self) -> Vec<(Recipients, Frame)> {
         let news = std::mem::take(&mut self.news);
         let mut told = Vec::new();
         if !news.for_all.is_empty() {
             told.push((Recipients::All, news.for_all));
         }
-        if news.by_group.is_empty() {
-            return told;
-        }
-        let own = self.own_member(now);
         for (number, frame) in news.by_group {
-            let mut to = self.members.deciders(now, &own, self.groups.group(number));
-            to.retain(|address| *address != own.peer_address);
+            let group = self.groups.group(number);
+            let mut to = self.members.ranks().deciders(group);
+            to.retain(|address| *address != self.own.peer_address);
             told.push((Recipients::Some(to), frame));
         }
         told
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -4,7 +4,7 @@
     super::Serving,
     crate::{
         catalog::{Configuration, EngineSpec},
-        fleet::{Crash, EnginePace, Frame, JobId, Member, Placed, Roster, Wants},
+        fleet::{Beat, Crash, EnginePace, Frame, JobId, Member, Placed, Roster, Wants},
         names::TargetId,
         retries::Fingerprint,
         targets::TargetEntry,
@@ -115,11 +115,11 @@
         frame: Frame,
         decode: impl Fn(&str) -> Option<Configuration>,
     ) {
-        self.members.lives(now, from);
         if let Some(member) = frame.member {
-            self.take_member(now, member, frame.asks_for_link, frame.roster);
-        } else if let Some(roster) = frame.roster {
-            self.take_roster(now, from, roster);
+            self.take_member(now, member);
+        }
+        if let Some(address) = self.members.lives(now, from) {
+            self.take_beat(now, address, frame.beat, frame.roster);
         }
         let own = self.own.peer_address;
         self.members.told(now, own, &frame.peers);
@@ -160,34 +160,35 @@
         }
     }
 
-    fn take_member(
-        &mut self,
-        now: MonoMs,
-        member: Member,
-        asks_for_link: bool,
-        roster: Option<Roster>,
-    ) {
-        let address = member.peer_address;
-        self.is_roster_due |= self.members.is_news(&member);
-        if let Some(former) = self.members.heard(now, member, asks_for_link) {
+    fn take_member(&mut self, now: MonoMs, member: Member) {
+        let is_news = self.members.is_news(&member);
+        if let Some(former) = self.members.heard(now, member) {
             self.engines.drop_run(former, &[]);
         }
-        if let Some(roster) = roster {
-            self.take_roster_of(now, address, roster);
+        if is_news {
+            self.is_roster_due = true;
+            self.rank(now);
         }
     }
 
-    fn take_roster(&mut self, now: MonoMs, from: u64, roster: Roster) {
-        if let Some(address) = self.members.address_of(from) {
-            self.take_roster_of(now, address, roster);
+    fn take_beat(
+        &mut self,
+        now: MonoMs,
+        from: SocketAddr,
+        beat: Option<Beat>,
+        roster: Option<Roster>,
+    ) {
+        if let Some(beat) = beat {
+            self.members.beat(now, from, beat);
         }
-    }
-
-    fn take_roster_of(&mut self, now: MonoMs, address: SocketAddr, roster: Roster) {
+        let Some(roster) = roster else {
+            return;
+        };
         let own = self.own.peer_address;
-        for former in self.members.roster(now, own, address, roster) {
+        for former in self.members.roster(now, own, from, roster) {
             self.engines.drop_run(former, &[]);
         }
+        self.rank(now);
     }
 
     /// Takes in requests that break their targets or don't, and targets that can't be reached. A hub
@@ -199,7 +200,7 @@
             served: keep(told.served, |request| self.crashes.served(*request)),
             unreachable: keep(told.unreachable, |id| self.calls.unreachable(now, id)),
         };
-        if self.members.is_hub(now, &self.own_member(now)) {
+        if self.is_hub() {
             let news = self.news.for_all();
             news.crashes.extend(new.crashes);
             news.served.extend(new.served);
