--- a/crates/cli/src/cli/options.rs
+++ b/crates/cli/src/cli/options.rs
@@ -1,7 +1,7 @@
 use {
     bpaf::{Bpaf, Parser, ShellComp, long},
     std::{net::SocketAddr, path::PathBuf},
-    whinlatch_wire::ids::{RequestId, Ticket},
+    whinlatch_wire::ids::Ticket,
 };
 
 const EXIT_CODES: &str = "Exit codes: 0 completed, or the files are good; 1 a daemon's answer \
@@ -29,9 +29,18 @@
     Explain {
         #[bpaf(external(report_options))]
         options: ReportOptions,
+        /// Log file of an instance to read in place of asking entries, `-` for standard input; may
+        /// be repeated
+        #[bpaf(
+            long("log"),
+            argument("FILE"),
+            complete_shell(ShellComp::File { mask: None }),
+            many
+        )]
+        logs: Vec<PathBuf>,
         /// Id of the request, as in its answer and in the logs
         #[bpaf(positional("REQUEST"))]
-        request: RequestId,
+        request: String,
     },
     /// Checks settings and record files and tells all their faults
     #[bpaf(command)]
--- a/crates/cli/src/cli/run.rs
+++ b/crates/cli/src/cli/run.rs
@@ -5,7 +5,7 @@
         check::check_files,
         entries::EntryList,
         errors::{CliError, Exit},
-        reports::{explain, show_entries, show_records, show_status},
+        reports::{explain, show_entries, show_records, show_status, story_of_log},
     },
     async_std::task::block_on,
     bpaf::{Args, ParseFailure},
@@ -55,7 +55,17 @@
         Command::Records(options) => {
             print(&show_records(&entry_list(&options)?, options.json).await?)
         }
-        Command::Explain { options, request } => {
+        Command::Explain {
+            options,
+            logs,
+            request,
+        } if !logs.is_empty() => print(&story_of_log(&logs, &request, options.json)?),
+        Command::Explain {
+            options, request, ..
+        } => {
+            let request = request
+                .parse()
+                .map_err(|_unreadable| CliError::BadRequestId { text: request })?;
             print(&explain(&entry_list(&options)?, request, options.json).await?)
         }
         Command::Check { json, files } => {
--- a/crates/cli/src/errors.rs
+++ b/crates/cli/src/errors.rs
@@ -35,6 +35,12 @@
     NoEntryGiven,
     #[error("{text:?} in WHINLATCH_ENTRY is not an address: write IP:PORT, several with commas")]
     BadEntry { text: String },
+    #[error(
+        "{text:?} is no id of a request: give 32 hexadecimal digits, or --log FILE for ids of others"
+    )]
+    BadRequestId { text: String },
+    #[error("no line tells of request {request}: give the logs of all instances with --log")]
+    NotLogged { request: String },
     #[error("no account is given: name one with --account NAME or in WHINLATCH_ACCOUNT")]
     NoAccount,
     #[error("{what} can't be sent in a header: use visible ASCII characters only")]
@@ -74,9 +80,13 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::NoEntry { .. } => Exit::NoEntry,
-            Self::BadAnswer { .. } | Self::NotKnown { .. } | Self::Stdout(_) => Exit::BadAnswer,
+            Self::BadAnswer { .. }
+            | Self::NotKnown { .. }
+            | Self::NotLogged { .. }
+            | Self::Stdout(_) => Exit::BadAnswer,
             Self::NoEntryGiven
             | Self::BadEntry { .. }
+            | Self::BadRequestId { .. }
             | Self::NoAccount
             | Self::NotAscii { .. }
             | Self::BadServiceName { .. }
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod check;
+mod log_story;
 mod reports;
 mod support;
 mod usage;
