--- a/crates/daemon/tests/entry/streams.rs
+++ b/crates/daemon/tests/entry/streams.rs
@@ -2,6 +2,10 @@
 
 use {
     super::fixture::{World, target, world},
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     whinlatch_platform_standins::{
         Ask, Behaviour, Fixture, STREAM_PREFIX, TargetStandin,
         names::{HELPERS_HEADER, SEAL_HEADER, TOKENS_HEADER},
@@ -80,6 +84,28 @@
     assert_eq!(resumed, [None, Some("2".to_owned())]);
 }
 
+/// As above, and the engine that goes on sends the rest: half a sentence of the first one stands
+/// before it.
+#[async_std::test]
+async fn half_an_event_is_no_part_of_a_resumed_stream() {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let engines = ["e-1", "e-2"].map(|id| {
+        let asked = Arc::clone(&asked);
+        TargetStandin::start_choosing(id, move |_request| {
+            match asked.fetch_add(1, Ordering::SeqCst) {
+                0 => Behaviour::StreamBroken(2),
+                _ => Behaviour::Stream(5),
+            }
+        })
+    });
+    let world = world(&engines.each_ref(), &[]).await;
+
+    let answer = world.ask(&prompt(5_000));
+
+    assert_eq!((answer.body, answer.is_whole), (events(1, 5), true));
+    assert_eq!(asked.load(Ordering::SeqCst), 2);
+}
+
 #[async_std::test]
 async fn a_resumed_stream_is_whole_and_has_each_event_once() {
     let engine = target("e-1", Behaviour::Stream(5));
@@ -282,6 +308,15 @@
         engine.leave_memory_unused();
     }
     let world = world(&engines.each_ref(), &[]).await;
+    // The caller waits for well over a minute, so that only the unused memory ends the attempt.
+    let patient = Fixture {
+        version: 4,
+        timeout_ms: 300_000,
+        objective_ms: 40_000,
+        ..Fixture::default()
+    };
+    patient.publish(&world.store);
+    world.wait_for_version(4).await;
     let mut caller = world.connect();
 
     caller.write(&prompt(180_000).text());
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -232,25 +232,27 @@
     if !evidence.is_planned {
         return Vec::new();
     }
-    let mut findings = Vec::new();
-    for orders in &evidence.orders {
-        let with = |operation: &str| -> HashSet<String> {
-            orders
-                .iter()
-                .filter_map(|order| serde_json::from_str::<serde_json::Value>(order).ok())
-                .filter(|order| order["Operation"] == operation)
-                .filter_map(|order| order["Id"].as_str().map(str::to_owned))
-                .collect()
-        };
-        let given_back = with("release");
-        let kept = with("reserve");
-        let kept: Vec<&String> = kept.difference(&given_back).collect();
-        if !kept.is_empty() {
+    let kept = evidence.orders.iter().map(|orders| kept_memory(orders));
+    kept.filter(|kept| !kept.is_empty())
+        .map(|kept| {
             let seen = format!("{} were never given back: {kept:?}", kept.len());
-            findings.push(Finding::new("memory comes back", seen));
-        }
-    }
-    findings
+            Finding::new("memory comes back", seen)
+        })
+        .collect()
+}
+
+/// Ids of the memory that a target was ordered to set aside and not to give back.
+pub fn kept_memory(orders: &[String]) -> Vec<String> {
+    let with = |operation: &str| -> HashSet<String> {
+        orders
+            .iter()
+            .filter_map(|order| serde_json::from_str::<serde_json::Value>(order).ok())
+            .filter(|order| order["Operation"] == operation)
+            .filter_map(|order| order["Id"].as_str().map(str::to_owned))
+            .collect()
+    };
+    let given_back = with("release");
+    with("reserve").difference(&given_back).cloned().collect()
 }
 
 /// Tells a few findings of each promise, and how many there are.
