--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -91,6 +91,13 @@
         /// Why.
         fault: String,
     },
+    /// The process tells all others who is alive from now on, or no more.
+    Hub {
+        /// Whether it does.
+        is_hub: bool,
+        /// Number of peers that it takes for alive.
+        peers: usize,
+    },
     /// A request was sent to a target.
     Sent {
         /// Id of the request.
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -60,6 +60,7 @@
     /// The peers that know this instance's prompts, and on which groups of engines.
     informed: BTreeMap<SocketAddr, Vec<EngineGroup>>,
     wanted: WantedLinks,
+    is_hub: bool,
 }
 
 /// Keeps links to peers and tells them what is new, for ever.
@@ -71,6 +72,7 @@
         state: Arc::clone(&state),
         informed: BTreeMap::new(),
         wanted: WantedLinks::default(),
+        is_hub: false,
     };
     loop {
         state.clock.sleep(NEWS_MS).await;
@@ -107,7 +109,11 @@
         serving.tick(now);
         let roster = serving.roster_news(now);
         self.wanted = serving.wanted_links(now);
+        let (is_hub, peers) = (serving.is_hub(), serving.peers(now));
         drop(serving);
+        if std::mem::replace(&mut self.is_hub, is_hub) != is_hub {
+            state.log(&Decision::Hub { is_hub, peers });
+        }
         state.pool.forget_old(now);
         self.tell_all(roster);
         let linked = self.open_missing(now);
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -66,7 +66,7 @@
     }
 
     /// Whether this instance tells all others who is alive.
-    pub(super) fn is_hub(&self) -> bool {
+    pub fn is_hub(&self) -> bool {
         let hubs = self.members.ranks().hubs();
         hubs.contains(&self.own.peer_address)
     }
