--- a/crates/daemon/src/entry/store_reader.rs
+++ b/crates/daemon/src/entry/store_reader.rs
@@ -175,8 +175,16 @@
         Ok(read_range(&body)?)
     }
 
+    /// What has happened since a revision, or happens within the time of a watch.
+    ///
+    /// Guards against a store that is back while a watch that was sent before waits for good: after a
+    /// trouble, what happened so far is asked for first, which is answered at once. Entries that lapse
+    /// are given time from the moment at which the store answers, and one that has left would get
+    /// requests for as long.
     async fn history(&mut self, revision: u64) -> Result<History, ReadFault> {
-        let watch_ms = if self.state.serving().watches_closely() {
+        let watch_ms = if self.lost_at.is_some() {
+            0
+        } else if self.state.serving().watches_closely() {
             WATCH_MS
         } else {
             LONG_WATCH_MS
--- a/crates/daemon/tests/entry/published.rs
+++ b/crates/daemon/tests/entry/published.rs
@@ -232,3 +232,19 @@
     until(|| world.entry.ready_targets() == ["p-1", "p-2"]).await;
     assert_eq!(world.store.ranges(), before);
 }
+
+/// A target that has left gets requests for three seconds more: the store is back, the watch that was
+/// sent while it was away waits for good, and the time for lapsed entries begins when that is noticed.
+#[async_std::test]
+async fn after_a_trouble_of_the_store_what_happened_is_asked_for_at_once() {
+    let plain = target("p-1", Behaviour::Serve("listing"));
+    let world = world(&[], &[&plain]).await;
+    world.store.set_mode(StoreMode::Closing);
+    until(|| world.entry.lost_store()).await;
+    let before = world.store.watch_waits_ms().len();
+
+    world.store.set_mode(StoreMode::Serving);
+    until(|| !world.entry.lost_store()).await;
+
+    assert_eq!(world.store.watch_waits_ms()[before], 0);
+}
