--- a/crates/serving/src/fleet/member_book.rs
+++ b/crates/serving/src/fleet/member_book.rs
@@ -279,9 +279,13 @@
 
     /// Ranks the instances anew. It weighs all of them against each other, so that it is done when
     /// something changes and a few times a second, and not for each prompt.
-    pub fn rank(&mut self, now: MonoMs, own: &Member) {
+    ///
+    /// Returns whether that gives this instance a task that it hadn't.
+    pub fn rank(&mut self, now: MonoMs, own: &Member) -> bool {
         let ranks = Ranks::new(self.is_large(), self.fresh(now).chain([own]));
+        let is_new = ranks.are_new_to(own.peer_address, &self.ranks);
         self.ranks = ranks;
+        is_new
     }
 
     /// The runs that are not taken for alive; their work is over or about to be.
--- a/crates/serving/src/fleet/ranks.rs
+++ b/crates/serving/src/fleet/ranks.rs
@@ -53,6 +53,13 @@
         self.is_large
     }
 
+    /// Whether an instance is a hub now and was none in former ranks, or the fleet has become large
+    /// or small.
+    pub fn are_new_to(&self, own: SocketAddr, former: &Self) -> bool {
+        let is_new_hub = self.hubs.contains(&own) && !former.hubs.contains(&own);
+        is_new_hub || self.is_large != former.is_large
+    }
+
     /// The instances that are told of all prompts on a group of engines, in an order that all
     /// instances agree on; the first of them chooses engines for those that aren't. All instances,
     /// in a small fleet.
--- a/crates/serving/src/placement/choose.rs
+++ b/crates/serving/src/placement/choose.rs
@@ -36,6 +36,10 @@
 const LATE_LOSS: f64 = 0.75;
 /// Most that liking an engine counts for.
 const LIKING_GAIN: f64 = 0.02;
+/// The same while little is known of what others place: three times the loss that is charged for
+/// opening an engine, so that instances don't all pack their streams on the one engine of which they
+/// have heard, and below what a short answer loses by being late.
+const BLIND_LIKING_GAIN: f64 = 1.0;
 /// Share of its value that an answer loses, on its way to being late, by what can't be foreseen:
 /// a prompt that comes later and is read ahead, an engine that is slower than it was.
 const RISK: f64 = 0.15;
@@ -80,6 +84,8 @@
     pub reserved: Option<Reserved>,
     /// Share of the engines' time that was given reading of late.
     pub used: f64,
+    /// Whether little is known of what other instances place.
+    pub is_blind: bool,
 }
 
 /// An engine that may take part.
@@ -250,8 +256,16 @@
             let mut first = share(now, spec, candidate, place, part, part.goes_first);
             first.harm += answer_loss(spec, shape, candidate.load);
             first.harm += LIKING_GAIN * (1.0 - candidate.liking);
+            // Not being liked harms nobody, and is no reason to refuse.
+            let blind_gain = if shape.is_blind {
+                BLIND_LIKING_GAIN
+            } else {
+                0.0
+            };
+            let disliked = blind_gain * (1.0 - candidate.liking);
             let paused = pause_loss(spec, shape, candidate.load, part, first.finish_ms);
-            (first.harm + paused + own_loss(first.finish_ms), first)
+            let loss = first.harm + paused + disliked + own_loss(first.finish_ms);
+            (loss, first)
         })
         .min_by(|left, right| left.0.total_cmp(&right.0))
         .map(|(_loss, first)| first)
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -31,6 +31,10 @@
     whinlatch_core::MonoMs,
 };
 
+/// Time until an instance that is to be told of all prompts has been told, in ms: a link opens within
+/// some hundred, and the prompts at work are told with the next look after that.
+const SETTLE_MS: u64 = 1_000;
+
 /// All that an entry instance knows and decides by.
 #[derive(Debug)]
 pub struct Serving {
@@ -52,6 +56,9 @@
     told: Option<Member>,
     /// Whether a hub has heard something new of somebody.
     is_roster_due: bool,
+    /// When this instance has been told of all prompts that it is to know, after its start or its last
+    /// new task.
+    settled_at: MonoMs,
     behind_since: Option<MonoMs>,
     rng: fastrand::Rng,
 }
@@ -76,6 +83,7 @@
             next_job: 0,
             told: None,
             is_roster_due: false,
+            settled_at: MonoMs(0),
             behind_since: None,
         }
     }
@@ -137,7 +145,9 @@
 
     fn rank(&mut self, now: MonoMs) {
         let own = self.own_member(now);
-        self.members.rank(now, &own);
+        if self.members.rank(now, &own) || self.settled_at == MonoMs(0) {
+            self.settled_at = now + SETTLE_MS;
+        }
     }
 
     fn fit_groups(&mut self) {
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -80,7 +80,8 @@
                 load,
             })
             .collect();
-        let shape = shape_of(&spec, ask, used);
+        let mut shape = shape_of(&spec, ask, used);
+        shape.is_blind = self.is_blind(now, group);
         let choice = choose(now, &spec, &shape, &candidates).ok_or_else(|| overloaded(&loads))?;
         // Nobody would wait for the answer, or others would lose more by it than it is worth. A
         // stream that its caller has a part of is resumed all the same.
@@ -112,6 +113,21 @@
         })
     }
 
+    /// Whether this instance knows little of what others place on a group's engines: it isn't told, or
+    /// has been for a moment only.
+    ///
+    /// The load that this answers: all callers come back at once to instances that were all started
+    /// anew and don't know each other yet.
+    fn is_blind(&self, now: MonoMs, group: EngineGroup) -> bool {
+        let is_told = !self.members.is_large()
+            || self
+                .members
+                .ranks()
+                .deciders(group)
+                .contains(&self.own.peer_address);
+        !is_told || now < self.settled_at
+    }
+
     /// Takes up engines that were chosen here or by a peer; `None` if this instance doesn't know
     /// all of them as ready, which the peer may not have heard yet.
     pub fn take_up(&mut self, now: MonoMs, placement: &Placement) -> Option<PromptPlace> {
@@ -225,6 +241,7 @@
         patience_ms: ask.patience_ms as f64,
         reserved: Reserved::for_tokens(tokens, spec.memory_tokens),
         used,
+        is_blind: false,
     }
 }
 
--- a/crates/serving/tests/serving/placement.rs
+++ b/crates/serving/tests/serving/placement.rs
@@ -244,6 +244,31 @@
     assert!(short.contains(&placement.placed.engines[0]));
 }
 
+/// All callers come back at once to instances that were all started anew: each hears of a few prompts
+/// of others, and all pack their short streams on the one engine of which they heard first.
+#[test]
+fn instances_that_have_just_found_each_other_do_not_all_pack_one_engine() {
+    let mut first = instance(1, 21);
+    place(&mut first, START, 5_000).unwrap();
+    let news = first.take_news();
+    let mut engines: HashMap<TargetId, usize> = HashMap::new();
+
+    for run in 2..14 {
+        let mut other = instance(run, 21);
+        let greeting = first.greeting(START, true);
+        other.on_frame(START, 1, greeting, |_text| None);
+        for (_recipients, frame) in news.clone() {
+            other.on_frame(START, 1, frame, |_text| None);
+        }
+        for _ in 0..3 {
+            let placed = place(&mut other, START + 100, 5_000).unwrap();
+            *engines.entry(placed.engine.id).or_default() += 1;
+        }
+    }
+
+    assert!(engines.values().all(|count| *count <= 12), "{engines:?}");
+}
+
 /// Half of the audits of a burst are late, by their first event or a pause: engines are given nearly
 /// all their time in reading, and writing, pauses and what can't be foreseen need some of it.
 #[test]
@@ -295,6 +320,7 @@
         patience_ms: 12_000.0,
         reserved: None,
         used: 0.1,
+        is_blind: false,
     };
     let candidates = ["e-2", "e-3"].map(|helping| Candidate {
         liking: 1.0,
