--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -12,8 +12,8 @@
 
 /// Time between heartbeats in a small fleet, in ms.
 const BEAT_MS: u64 = 250;
-/// Time between heartbeats in a large fleet, in ms: a hub of three hundred instances then spends a
-/// few hundredths of a core on them.
+/// Time between heartbeats in a large fleet, in ms: three of them that fail to come are noticed within
+/// two seconds, and a hub has half as many to send and hear as at a small fleet's rate.
 const LARGE_FLEET_BEAT_MS: u64 = 500;
 /// Addresses that a heartbeat tells. A link begins with all of them, so that these only mend what a
 /// lost link kept from somebody.
