--- a/crates/daemon/src/entry/answers_whole.rs
+++ b/crates/daemon/src/entry/answers_whole.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answers::{CallerAnswer, PROMISES},
-        attempt::{AttemptFault, ask, connection, note_crash},
+        attempt::{AttemptFault, NotRun, ask, connection, note_crash},
         decision_line::Decision,
         entry_state::EntryState,
         exchange::Ended,
@@ -114,7 +114,7 @@
     let now = state.now();
     let bytes = context.for_target(&TargetHead {
         left_ms: context.due.since(now),
-        target: &target.id,
+        target: target.name(),
         account: context.account.as_deref(),
         last_event_id: None,
         helpers: &[],
@@ -125,7 +125,7 @@
         route: context.route.name.clone(),
         version: context.version,
         target: target.id.to_string(),
-        helpers: 0,
+        helpers: Vec::new(),
         expected_ms: 0,
         slack_ms: context.due.since(now).cast_signed(),
         attempt: answer.note_sent(),
@@ -172,8 +172,25 @@
         fault: fault.to_string(),
         may_have_run,
     });
+    let now = state.now();
     if fault.is_unreachable() {
-        state.serving().unreachable(state.now(), &target.id);
+        state.serving().unreachable(now, &target.id);
+    }
+    if let AttemptFault::NotRun(not_run) = fault {
+        note_not_run(state, target, not_run);
+    }
+}
+
+/// Notes what a target's refusal tells of where targets are and which ones work.
+fn note_not_run(state: &EntryState, target: &TargetEntry, not_run: &NotRun) {
+    let now = state.now();
+    let mut serving = state.serving();
+    if not_run.is_misdirected {
+        serving.displaced(&target.id);
+    }
+    let helper = not_run.at_fault.filter(|at| *at != target.address);
+    if let Some(helper) = helper {
+        serving.helper_failed(now, helper);
     }
 }
 
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -7,7 +7,7 @@
         request_context::RequestContext,
         target_connection::{TargetConnection, TargetFault},
     },
-    std::io,
+    std::{io, net::SocketAddr},
     whinlatch_platform::TargetAnswer,
     whinlatch_serving::targets::TargetEntry,
 };
@@ -22,8 +22,11 @@
     #[error("no connection to the target: {0}")]
     NotSent(io::Error),
     /// The target says that it hasn't run the request and won't.
-    #[error("the target didn't take it, status {0}")]
-    NotRun(u16),
+    #[error("the target didn't take it, status {}", .0.status)]
+    NotRun(NotRun),
+    /// The target answers a question about itself with a failure.
+    #[error("the target answers with status {0}")]
+    Refused(u16),
     /// The connection broke before anything came back.
     #[error("{0}")]
     Broken(#[from] TargetFault),
@@ -44,6 +47,17 @@
     Foreign,
 }
 
+/// What a target says that hasn't run a request and won't.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotRun {
+    /// Status of its answer.
+    pub status: u16,
+    /// Whether it isn't the target that was meant.
+    pub is_misdirected: bool,
+    /// Address of the target for whose sake it didn't, if it names one.
+    pub at_fault: Option<SocketAddr>,
+}
+
 impl AttemptFault {
     /// Whether the target may have run the request.
     pub fn may_have_run(&self) -> bool {
@@ -128,7 +142,11 @@
             continue;
         }
         if answer.is_not_run {
-            return Err(AttemptFault::NotRun(head.status));
+            return Err(AttemptFault::NotRun(NotRun {
+                status: head.status,
+                is_misdirected: answer.is_misdirected,
+                at_fault: answer.at_fault,
+            }));
         }
         if head.is_success() && !answer.is_sealed {
             return Err(AttemptFault::Unsealed);
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -109,7 +109,7 @@
         /// The target.
         target: String,
         /// Engines that help to read it.
-        helpers: usize,
+        helpers: Vec<String>,
         /// When the first event is expected, in ms.
         expected_ms: u64,
         /// Time until it is late, in ms.
--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -69,6 +69,6 @@
     if head.is_success() {
         Ok(body)
     } else {
-        Err(AttemptFault::NotRun(head.status))
+        Err(AttemptFault::Refused(head.status))
     }
 }
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -154,8 +154,11 @@
         }
     }
 
+    /// Where memory is set aside. An engine that has started again since holds none of it, and would
+    /// set it aside anew for a prompt that it knows nothing of.
     fn holds(&self) -> impl Iterator<Item = &Hold> {
-        self.own.iter().chain(&self.helpers)
+        let all = self.own.iter().chain(&self.helpers);
+        all.filter(|hold| !self.state.serving().has_restarted(&hold.engine))
     }
 
     fn note_trouble(&self, what: &str, fault: &str) {
--- a/crates/daemon/src/entry/store_reader.rs
+++ b/crates/daemon/src/entry/store_reader.rs
@@ -42,6 +42,9 @@
 const RETRY_MS: u64 = 150;
 /// Time that bytes sent to the store may stay without an acknowledgement.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
+/// Characters of a line on something unreadable: others may write entries of a megabyte, and the
+/// reason of a fault repeats a part of them.
+const MOST_FAULT_CHARS: usize = 400;
 /// Status of a watch whose history is gone.
 const GONE: u16 = 410;
 
@@ -274,6 +277,10 @@
         for change in changes {
             match change {
                 Ok(Change::Target(change)) => targets.push(change),
+                Ok(Change::Foreign(change, fault)) => {
+                    self.note_unreadable(&fault);
+                    targets.push(change);
+                }
                 Ok(Change::Configuration(configuration, text)) => {
                     let version = configuration.version;
                     if self.state.serving().put_in_force(*configuration, text) {
@@ -281,14 +288,19 @@
                         self.state.log(&Decision::Configured { version, source });
                     }
                 }
-                Err(fault) => {
-                    let fault = fault.to_string();
-                    self.state.log(&Decision::Unreadable { fault });
-                }
+                Err(fault) => self.note_unreadable(&fault),
             }
         }
         targets
     }
+
+    fn note_unreadable(&self, fault: &StoreFault) {
+        let mut fault = fault.to_string();
+        if let Some((cut, _)) = fault.char_indices().nth(MOST_FAULT_CHARS) {
+            fault.truncate(cut);
+        }
+        self.state.log(&Decision::Unreadable { fault });
+    }
 }
 
 fn target_line(change: &TargetChange) -> Decision {
@@ -300,7 +312,11 @@
             TargetState::Draining => "draining",
         });
     Decision::Target {
-        target: change.id.to_string(),
+        target: change
+            .entry
+            .as_ref()
+            .map_or(&*change.name, |entry| &entry.id)
+            .to_owned(),
         state,
         revision: change.revision,
     }
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -220,7 +220,7 @@
         let resumed = self.splitter.last_id();
         self.context.for_target(&TargetHead {
             left_ms: self.context.due.since(self.state.now()),
-            target: &place.engine.id,
+            target: place.engine.name(),
             account: self.context.account.as_deref(),
             last_event_id: resumed.or(self.context.caller.last_event_id),
             helpers: &helpers,
@@ -253,7 +253,11 @@
             route: context.route.name.clone(),
             version: context.version,
             target: place.engine.id.to_string(),
-            helpers: place.helpers.len(),
+            helpers: place
+                .helpers
+                .iter()
+                .map(|helper| helper.id.to_string())
+                .collect(),
             expected_ms: place.first_event_ms as u64,
             slack_ms: context.route.objective_ms.cast_signed() - passed_ms.cast_signed(),
             attempt: self.answer.note_sent(),
--- a/crates/serving/src/engines/engine_load.rs
+++ b/crates/serving/src/engines/engine_load.rs
@@ -266,6 +266,13 @@
         self.writers.push(writer);
     }
 
+    /// Reading of a prompt that is still to be done here, in ms of an engine that is as fast as
+    /// published.
+    pub fn unread_ms(&self, job: JobId) -> f64 {
+        let parts = self.parts.iter().filter(|part| part.job == job);
+        parts.map(|part| part.left_ms / self.pace).sum()
+    }
+
     /// Drops all that it does for a prompt.
     pub fn drop_job(&mut self, job: JobId) {
         self.parts.retain(|part| part.job != job);
--- a/crates/serving/src/engines/engine_loads.rs
+++ b/crates/serving/src/engines/engine_loads.rs
@@ -19,6 +19,8 @@
 pub struct Job {
     /// What was told of it.
     pub placed: Placed,
+    /// The engines among which it was placed.
+    pub group: EngineGroup,
     /// When it was sent.
     pub sent_at: MonoMs,
     /// Whether its first event came.
@@ -97,6 +99,7 @@
         }
         let job = Job {
             placed,
+            group,
             sent_at: now,
             has_begun: false,
         };
@@ -144,11 +147,22 @@
         self.engines.get(engine).map_or(1.0, |engine| engine.pace)
     }
 
-    /// Notes that a prompt is over.
+    /// Notes that a prompt is over. What no engine has read of it doesn't count as given to them.
+    ///
+    /// Guards against prompts that engines don't take, or whose callers leave: each attempt at a long
+    /// one counted as seconds of the engines' time, so that the next was refused as too much.
     pub fn ended(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
+        let engines = job.placed.engines.iter();
+        let unread_ms = engines
+            .filter_map(|engine| self.engines.get(engine))
+            .map(|engine| engine.unread_ms(id))
+            .sum();
+        if let Some(work) = self.work.get_mut(&job.group) {
+            work.take_back(job.sent_at, unread_ms);
+        }
         for (place, engine) in job.placed.engines.iter().enumerate() {
             let Some(engine) = self.engines.get_mut(engine) else {
                 continue;
--- a/crates/serving/src/engines/work_rate.rs
+++ b/crates/serving/src/engines/work_rate.rs
@@ -20,6 +20,13 @@
         self.work_ms += work_ms;
     }
 
+    /// Takes back reading that was given at a moment and that nobody does.
+    pub fn take_back(&mut self, given_at: MonoMs, work_ms: f64) {
+        let passed_ms = self.at.since(given_at) as f64;
+        let left_ms = self.work_ms - work_ms * (-passed_ms / AVERAGED_MS).exp();
+        self.work_ms = left_ms.max(0.0);
+    }
+
     /// Share of the time of `engines` that was given reading, from 0 to `MOST_USED`.
     pub fn used(&mut self, now: MonoMs, engines: usize) -> f64 {
         self.advance(now);
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -4,7 +4,7 @@
         PromptAsk, Refusal,
         names::{FailureDomain, TargetId},
         retries::Fingerprint,
-        targets::TargetChange,
+        targets::{Displaced, TargetChange},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -237,6 +237,9 @@
     /// Targets that could not be reached.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub unreachable: Vec<TargetId>,
+    /// Entries whose targets aren't at their addresses.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub displaced: Vec<Displaced>,
     /// Engines whose pace was seen to change.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub paces: Vec<EnginePace>,
--- a/crates/serving/src/names.rs
+++ b/crates/serving/src/names.rs
@@ -50,6 +50,10 @@
     /// Name of one run of a target; a restarted target has another.
     TargetId
 }
+name! {
+    /// Name under which a target is published; a target that starts again may keep it.
+    TargetName
+}
 name! {
     /// Name of a service: a set of targets that serve the same.
     ServiceName
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -6,7 +6,9 @@
         fleet::Crash,
         names::{ServiceName, TargetId},
         retries::Fingerprint,
+        targets::TargetEntry,
     },
+    std::net::SocketAddr,
     whinlatch_core::MonoMs,
 };
 
@@ -65,6 +67,34 @@
         self.news.for_all().unreachable.push(target.clone());
     }
 
+    /// Notes that another target answered where a run was published.
+    pub fn displaced(&mut self, run: &TargetId) {
+        let Some(displaced) = self.targets.displacement(run) else {
+            return;
+        };
+        if self.targets.displaced(&displaced) {
+            self.news.for_all().displaced.push(displaced);
+        }
+    }
+
+    /// Notes that the engine at an address didn't help to read a prompt.
+    ///
+    /// Guards against an engine that has died or is full of others' parts: each further attempt at
+    /// the same prompt would name it again and be turned away like the one before.
+    pub fn helper_failed(&mut self, now: MonoMs, address: SocketAddr) {
+        let helper = self.targets.ready_at(address).map(|entry| entry.id.clone());
+        if let Some(helper) = helper {
+            self.unreachable(now, &helper);
+        }
+    }
+
+    /// Whether a target has started again since an entry of it was read: what it held then is gone.
+    pub fn has_restarted(&self, entry: &TargetEntry) -> bool {
+        self.targets
+            .published_entry(entry.name())
+            .is_some_and(|published| entry.is_before(published))
+    }
+
     /// Notes that a target served a request.
     pub fn served(&mut self, fingerprint: Fingerprint) {
         if self.crashes.served(fingerprint) {
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -7,7 +7,7 @@
         fleet::{Beat, Crash, EnginePace, Frame, JobId, Member, Placed, Roster, Wants},
         names::TargetId,
         retries::Fingerprint,
-        targets::TargetEntry,
+        targets::{Displaced, TargetEntry},
     },
     std::net::SocketAddr,
     whinlatch_core::MonoMs,
@@ -25,6 +25,7 @@
     crashes: Vec<Crash>,
     served: Vec<Fingerprint>,
     unreachable: Vec<TargetId>,
+    displaced: Vec<Displaced>,
 }
 
 fn keep<T>(mut told: Vec<T>, is_news: impl FnMut(&T) -> bool) -> Vec<T> {
@@ -136,6 +137,7 @@
             crashes: frame.crashes,
             served: frame.served,
             unreachable: frame.unreachable,
+            displaced: frame.displaced,
         };
         self.take_warnings(now, warnings);
         for seen in &frame.paces {
@@ -199,12 +201,14 @@
             crashes: keep(told.crashes, |crash| self.crashes.note(now, crash)),
             served: keep(told.served, |request| self.crashes.served(*request)),
             unreachable: keep(told.unreachable, |id| self.calls.unreachable(now, id)),
+            displaced: keep(told.displaced, |entry| self.targets.displaced(entry)),
         };
         if self.is_hub() {
             let news = self.news.for_all();
             news.crashes.extend(new.crashes);
             news.served.extend(new.served);
             news.unreachable.extend(new.unreachable);
+            news.displaced.extend(new.displaced);
         }
     }
 
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -1,11 +1,13 @@
 //! The targets that are published, and what becomes of them.
 
+mod address_holders;
 mod calls;
 mod target_book;
 mod target_entry;
 
 pub use {
+    address_holders::AddressHolders,
     calls::CallLoads,
-    target_book::{TargetBook, TargetChange},
+    target_book::{Displaced, TargetBook, TargetChange},
     target_entry::{TargetEntry, TargetState},
 };
--- a/crates/serving/src/targets/target_book.rs
+++ b/crates/serving/src/targets/target_book.rs
@@ -1,8 +1,11 @@
 use {
-    super::{TargetEntry, TargetState},
-    crate::names::TargetId,
+    super::{AddressHolders, TargetEntry, TargetState},
+    crate::names::{TargetId, TargetName},
     serde::{Deserialize, Serialize},
-    std::collections::{HashMap, HashSet},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+    },
     whinlatch_core::MonoMs,
 };
 
@@ -17,12 +20,25 @@
 /// arrive in any order and more than once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetChange {
-    /// The target.
-    pub id: TargetId,
+    /// Name under which the target is published.
+    #[serde(rename = "id")]
+    pub name: TargetName,
     /// Revision of the store at which it happened.
     pub revision: u64,
-    /// The entry, or `None` if it was removed.
+    /// The entry, or `None` if there is none any more that names a target.
     pub entry: Option<TargetEntry>,
+    /// Whether something was written there that names no target, rather than nothing.
+    #[serde(default)]
+    pub is_unreadable: bool,
+}
+
+/// An entry whose target isn't at its address: another one answered there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Displaced {
+    /// Name under which it is published.
+    pub name: TargetName,
+    /// Revision of the entry.
+    pub revision: u64,
 }
 
 #[derive(Debug)]
@@ -35,8 +51,12 @@
 /// The published targets as far as this instance knows them.
 #[derive(Debug, Default)]
 pub struct TargetBook {
-    by_id: HashMap<TargetId, Held>,
-    doubtful: HashMap<TargetId, u64>,
+    by_name: HashMap<TargetName, Held>,
+    /// Names of the runs that are published.
+    runs: HashMap<TargetId, TargetName>,
+    doubtful: HashMap<TargetName, u64>,
+    displaced: HashMap<TargetName, u64>,
+    holders: AddressHolders,
     store_silent: bool,
     store_back_at: Option<MonoMs>,
     read_once: bool,
@@ -75,10 +95,12 @@
                 .store_back_at
                 .is_some_and(|back| now.since(back) < LAPSE_GRACE_MS);
         let leaving = self
-            .entry(&change.id)
+            .published_entry(&change.name)
             .is_none_or(|entry| entry.state == TargetState::Draining);
-        if change.entry.is_none() && was_away && !leaving {
-            self.doubtful.insert(change.id, change.revision);
+        let is_removal = change.entry.is_none() && !change.is_unreadable;
+        if is_removal && was_away && !leaving {
+            self.doubtful.insert(change.name, change.revision);
+            self.fit_holders();
             return None;
         }
         self.merge(now, &change).then_some(change)
@@ -87,18 +109,15 @@
     /// Takes in all entries that the store held at `revision`.
     pub fn published_all(&mut self, now: MonoMs, revision: u64, changes: Vec<TargetChange>) {
         self.read_once = true;
-        let listed: HashSet<TargetId> = changes.iter().map(|change| change.id.clone()).collect();
+        let listed: HashSet<TargetName> =
+            changes.iter().map(|change| change.name.clone()).collect();
         let missing: Vec<TargetChange> = self
-            .by_id
+            .by_name
             .iter()
-            .filter(|(id, held)| {
-                held.entry.is_some() && held.revision <= revision && !listed.contains(*id)
-            })
-            .map(|(id, _)| TargetChange {
-                id: id.clone(),
-                revision,
-                entry: None,
+            .filter(|(name, held)| {
+                held.entry.is_some() && held.revision <= revision && !listed.contains(*name)
             })
+            .map(|(name, _)| removal(name, revision))
             .collect();
         for change in changes.into_iter().chain(missing) {
             self.published(now, change);
@@ -112,51 +131,100 @@
     }
 
     fn merge(&mut self, now: MonoMs, change: &TargetChange) -> bool {
-        let held = self.by_id.get(&change.id);
+        let held = self.by_name.get(&change.name);
         if held.is_some_and(|held| held.revision >= change.revision) {
             return false;
         }
-        self.doubtful.remove(&change.id);
+        if let Some(former) = held.and_then(|held| held.entry.as_ref()) {
+            self.runs.remove(&former.id);
+        }
+        if let Some(entry) = &change.entry {
+            self.runs.insert(entry.id.clone(), change.name.clone());
+        }
+        self.doubtful.remove(&change.name);
         self.newest = self.newest.max(change.revision);
-        self.by_id.insert(
-            change.id.clone(),
+        self.by_name.insert(
+            change.name.clone(),
             Held {
                 revision: change.revision,
                 entry: change.entry.clone(),
                 removed_at: now,
             },
         );
+        self.fit_holders();
         true
     }
 
+    /// Notes that another target answers where a run was published, seen here or told by a peer.
+    /// Returns whether that is news. What is written under its name later counts again.
+    pub fn displaced(&mut self, displaced: &Displaced) -> bool {
+        let known = self.displaced.entry(displaced.name.clone()).or_default();
+        if *known >= displaced.revision {
+            return false;
+        }
+        *known = displaced.revision;
+        self.fit_holders();
+        true
+    }
+
+    /// What is to be told of a run at whose address another target answers.
+    pub fn displacement(&self, run: &str) -> Option<Displaced> {
+        let name = self.runs.get(run)?;
+        let revision = self.by_name.get(name)?.revision;
+        Some(Displaced {
+            name: name.clone(),
+            revision,
+        })
+    }
+
+    /// Finds out anew which entry holds each address.
+    fn fit_holders(&mut self) {
+        let is_displaced =
+            |name: &str, revision| self.displaced.get(name).is_some_and(|at| *at >= revision);
+        let entries = self.by_name.iter().filter_map(|(name, held)| {
+            let entry = held.entry.as_ref()?;
+            let is_out = is_displaced(name, held.revision);
+            (!is_out).then_some((held.revision, !self.doubtful.contains_key(name), entry))
+        });
+        self.holders = AddressHolders::new(entries);
+    }
+
     /// Lets doubtful removals take effect once their time is over. Returns the targets.
-    pub fn settle(&mut self, now: MonoMs) -> Vec<TargetId> {
+    pub fn settle(&mut self, now: MonoMs) -> Vec<TargetName> {
         let is_over = !self.store_silent
             && self
                 .store_back_at
                 .is_none_or(|back| now.since(back) >= LAPSE_GRACE_MS);
-        self.by_id.retain(|_, held| {
+        self.by_name.retain(|_, held| {
             held.entry.is_some() || now.since(held.removed_at) < REMEMBER_REMOVED_MS
         });
+        let by_name = &self.by_name;
+        self.displaced.retain(|name, _| by_name.contains_key(name));
         if !is_over || self.doubtful.is_empty() {
             return Vec::new();
         }
         let doubtful = std::mem::take(&mut self.doubtful);
         doubtful
             .into_iter()
-            .map(|(id, revision)| TargetChange {
-                id,
-                revision,
-                entry: None,
-            })
+            .map(|(name, revision)| removal(&name, revision))
             .filter(|change| self.merge(now, change))
-            .map(|change| change.id)
+            .map(|change| change.name)
             .collect()
     }
 
-    /// An entry, while it is published.
-    pub fn entry(&self, id: &str) -> Option<&TargetEntry> {
-        self.by_id.get(id).and_then(|held| held.entry.as_ref())
+    /// The entry of a run, while it is published.
+    pub fn entry(&self, run: &str) -> Option<&TargetEntry> {
+        self.published_entry(self.runs.get(run)?)
+    }
+
+    /// The entry that is published under a name.
+    pub fn published_entry(&self, name: &str) -> Option<&TargetEntry> {
+        self.by_name.get(name).and_then(|held| held.entry.as_ref())
+    }
+
+    /// The entry that takes requests at an address.
+    pub fn ready_at(&self, address: SocketAddr) -> Option<&TargetEntry> {
+        self.ready_entry(self.holders.at(address)?)
     }
 
     /// Whether the store didn't answer when it was last asked.
@@ -166,10 +234,14 @@
 
     /// All targets that take requests.
     pub fn all_ready(&self) -> impl Iterator<Item = &TargetEntry> {
-        self.by_id
+        self.by_name
             .values()
             .filter_map(|held| held.entry.as_ref())
-            .filter(|entry| entry.state == TargetState::Ready)
+            .filter(|entry| self.takes_requests(entry))
+    }
+
+    fn takes_requests(&self, entry: &TargetEntry) -> bool {
+        entry.state == TargetState::Ready && self.holders.is_held_by(entry)
     }
 
     /// Names of all targets that take requests, in order.
@@ -179,10 +251,9 @@
         names
     }
 
-    /// An entry, while it is published and takes requests.
+    /// The entry of a run, while it is published and takes requests.
     pub fn ready_entry(&self, id: &str) -> Option<&TargetEntry> {
-        self.entry(id)
-            .filter(|entry| entry.state == TargetState::Ready)
+        self.entry(id).filter(|entry| self.takes_requests(entry))
     }
 
     /// Revision of the newest change that is known.
@@ -192,13 +263,14 @@
 
     /// What is known that happened after a revision.
     pub fn changes_after(&self, revision: u64) -> Vec<TargetChange> {
-        self.by_id
+        self.by_name
             .iter()
             .filter(|(_, held)| held.revision > revision)
-            .map(|(id, held)| TargetChange {
-                id: id.clone(),
+            .map(|(name, held)| TargetChange {
+                name: name.clone(),
                 revision: held.revision,
                 entry: held.entry.clone(),
+                is_unreadable: false,
             })
             .collect()
     }
@@ -209,3 +281,12 @@
             .filter(move |entry| &*entry.service == service)
     }
 }
+
+fn removal(name: &TargetName, revision: u64) -> TargetChange {
+    TargetChange {
+        name: name.clone(),
+        revision,
+        entry: None,
+        is_unreadable: false,
+    }
+}
--- a/crates/serving/src/targets/target_entry.rs
+++ b/crates/serving/src/targets/target_entry.rs
@@ -16,8 +16,11 @@
 /// A published target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
-    /// This run of it.
+    /// This run of it, as [`Self::run_id`] has it.
     pub id: TargetId,
+    /// When this run began, in Unix ms, if it says so.
+    #[serde(default)]
+    pub started_at_ms: Option<u64>,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Where it listens. The address may belong to another target later.
@@ -29,3 +32,33 @@
     /// Whether it takes requests.
     pub state: TargetState,
 }
+
+impl TargetEntry {
+    /// Name of a run of a target that is published under `name`.
+    ///
+    /// Guards against a target that starts again under its old name: prompts, memory and crashes of
+    /// the run before would count as those of the new one, which knows of none of them.
+    pub fn run_id(name: &str, started_at_ms: Option<u64>) -> TargetId {
+        match started_at_ms {
+            Some(started_at_ms) => format!("{name}#{started_at_ms}").into(),
+            None => name.into(),
+        }
+    }
+
+    /// Name under which it is published, and which it knows itself by.
+    pub fn name(&self) -> &str {
+        let Some(started_at_ms) = self.started_at_ms else {
+            return &self.id;
+        };
+        let suffix = format!("#{started_at_ms}");
+        self.id.strip_suffix(suffix.as_str()).unwrap_or(&self.id)
+    }
+
+    /// Whether another entry is of a later run than this one, as far as both say when they began.
+    pub fn is_before(&self, other: &Self) -> bool {
+        match (self.started_at_ms, other.started_at_ms) {
+            (Some(own), Some(others)) => own < others,
+            _ => false,
+        }
+    }
+}
--- a/crates/serving/tests/serving/engine_load.rs
+++ b/crates/serving/tests/serving/engine_load.rs
@@ -203,3 +203,34 @@
     assert!(left[0] > left[1] + 40.0, "{left:?}");
     assert!(engine_load.ends_in_ms(0) > engine_load.ends_in_ms(1) + 100.0);
 }
+
+/// A caller with a long prompt is told that the engines are too busy though they are idle: the engine
+/// that was to answer named one that has died, and the reading that nobody did counted as given.
+#[test]
+fn what_no_engine_reads_counts_as_given_to_none() {
+    let mut loads = EngineLoads::default();
+    loads.placed(START, &spec(), GROUP, placed(1, "e-0", 300_000));
+    let given = loads.used(START, GROUP, 4);
+
+    loads.ended(job(1));
+
+    assert!(given > 0.3, "{given}");
+    assert!(loads.used(START, GROUP, 4) < 0.001);
+}
+
+#[test]
+fn what_was_read_before_a_prompt_ended_was_given() {
+    let mut loads = EngineLoads::default();
+    loads.placed(START, &spec(), GROUP, placed(1, "e-0", 300_000));
+    let given = loads.used(START, GROUP, 4);
+
+    let half_ms = spec().read_ms(300_000) as u64 / 2;
+    loads.advance(START + half_ms, &spec(), &["e-0".into()]);
+    loads.ended(job(1));
+
+    let left = loads.used(START, GROUP, 4);
+    assert!(
+        left > 0.4 * given && left < 0.6 * given,
+        "{left} of {given}"
+    );
+}
