--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -40,8 +40,19 @@
 const NEWS_MS: u64 = 20;
 /// Time between looks for what time alone decides, in ms.
 const TICK_MS: u64 = 250;
+/// Time for which an instance counts as starting, in ms: as long as callers take to come back after
+/// all instances were lost.
+const STARTING_MS: u64 = 3_000;
+/// Time between looks for links that are missing while an instance starts, in ms.
+const STARTING_LOOK_MS: u64 = 50;
 /// Time for a link to open, in ms.
 const OPEN_MS: u64 = 800;
+/// The same while an instance starts, in ms: some fifty crossings of the network.
+///
+/// Guards against peers that start at the same moment: what is sent to one that isn't up yet is
+/// dropped, and sent again only after a second. Instances that all started anew learnt of each other
+/// 1.3 s later, after most callers had come back to them.
+const STARTING_OPEN_MS: u64 = 150;
 /// Time for a peer to take a frame, in ms.
 const SEND_MS: u64 = 1_000;
 /// Time that a frame may stay without an acknowledgement: a link that went silent is given up
@@ -49,14 +60,24 @@
 const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
 /// Time between two tries to open a link, in ms.
 const REOPEN_MS: u64 = 300;
+/// The same while an instance starts, in ms.
+const STARTING_REOPEN_MS: u64 = 50;
 /// Silence after which a link that a peer opened is closed, in ms.
 const SILENT_MS: u64 = 5_000;
 /// A gap between two ticks after which the process is taken to have been paused, in ms.
 const PAUSE_MS: u64 = 700;
 
+/// How links are opened.
+#[derive(Debug, Clone, Copy)]
+struct OpenRule {
+    open_ms: u64,
+    reopen_ms: u64,
+}
+
 /// What keeps links and tells news.
 struct Keeper {
     state: Arc<EntryState>,
+    began: MonoMs,
     /// The peers that know this instance's prompts, and on which groups of engines.
     informed: BTreeMap<SocketAddr, Vec<EngineGroup>>,
     wanted: WantedLinks,
@@ -67,9 +88,11 @@
 pub async fn keep_links(state: Arc<EntryState>) {
     let mut next_beat = state.now();
     let mut next_tick = state.now();
+    let mut next_look = state.now();
     let mut last = state.now();
     let mut keeper = Keeper {
         state: Arc::clone(&state),
+        began: state.now(),
         informed: BTreeMap::new(),
         wanted: WantedLinks::default(),
         is_hub: false,
@@ -83,6 +106,10 @@
             next_tick = now + TICK_MS;
             keeper.tick(now);
         }
+        if keeper.is_starting(now) && now >= next_look {
+            next_look = now + STARTING_LOOK_MS;
+            keeper.look_for_links(now);
+        }
         keeper.tell_news();
         keeper.tell_roster(now);
         if now >= next_beat || state.serving().is_beat_due() {
@@ -101,6 +128,30 @@
 }
 
 impl Keeper {
+    fn is_starting(&self, now: MonoMs) -> bool {
+        now.since(self.began) < STARTING_MS
+    }
+
+    fn open_rule(&self, now: MonoMs) -> OpenRule {
+        if self.is_starting(now) {
+            return OpenRule {
+                open_ms: STARTING_OPEN_MS,
+                reopen_ms: STARTING_REOPEN_MS,
+            };
+        }
+        OpenRule {
+            open_ms: OPEN_MS,
+            reopen_ms: REOPEN_MS,
+        }
+    }
+
+    /// Opens links that are missing, and tells the new ones what is at work.
+    fn look_for_links(&mut self, now: MonoMs) {
+        self.wanted = self.state.serving().wanted_links(now);
+        let linked = self.open_missing(now);
+        self.inform(now, &linked);
+    }
+
     fn tick(&mut self, now: MonoMs) {
         let state = &self.state;
         let seeds = state.seed_peers();
@@ -134,7 +185,8 @@
         for (address, asks_for_link) in own.chain(asked) {
             if let Some(queue) = state.links.open(address) {
                 let first = state.serving().greeting(now, asks_for_link);
-                task::spawn(keep_link(Arc::clone(state), address, first, queue));
+                let rule = self.open_rule(now);
+                task::spawn(keep_link(Arc::clone(state), address, rule, first, queue));
             }
         }
         linked
@@ -205,14 +257,15 @@
 async fn keep_link(
     state: Arc<EntryState>,
     address: SocketAddr,
+    rule: OpenRule,
     first: Frame,
     queue: Receiver<Bytes>,
 ) {
     let clock = state.clock.as_ref();
-    let opened = timeout(clock, OPEN_MS, open(&state, address)).await;
+    let opened = timeout(clock, rule.open_ms, open(&state, address)).await;
     let Some(Ok(mut socket)) = opened else {
         state.serving().peer_lost(state.now(), address);
-        clock.sleep(REOPEN_MS).await;
+        clock.sleep(rule.reopen_ms).await;
         return;
     };
     let peer = address.to_string();
@@ -229,7 +282,7 @@
     };
     state.log(&Decision::PeerLost { peer, fault });
     queue.close();
-    clock.sleep(REOPEN_MS).await;
+    clock.sleep(rule.reopen_ms).await;
 }
 
 async fn open(
