--- a/crates/serving/src/engines/engine_load.rs
+++ b/crates/serving/src/engines/engine_load.rs
@@ -33,7 +33,7 @@
     pub late_at: MonoMs,
     /// Longest pause with which the prompt's stream is on time, in ms.
     pub pause_limit_ms: f64,
-    /// This engine's share of what is lost when the stream is late.
+    /// What is lost when the stream is late.
     pub value: f64,
     /// Whether it is read in the pass that is running.
     pub in_pass: bool,
--- a/crates/serving/src/engines/engine_loads.rs
+++ b/crates/serving/src/engines/engine_loads.rs
@@ -91,7 +91,7 @@
                 goes_first: is_helper || placed.goes_first,
                 late_at: now + slack_ms,
                 pause_limit_ms: f64::from(placed.pause_limit_ms),
-                value: value / degree as f64,
+                value,
                 in_pass: false,
             });
             engine.helping += usize::from(is_helper);
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -11,7 +11,7 @@
 };
 
 /// A prompt at work, named by the run of the instance that placed it and a number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId {
     /// Run of the instance, drawn at random at its start.
     pub run: u64,
--- a/crates/serving/src/placement/choose.rs
+++ b/crates/serving/src/placement/choose.rs
@@ -1,6 +1,10 @@
 use {
     super::{lateness, value_of},
-    crate::{catalog::EngineSpec, engines::EngineLoad, fleet::Reserved},
+    crate::{
+        catalog::EngineSpec,
+        engines::EngineLoad,
+        fleet::{JobId, Reserved},
+    },
     whinlatch_core::MonoMs,
 };
 
@@ -132,12 +136,44 @@
     }
 }
 
-/// One engine's part in a choice.
+/// What a prompt that waits loses.
 #[derive(Debug, Clone, Copy)]
+struct Delay {
+    job: JobId,
+    loss: f64,
+}
+
+/// One engine's part in a choice.
+#[derive(Debug, Clone)]
 struct Share {
     place: usize,
     finish_ms: f64,
-    harm: f64,
+    /// What streams lose, and the caller who isn't liked.
+    paused: f64,
+    delays: Vec<Delay>,
+}
+
+impl Share {
+    /// What others lose by it.
+    fn harm(&self) -> f64 {
+        self.paused + self.delays.iter().map(|delay| delay.loss).sum::<f64>()
+    }
+}
+
+/// What others lose by all parts together. A prompt is read when the last of its parts is, so that
+/// it loses by the one that is delayed most and not by each of them.
+fn harm_of(shares: &[&Share]) -> f64 {
+    let paused: f64 = shares.iter().map(|share| share.paused).sum();
+    let mut delays: Vec<Delay> = shares
+        .iter()
+        .flat_map(|share| share.delays.iter().copied())
+        .collect();
+    delays.sort_unstable_by_key(|delay| delay.job);
+    let jobs = delays.chunk_by(|left, right| left.job == right.job);
+    let delayed: f64 = jobs
+        .map(|same| same.iter().map(|delay| delay.loss).fold(0.0, f64::max))
+        .sum();
+    paused + delayed
 }
 
 /// Chooses engines for a prompt; `None` if no engine can take it.
@@ -194,7 +230,7 @@
     if shares.len() + 1 < degree {
         return None;
     }
-    let rank = |share: &Share| share.harm + own_loss(share.finish_ms) / degree as f64;
+    let rank = |share: &Share| share.harm() + own_loss(share.finish_ms) / degree as f64;
     shares.sort_by(|left, right| rank(left).total_cmp(&rank(right)));
     shares.truncate(degree - 1);
     if let Some(reserved) = shape.reserved
@@ -209,7 +245,8 @@
         .iter()
         .map(|share| share.finish_ms)
         .fold(first.finish_ms, f64::max);
-    let harm = first.harm + shares.iter().map(|share| share.harm).sum::<f64>();
+    let parts: Vec<&Share> = std::iter::once(&first).chain(&shares).collect();
+    let harm = harm_of(&parts);
     let helpers = (degree - 1) as f64 * LOSS_PER_HELPER;
     let paused = pause_loss(spec, shape, candidates[first.place].load, part, finish_ms);
     Some(Choice {
@@ -254,8 +291,8 @@
         .filter(|(_, candidate)| can_answer(spec, shape, candidate.load))
         .map(|(place, candidate)| {
             let mut first = share(now, spec, candidate, place, part, part.goes_first);
-            first.harm += answer_loss(spec, shape, candidate.load);
-            first.harm += LIKING_GAIN * (1.0 - candidate.liking);
+            first.paused += answer_loss(spec, shape, candidate.load);
+            first.paused += LIKING_GAIN * (1.0 - candidate.liking);
             // Not being liked harms nobody, and is no reason to refuse.
             let blind_gain = if shape.is_blind {
                 BLIND_LIKING_GAIN
@@ -264,7 +301,7 @@
             };
             let disliked = blind_gain * (1.0 - candidate.liking);
             let paused = pause_loss(spec, shape, candidate.load, part, first.finish_ms);
-            let loss = first.harm + paused + disliked + own_loss(first.finish_ms);
+            let loss = first.harm() + paused + disliked + own_loss(first.finish_ms);
             (loss, first)
         })
         .min_by(|left, right| left.0.total_cmp(&right.0))
@@ -335,13 +372,18 @@
             writer.value * (after - before)
         })
         .sum();
-    let delayed: f64 = (0..load.parts.len())
-        .map(|place| delay_loss(now, load, place, part_ms, goes_first))
-        .sum();
+    let delays = (0..load.parts.len())
+        .map(|place| Delay {
+            job: load.parts[place].job,
+            loss: delay_loss(now, load, place, part_ms, goes_first),
+        })
+        .filter(|delay| delay.loss > 0.0)
+        .collect();
     Share {
         place,
         finish_ms: finish_ms + CROSSING_MS,
-        harm: paused + delayed,
+        paused,
+        delays,
     }
 }
 
--- a/crates/serving/src/targets/target_book.rs
+++ b/crates/serving/src/targets/target_book.rs
@@ -3,7 +3,7 @@
     crate::names::{TargetId, TargetName},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
     },
     whinlatch_core::MonoMs,
@@ -51,7 +51,8 @@
 /// The published targets as far as this instance knows them.
 #[derive(Debug, Default)]
 pub struct TargetBook {
-    by_name: HashMap<TargetName, Held>,
+    /// In the order of names: whoever chooses among equals chooses the same each time.
+    by_name: BTreeMap<TargetName, Held>,
     /// Names of the runs that are published.
     runs: HashMap<TargetId, TargetName>,
     doubtful: HashMap<TargetName, u64>,
--- a/crates/serving/tests/serving/placement.rs
+++ b/crates/serving/tests/serving/placement.rs
@@ -333,3 +333,49 @@
 
     assert!(gain(1_000.0) < 0.5 * gain(60_000.0));
 }
+
+/// A review that was to be read in time by twelve engines is late: a newer prompt takes four of them,
+/// where its parts go ahead, beside four that are idle. Each of the four was charged a twelfth of what
+/// the review loses, while it loses all by the first of them.
+#[test]
+fn a_prompt_keeps_off_engines_that_all_read_for_another() {
+    let mut loads = EngineLoads::default();
+    let engines: Vec<TargetId> = (0..16).map(engine_id).collect();
+    let review = Placed {
+        engines: engines[..12].to_vec(),
+        slack_ms: 2_450,
+        goes_first: true,
+        ..placed(1, "e-00", 500_000)
+    };
+    loads.placed(START, &spec(), GROUP, review);
+    loads.advance(START, &spec(), &engines);
+    let candidates: Vec<Candidate<'_>> = engines[8..]
+        .iter()
+        .map(|id| Candidate {
+            liking: 0.5,
+            load: loads.get(id).unwrap(),
+        })
+        .collect();
+
+    let choice = choose(START, &spec(), &shape(120_000, 400.0), &candidates).unwrap();
+
+    assert!(choice.engines.iter().all(|place| *place >= 4), "{choice:?}");
+}
+
+fn engine_id(number: usize) -> TargetId {
+    format!("e-{number:02}").into()
+}
+
+/// A prompt that has so much time, while the engines have little to do.
+fn shape(prompt_tokens: u64, slack_ms: f64) -> PromptShape {
+    PromptShape {
+        prompt_tokens,
+        answer_tokens: 600,
+        slack_ms,
+        pause_limit_ms: 1_000.0,
+        patience_ms: 12_000.0,
+        reserved: None,
+        used: 0.3,
+        is_blind: false,
+    }
+}
