--- a/crates/daemon/src/app/args.rs
+++ b/crates/daemon/src/app/args.rs
@@ -1,4 +1,4 @@
-use {bpaf::Bpaf, std::path::PathBuf};
+use {bpaf::Bpaf, std::path::PathBuf, whinlatch_serving::mechanism::Mechanism};
 
 /// The whinlatch daemon: takes callers' requests and passes them on to targets.
 #[derive(Debug, Clone, Bpaf)]
@@ -7,6 +7,9 @@
     /// Where settings and records come from.
     #[bpaf(external)]
     pub source: Source,
+    /// Switch off a part of the decisions, to measure what it is worth; only with --platform
+    #[bpaf(argument("MECHANISM"), many)]
+    pub without: Vec<Mechanism>,
     /// Check the settings and end
     pub check: bool,
 }
--- a/crates/daemon/src/app/run.rs
+++ b/crates/daemon/src/app/run.rs
@@ -29,8 +29,9 @@
 
 fn start(args: Args) -> Result<(), DaemonError> {
     match args.source {
+        Source::File { .. } if !args.without.is_empty() => Err(DaemonError::Without),
         Source::File { settings } => start_by_records(&settings, args.check),
-        Source::Platform => entry::run(args.check),
+        Source::Platform => entry::run(args.check, args.without.into_iter().collect()),
     }
 }
 
--- a/crates/daemon/src/entry/answers_whole.rs
+++ b/crates/daemon/src/entry/answers_whole.rs
@@ -64,7 +64,7 @@
         let placed = state.serving().place_call(state.now(), &ask);
         let target = match placed {
             Ok(place) => place.target,
-            Err(refusal) => return give_up(context, answer, refusal, failure).await,
+            Err(refusal) => return give_up(state, context, answer, refusal, failure).await,
         };
         let end = attempt(state, context, answer, &target).await;
         tried.push(target.id.clone());
@@ -92,7 +92,7 @@
             || answer.progress().sends > context.route.max_attempts
             || tried.len() >= MOST_TARGETS
         {
-            return give_up(context, answer, Refusal::NoTarget, failure).await;
+            return give_up(state, context, answer, Refusal::NoTarget, failure).await;
         }
     }
 }
@@ -129,6 +129,7 @@
         expected_ms: 0,
         slack_ms: context.due.since(now).cast_signed(),
         attempt: answer.note_sent(),
+        weighed: None,
     });
     answer.set_may_have_run(true);
     let whole = exchange_whole(state, context, target, connection, &bytes).await;
@@ -209,6 +210,7 @@
 }
 
 async fn give_up(
+    state: &EntryState,
     context: &RequestContext,
     answer: &CallerAnswer<'_>,
     refusal: Refusal,
@@ -217,5 +219,5 @@
     if let Some(whole) = failure {
         return pass_on(answer, &whole).await;
     }
-    Ended::refused(answer, context, refusal).await
+    Ended::refused(state, answer, context, refusal).await
 }
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -8,6 +8,7 @@
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
     },
+    whinlatch_serving::Weighed,
 };
 
 /// A decision that touches a request, or changes what the process believes.
@@ -116,6 +117,23 @@
         slack_ms: i64,
         /// Place among the request's attempts.
         attempt: u32,
+        /// What was weighed, of a prompt.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        weighed: Option<Weighed>,
+    },
+    /// A request gets no target.
+    Refused {
+        /// Id of the request.
+        request: String,
+        /// Route by which it came.
+        route: String,
+        /// Why.
+        reason: &'static str,
+        /// When its caller is to come back, in ms, if at all.
+        retry_after_ms: Option<u64>,
+        /// What was weighed, of a prompt that others would lose too much by.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        weighed: Option<Weighed>,
     },
     /// An attempt came to nothing.
     AttemptFailed {
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -103,6 +103,7 @@
 
     /// Gives a refusal, or a failure if a target may have run the request.
     pub async fn refused(
+        state: &EntryState,
         answer: &CallerAnswer<'_>,
         context: &RequestContext,
         refusal: Refusal,
@@ -116,6 +117,13 @@
         let retry_after_ms = refusal.retry_after_ms();
         let most_ms = context.due.since(context.arrived) / MOST_RETRY_SHARE;
         let retry_after_ms = retry_after_ms.map(|ms| ms.min(most_ms));
+        state.log(&Decision::Refused {
+            request: context.caller.request_id.clone(),
+            route: context.route.name.clone(),
+            reason: message,
+            retry_after_ms,
+            weighed: refusal.weighed(),
+        });
         Self::own(answer, 503, message, retry_after_ms).await
     }
 }
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -20,7 +20,7 @@
     async_std::task::{self, JoinHandle},
     std::{env, fs, path::PathBuf, sync::Arc},
     whinlatch_platform::{InstanceSettings, SETTINGS_VARIABLE, read_settings},
-    whinlatch_serving::{Serving, fleet::Member},
+    whinlatch_serving::{Serving, fleet::Member, mechanism::Without},
 };
 
 /// Time between two looks whether a leaving instance is idle, in ms.
@@ -86,6 +86,11 @@
         Ok(Self { state, tasks })
     }
 
+    /// Switches parts of the decisions off.
+    pub fn switch_off(&self, without: Without) {
+        self.state.serving().switch_off(without);
+    }
+
     /// The settings, with the ports that are listened on.
     pub fn settings(&self) -> &InstanceSettings {
         &self.state.settings
@@ -200,7 +205,7 @@
 ///
 /// # Errors
 /// It doesn't start.
-pub fn run(check: bool) -> Result<(), DaemonError> {
+pub fn run(check: bool, without: Without) -> Result<(), DaemonError> {
     let settings = load()?;
     if check {
         println!("the settings are good");
@@ -208,12 +213,17 @@
     }
     logs::set_up_lines()?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
-    task::block_on(serve(settings, clock))
+    task::block_on(serve(settings, clock, without))
 }
 
-async fn serve(settings: InstanceSettings, clock: Arc<dyn Clock>) -> Result<(), DaemonError> {
+async fn serve(
+    settings: InstanceSettings,
+    clock: Arc<dyn Clock>,
+    without: Without,
+) -> Result<(), DaemonError> {
     let signals = stop_signals()?;
     let entry = Entry::start(settings, Arc::clone(&clock)).await?;
+    entry.switch_off(without);
     loop {
         let signalled = timeout(clock.as_ref(), REREAD_MS, signals.recv()).await;
         match signalled {
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -157,7 +157,7 @@
             let message = refusal.message();
             return Ended::cut(format!("no engine resumes the stream: {message}"));
         }
-        Ended::refused(self.answer, self.context, refusal).await
+        Ended::refused(self.state, self.answer, self.context, refusal).await
     }
 
     /// Passes on an engine's failure. A status that promises that nothing ran isn't passed on from
@@ -261,6 +261,7 @@
             expected_ms: place.first_event_ms as u64,
             slack_ms: context.route.objective_ms.cast_signed() - passed_ms.cast_signed(),
             attempt: self.answer.note_sent(),
+            weighed: Some(place.weighed),
         });
     }
 
--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -10,6 +10,9 @@
 /// Why a daemon doesn't start.
 #[derive(Debug, Error)]
 pub enum DaemonError {
+    /// Parts of the decisions are to be switched off that don't decide here.
+    #[error("--without is for the users' platform: leave it out, or give --platform")]
+    Without,
     /// The settings can't be read.
     #[error("can't read the settings {path}: {source}: give a readable file with --settings")]
     Unreadable {
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -1,7 +1,7 @@
 use {
     super::{EngineGroup, Roster},
     crate::{
-        PromptAsk, Refusal,
+        PromptAsk, Refusal, Weighed,
         names::{FailureDomain, TargetId},
         retries::Fingerprint,
         targets::{Displaced, TargetChange},
@@ -189,6 +189,9 @@
     pub placed: Placed,
     /// When the first event is expected, in ms from the choice.
     pub first_event_ms: f64,
+    /// What was weighed.
+    #[serde(default)]
+    pub weighed: Weighed,
 }
 
 /// A message between instances. A missing part says nothing; an unknown one is passed over.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod engines;
 pub mod fleet;
+pub mod mechanism;
 pub mod names;
 pub mod placement;
 pub mod retries;
@@ -15,5 +16,5 @@
 mod serving;
 
 pub use serving::{
-    CallAsk, CallPlace, PromptAsk, PromptPlace, Recipients, Refusal, Serving, WantedLinks,
+    CallAsk, CallPlace, PromptAsk, PromptPlace, Recipients, Refusal, Serving, WantedLinks, Weighed,
 };
--- a/crates/serving/src/placement/choose.rs
+++ b/crates/serving/src/placement/choose.rs
@@ -4,6 +4,7 @@
         catalog::EngineSpec,
         engines::EngineLoad,
         fleet::{JobId, Reserved},
+        mechanism::{Mechanism, Without},
     },
     whinlatch_core::MonoMs,
 };
@@ -90,6 +91,8 @@
     pub used: f64,
     /// Whether little is known of what other instances place.
     pub is_blind: bool,
+    /// Parts of the choice that are switched off.
+    pub without: Without,
 }
 
 /// An engine that may take part.
@@ -131,7 +134,9 @@
         Self {
             ms: spec.part_ms(shape.prompt_tokens, degree),
             tokens: shape.prompt_tokens as f64 / degree as f64,
-            goes_first: degree > 1 && spec.read_ms(shape.prompt_tokens) >= PLACE_FROM_MS,
+            goes_first: degree > 1
+                && spec.read_ms(shape.prompt_tokens) >= PLACE_FROM_MS
+                && shape.without.has(Mechanism::FirstPlaces),
         }
     }
 }
@@ -193,7 +198,8 @@
         .copied()
         .filter(|degree| {
             let least = shape.reserved.map_or(1, |reserved| reserved.engines + 1);
-            let is_worth_it = whole_ms / *degree as f64 >= SMALLEST_PART_MS;
+            let is_worth_it = whole_ms / *degree as f64 >= SMALLEST_PART_MS
+                && shape.without.has(Mechanism::Helpers);
             *degree >= least && *degree <= candidates.len() && (*degree == least || is_worth_it)
         })
         .filter_map(|degree| choose_degree(now, spec, shape, candidates, degree))
@@ -215,7 +221,7 @@
         value * (LATE_LOSS * late + (1.0 - LATE_LOSS) * gone)
     };
     let own_loss = |finish_ms: f64| {
-        let risk = RISK * (finish_ms / shape.slack_ms.max(1.0)).min(1.0);
+        let risk = risk_of(shape) * (finish_ms / shape.slack_ms.max(1.0)).min(1.0);
         late_loss(finish_ms) + value * risk + finish_ms / 1_000.0 * LOSS_PER_S
     };
     let first = best_first(now, spec, shape, candidates, degree, &own_loss)?;
@@ -225,7 +231,7 @@
         .filter(|(place, candidate)| {
             *place != first.place && candidate.load.helping < spec.slots as usize
         })
-        .map(|(place, candidate)| share(now, spec, candidate, place, part, true))
+        .map(|(place, candidate)| share(now, spec, shape, candidate, place, part, true))
         .collect();
     if shares.len() + 1 < degree {
         return None;
@@ -246,7 +252,11 @@
         .map(|share| share.finish_ms)
         .fold(first.finish_ms, f64::max);
     let parts: Vec<&Share> = std::iter::once(&first).chain(&shares).collect();
-    let harm = harm_of(&parts);
+    let harm = if shape.without.has(Mechanism::WholeDelay) {
+        harm_of(&parts)
+    } else {
+        parts.iter().map(|share| share.paused).sum()
+    };
     let helpers = (degree - 1) as f64 * LOSS_PER_HELPER;
     let paused = pause_loss(spec, shape, candidates[first.place].load, part, finish_ms);
     Some(Choice {
@@ -259,6 +269,15 @@
     })
 }
 
+/// Share of its value by which what is likely to be in time counts as less than what is sure to be.
+fn risk_of(shape: &PromptShape) -> f64 {
+    if shape.without.has(Mechanism::Risk) {
+        RISK
+    } else {
+        0.0
+    }
+}
+
 /// Puts those with the most free memory first. Returns whether enough of them have room for what
 /// is to be set aside.
 fn put_holders_first(
@@ -290,9 +309,10 @@
         .enumerate()
         .filter(|(_, candidate)| can_answer(spec, shape, candidate.load))
         .map(|(place, candidate)| {
-            let mut first = share(now, spec, candidate, place, part, part.goes_first);
+            let mut first = share(now, spec, shape, candidate, place, part, part.goes_first);
             first.paused += answer_loss(spec, shape, candidate.load);
             first.paused += LIKING_GAIN * (1.0 - candidate.liking);
+            let paused = pause_loss(spec, shape, candidate.load, part, first.finish_ms);
             // Not being liked harms nobody, and is no reason to refuse.
             let blind_gain = if shape.is_blind {
                 BLIND_LIKING_GAIN
@@ -300,7 +320,6 @@
                 0.0
             };
             let disliked = blind_gain * (1.0 - candidate.liking);
-            let paused = pause_loss(spec, shape, candidate.load, part, first.finish_ms);
             let loss = first.harm() + paused + disliked + own_loss(first.finish_ms);
             (loss, first)
         })
@@ -321,7 +340,7 @@
     finish_ms: f64,
 ) -> f64 {
     let (tokens, waiting_ms) = load.waiting_tokens();
-    if waiting_ms <= 0.0 {
+    if waiting_ms <= 0.0 || !shape.without.has(Mechanism::OwnPause) {
         return 0.0;
     }
     let room_tokens = spec.pass_read_tokens() as f64;
@@ -340,6 +359,7 @@
 fn share(
     now: MonoMs,
     spec: &EngineSpec,
+    shape: &PromptShape,
     candidate: &Candidate<'_>,
     place: usize,
     part: OwnPart,
@@ -375,7 +395,7 @@
     let delays = (0..load.parts.len())
         .map(|place| Delay {
             job: load.parts[place].job,
-            loss: delay_loss(now, load, place, part_ms, goes_first),
+            loss: delay_loss(now, shape, load, place, part_ms, goes_first),
         })
         .filter(|delay| delay.loss > 0.0)
         .collect();
@@ -389,7 +409,14 @@
 
 /// What a prompt that waits on an engine loses by a part that comes now: its first event comes
 /// later if the part is read ahead of it or in the same pass, else its first pause is longer.
-fn delay_loss(now: MonoMs, load: &EngineLoad, place: usize, part_ms: f64, goes_first: bool) -> f64 {
+fn delay_loss(
+    now: MonoMs,
+    shape: &PromptShape,
+    load: &EngineLoad,
+    place: usize,
+    part_ms: f64,
+    goes_first: bool,
+) -> f64 {
     let waiting = &load.parts[place];
     if waiting.left_ms <= 0.0 {
         return 0.0;
@@ -399,7 +426,7 @@
         let before_ms = load.pass_left_ms(now) + load.ends_in_ms(place) + CROSSING_MS;
         let before = lateness(before_ms, slack_ms);
         let after = lateness(before_ms + part_ms, slack_ms);
-        let risk = RISK * (part_ms / slack_ms.max(1.0)).min(1.0);
+        let risk = risk_of(shape) * (part_ms / slack_ms.max(1.0)).min(1.0);
         return waiting.value * (after - before + risk);
     }
     if waiting.is_helper {
@@ -421,6 +448,9 @@
 /// The load that this answers: bursts of long prompts, two of whose parts in one pass are more than
 /// such a stream bears. Engines that write short streams are kept free of these parts.
 fn exposure_loss(shape: &PromptShape, is_kept_free: bool) -> f64 {
+    if !shape.without.has(Mechanism::Exposure) {
+        return 0.0;
+    }
     if is_kept_free || shape.pause_limit_ms > MIDDLING_PAUSE_MS {
         return 0.0;
     }
@@ -444,6 +474,9 @@
     if !is_short(shape.pause_limit_ms) {
         return exposure_loss(shape, short > 0);
     }
+    if !shape.without.has(Mechanism::Packing) {
+        return 0.0;
+    }
     if short == 0 {
         return OPENING_LOSS;
     }
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -9,7 +9,7 @@
 mod prompts;
 
 pub use {
-    asks::{CallAsk, CallPlace, PromptAsk, PromptPlace, Refusal},
+    asks::{CallAsk, CallPlace, PromptAsk, PromptPlace, Refusal, Weighed},
     members::WantedLinks,
     news::Recipients,
 };
@@ -19,6 +19,7 @@
         catalog::Configuration,
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, MemberBook, PublishedText, hash},
+        mechanism::Without,
         retries::{CrashBook, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetBook},
     },
@@ -60,6 +61,9 @@
     /// new task.
     settled_at: MonoMs,
     behind_since: Option<MonoMs>,
+    without: Without,
+    /// When a peer last told of a prompt.
+    heard_at: Option<MonoMs>,
     rng: fastrand::Rng,
 }
 
@@ -85,9 +89,16 @@
             is_roster_due: false,
             settled_at: MonoMs(0),
             behind_since: None,
+            without: Without::default(),
+            heard_at: None,
         }
     }
 
+    /// Switches parts of the decisions off.
+    pub fn switch_off(&mut self, without: Without) {
+        self.without = without;
+    }
+
     /// Whether requests can be served: there is a configuration, targets are known, and the
     /// instance wasn't told to stop.
     pub fn is_ready(&self) -> bool {
--- a/crates/serving/src/serving/asks.rs
+++ b/crates/serving/src/serving/asks.rs
@@ -57,6 +57,8 @@
     pub goes_first: bool,
     /// When the first event is expected, in ms from now.
     pub first_event_ms: f64,
+    /// What was weighed.
+    pub weighed: Weighed,
 }
 
 /// A call of a plain service that wants a target.
@@ -79,8 +81,31 @@
     pub target: TargetEntry,
 }
 
+/// What was weighed where engines were chosen for a prompt, for the log. Worth is in that of an
+/// answer of no length.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Weighed {
+    /// What the answer is expected to be worth.
+    pub gain: f64,
+    /// What prompts and streams at work lose by it.
+    pub harm: f64,
+    /// What later prompts lose by the time that it takes.
+    pub time_loss: f64,
+    /// Share of the engines' time that was given reading of late.
+    pub used: f64,
+    /// When its first event is expected, in ms from the choice.
+    pub first_event_ms: f64,
+    /// Engines among which it was chosen.
+    pub engines: u32,
+    /// Whether the chooser knew little of what others place.
+    pub is_blind: bool,
+    /// Time since the chooser last heard of a prompt of another, in ms; `None` if it never has.
+    pub heard_ms_ago: Option<u64>,
+}
+
 /// Why a request gets no target. It has not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The service has no target that takes requests.
     NoTarget,
@@ -88,6 +113,9 @@
     Overloaded {
         /// When to come back, in ms.
         retry_after_ms: u64,
+        /// What was weighed, unless no engine could take it at all.
+        #[serde(default)]
+        weighed: Option<Weighed>,
     },
     /// It was sent to as many targets as it may.
     NoAttempt,
@@ -102,12 +130,20 @@
     pub fn retry_after_ms(self) -> Option<u64> {
         match self {
             Self::NoTarget | Self::NoAttempt => Some(NO_TARGET_RETRY_MS),
-            Self::Overloaded { retry_after_ms } => Some(retry_after_ms),
+            Self::Overloaded { retry_after_ms, .. } => Some(retry_after_ms),
             Self::BudgetUsed => Some(LEAST_RETRY_MS),
             Self::Poison => None,
         }
     }
 
+    /// What was weighed where it was found that nothing would come of it in time.
+    pub fn weighed(self) -> Option<Weighed> {
+        match self {
+            Self::Overloaded { weighed, .. } => weighed,
+            Self::NoTarget | Self::NoAttempt | Self::Poison | Self::BudgetUsed => None,
+        }
+    }
+
     /// Why, for the caller and the log.
     pub fn message(self) -> &'static str {
         match self {
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -4,6 +4,7 @@
     super::{CallAsk, CallPlace, Refusal, Serving},
     crate::{
         fleet::Crash,
+        mechanism::Mechanism,
         names::{ServiceName, TargetId},
         retries::Fingerprint,
         targets::TargetEntry,
@@ -41,7 +42,8 @@
         fingerprint: Fingerprint,
         is_repeat: bool,
     ) -> Result<(), Refusal> {
-        if self.crashes.is_poison(now, fingerprint) {
+        let keeps_poison = self.without.has(Mechanism::Poison);
+        if keeps_poison && self.crashes.is_poison(now, fingerprint) {
             return Err(Refusal::Poison);
         }
         let instances = self.members.most();
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -5,6 +5,7 @@
     crate::{
         catalog::{Configuration, EngineSpec},
         fleet::{Beat, Crash, EnginePace, Frame, JobId, Member, Placed, Roster, Wants},
+        mechanism::Mechanism,
         names::TargetId,
         retries::Fingerprint,
         targets::{Displaced, TargetEntry},
@@ -36,6 +37,9 @@
 impl Serving {
     /// Takes in the pace that an engine reports of itself.
     pub fn pace_reported(&mut self, now: MonoMs, engine: &TargetEntry, pace: f64) {
+        if !self.without.has(Mechanism::ReportedPace) {
+            return;
+        }
         let Some(spec) = self.spec_of_service(&engine.service) else {
             return;
         };
@@ -149,6 +153,9 @@
             let kept: Vec<JobId> = frame.placed.iter().map(|placed| placed.job).collect();
             self.engines.drop_run(from, &kept);
         }
+        if !frame.placed.is_empty() {
+            self.heard_at = Some(now);
+        }
         for placed in frame.placed {
             if let Some(spec) = self.spec_of(&placed) {
                 self.count_placed(now, &spec, placed);
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -1,11 +1,12 @@
 //! Prompts: which engines read them, and what was seen of it.
 
 use {
-    super::{PromptAsk, PromptPlace, Refusal, Serving, asks::LEAST_RETRY_MS},
+    super::{PromptAsk, PromptPlace, Refusal, Serving, Weighed, asks::LEAST_RETRY_MS},
     crate::{
         catalog::EngineSpec,
         engines::EngineLoad,
         fleet::{EngineGroup, EnginePace, JobId, Placed, Placement, Reserved},
+        mechanism::{Mechanism, Without},
         names::TargetId,
         placement::{Candidate, PromptShape, choose, work_loss},
         targets::TargetEntry,
@@ -72,23 +73,42 @@
             .iter()
             .filter_map(|id| self.engines.get(id))
             .collect();
-        let candidates: Vec<Candidate<'_>> = entries
+        let is_blind = self.is_blind(now, group);
+        let candidates: Vec<Candidate<'_>> = loads
             .iter()
-            .zip(&loads)
-            .map(|(id, load)| Candidate {
-                liking: liking(self.own.run, id),
+            .enumerate()
+            .map(|(place, load)| Candidate {
+                liking: liking(self.own.run, &entries[place]),
                 load,
             })
             .collect();
         let mut shape = shape_of(&spec, ask, used);
-        shape.is_blind = self.is_blind(now, group);
-        let choice = choose(now, &spec, &shape, &candidates).ok_or_else(|| overloaded(&loads))?;
+        shape.is_blind = is_blind;
+        shape.without = self.without;
+        let choice =
+            choose(now, &spec, &shape, &candidates).ok_or_else(|| overloaded(&loads, None))?;
         // Nobody would wait for the answer, or others would lose more by it than it is worth. A
         // stream that its caller has a part of is resumed all the same.
-        let cost = choice.harm + work_loss(&spec, ask.prompt_tokens, used);
-        let is_useless = choice.first_event_ms > shape.patience_ms || cost > choice.gain;
+        let time_loss = if self.without.has(Mechanism::PriceOfTime) {
+            work_loss(&spec, ask.prompt_tokens, used)
+        } else {
+            0.0
+        };
+        let weighed = Weighed {
+            gain: choice.gain,
+            harm: choice.harm,
+            time_loss,
+            used,
+            first_event_ms: choice.first_event_ms,
+            engines: u32::try_from(entries.len()).unwrap_or(u32::MAX),
+            is_blind,
+            heard_ms_ago: self.heard_at.map(|at| now.since(at)),
+        };
+        let costs_too_much =
+            self.without.has(Mechanism::RefusalByWorth) && choice.harm + time_loss > choice.gain;
+        let is_useless = choice.first_event_ms > shape.patience_ms || costs_too_much;
         if is_useless && !ask.is_resumed {
-            return Err(overloaded(&loads));
+            return Err(overloaded(&loads, Some(weighed)));
         }
         let engines = choice
             .engines
@@ -110,6 +130,7 @@
         Ok(Placement {
             placed,
             first_event_ms: choice.first_event_ms,
+            weighed,
         })
     }
 
@@ -119,6 +140,9 @@
     /// The load that this answers: all callers come back at once to instances that were all started
     /// anew and don't know each other yet.
     fn is_blind(&self, now: MonoMs, group: EngineGroup) -> bool {
+        if !self.without.has(Mechanism::Spreading) {
+            return false;
+        }
         let is_told = !self.members.is_large()
             || self
                 .members
@@ -149,6 +173,7 @@
             reserved: placed.reserved,
             goes_first: placed.goes_first,
             first_event_ms: placement.first_event_ms,
+            weighed: placement.weighed,
         })
     }
 
@@ -169,7 +194,9 @@
             .collect();
         let reachable: Vec<TargetId> = ready
             .iter()
-            .filter(|id| !self.calls.is_unreachable(now, id))
+            .filter(|id| {
+                !self.without.has(Mechanism::PassingOver) || !self.calls.is_unreachable(now, id)
+            })
             .map(|id| (*id).clone())
             .collect();
         if reachable.is_empty() {
@@ -242,14 +269,16 @@
         reserved: Reserved::for_tokens(tokens, spec.memory_tokens),
         used,
         is_blind: false,
+        without: Without::default(),
     }
 }
 
 /// A refusal with the time after which half of what is waiting to be read will have been read.
-fn overloaded(loads: &[&EngineLoad]) -> Refusal {
+fn overloaded(loads: &[&EngineLoad], weighed: Option<Weighed>) -> Refusal {
     let waiting_ms: f64 = loads.iter().map(|load| load.total_ms()).sum();
     let mean_ms = waiting_ms / loads.len().max(1) as f64;
     Refusal::Overloaded {
         retry_after_ms: ((mean_ms / 2.0) as u64).max(LEAST_RETRY_MS),
+        weighed,
     }
 }
