--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -6,6 +6,7 @@
         target_pool::TargetPool,
     },
     crate::clock::Clock,
+    async_channel::{Receiver, Sender},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -28,9 +29,13 @@
     pub links: PeerLinks,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
+    /// When the process began to serve.
+    pub started_at: MonoMs,
     serving: Mutex<Serving>,
     seed_peers: Mutex<Vec<SocketAddr>>,
     log: DecisionLines,
+    /// Closed once the instance knows what is published.
+    ready: (Sender<()>, Receiver<()>),
 }
 
 impl EntryState {
@@ -44,6 +49,7 @@
     ) -> Self {
         Self {
             seed_peers: Mutex::new(settings.seed_peers.clone()),
+            started_at: clock.now(),
             settings,
             clock,
             pool: TargetPool::default(),
@@ -51,9 +57,28 @@
             metrics,
             serving: Mutex::new(serving),
             log,
+            ready: async_channel::bounded(1),
         }
     }
 
+    /// Notes that something published was taken in.
+    pub fn note_published(&self) {
+        if self.serving().is_ready() {
+            self.ready.0.close();
+        }
+    }
+
+    /// Whether the instance has ever known what is published.
+    pub fn was_ready(&self) -> bool {
+        self.ready.0.is_closed()
+    }
+
+    /// Ends when the instance knows what is published.
+    pub async fn until_ready(&self) {
+        // Nothing is ever sent, so that this ends with the channel's end.
+        while self.ready.1.recv().await.is_ok() {}
+    }
+
     /// What decides. Never held across an await.
     pub fn serving(&self) -> MutexGuard<'_, Serving> {
         self.serving.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -10,6 +10,7 @@
         request_context::RequestContext,
         stream_relay::serve_stream,
     },
+    crate::clock::timeout,
     async_std::net::TcpStream,
     futures::{FutureExt, future, pin_mut, select},
     std::sync::Arc,
@@ -29,8 +30,13 @@
 /// Share of the time left after which a refused caller may come back at the latest; callers don't
 /// wait longer than a third.
 const MOST_RETRY_SHARE: u64 = 3;
-/// Time that is told to a caller while there is no configuration, in ms.
+/// Shortest time that is told to a caller while there is no configuration, in ms.
 const UNREADY_RETRY_MS: u64 = 300;
+/// Time for which a request waits for a configuration at most, in ms: half of the shortest time after
+/// which callers leave a stream that doesn't begin.
+const UNREADY_WAIT_MS: u64 = 1_000;
+/// Part of a caller's time for which its request waits for a configuration at most.
+const UNREADY_WAIT_PART: u64 = 4;
 
 /// How a request ended.
 #[derive(Debug)]
@@ -151,18 +157,9 @@
     let arrived = request.arrived;
     let request_id = read_caller_head(request.head.pairs()).map(|head| head.request_id);
     let answer = CallerAnswer::new(stream, is_last);
-    let ended = match route(state, request) {
-        Ok(context) => {
-            let ended = serve(state, stream, input, &context, &answer).await;
-            if ended.is_success() {
-                state.serving().served(context.fingerprint);
-            }
-            ended
-        }
-        Err((status, message)) => {
-            let retry_ms = (status == 503).then_some(UNREADY_RETRY_MS);
-            Ended::own(&answer, status, &message, retry_ms).await
-        }
+    let ended = match readied(state, stream, input, request).await {
+        None => Ended::caller_gone(),
+        Some(request) => routed(state, stream, input, request, &answer).await,
     };
     let took_ms = state.now().since(arrived);
     state
@@ -183,6 +180,67 @@
     is_kept
 }
 
+/// Waits for a moment until the instance knows what is published, unless it does. `None` if the
+/// caller leaves meanwhile.
+///
+/// The load that this answers: all instances start anew, and callers come back before the store has
+/// told what is published. Most have one try left, which a refusal would use up.
+async fn readied(
+    state: &EntryState,
+    stream: &TcpStream,
+    input: &mut Input,
+    request: ReadRequest,
+) -> Option<ReadRequest> {
+    if state.was_ready() {
+        return Some(request);
+    }
+    let wait_ms = UNREADY_WAIT_MS.min(deadline_ms(&request) / UNREADY_WAIT_PART);
+    let waited = timeout(state.clock.as_ref(), wait_ms, state.until_ready()).fuse();
+    let gone = caller_gone(stream, input).fuse();
+    pin_mut!(waited, gone);
+    select! {
+        _in_time = waited => Some(request),
+        () = gone => None,
+    }
+}
+
+fn deadline_ms(request: &ReadRequest) -> u64 {
+    let caller = read_caller_head(request.head.pairs()).ok();
+    let deadline_ms = caller.and_then(|caller| caller.deadline_ms);
+    deadline_ms.unwrap_or(ASSUMED_DEADLINE_MS)
+}
+
+/// When a caller is to come back while there is no configuration, in ms: a store that has been away
+/// for so long is likely to be away as long again, and its callers have few tries.
+fn unready_retry_ms(state: &EntryState, deadline_ms: u64) -> u64 {
+    let without_ms = state.now().since(state.started_at);
+    let most_ms = deadline_ms / MOST_RETRY_SHARE;
+    without_ms.max(UNREADY_RETRY_MS).min(most_ms)
+}
+
+async fn routed(
+    state: &Arc<EntryState>,
+    stream: &TcpStream,
+    input: &mut Input,
+    request: ReadRequest,
+    answer: &CallerAnswer<'_>,
+) -> Ended {
+    let deadline_ms = deadline_ms(&request);
+    match route(state, request) {
+        Ok(context) => {
+            let ended = serve(state, stream, input, &context, answer).await;
+            if ended.is_success() {
+                state.serving().served(context.fingerprint);
+            }
+            ended
+        }
+        Err((status, message)) => {
+            let retry_ms = (status == 503).then(|| unready_retry_ms(state, deadline_ms));
+            Ended::own(answer, status, &message, retry_ms).await
+        }
+    }
+}
+
 /// Finds route, account and service; else the status and message of the answer.
 fn route(state: &Arc<EntryState>, request: ReadRequest) -> Result<RequestContext, (u16, String)> {
     let mut serving = state.serving();
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -386,6 +386,7 @@
     let lacking = wants.map(|wants| (wants.reply_to, serving.lacking(&wants)));
     let answer = ask.map(|ask| (ask.reply_to, answer(&mut serving, now, &ask)));
     drop(serving);
+    state.note_published();
     for (to, frame) in lacking.into_iter().chain(answer) {
         state.send(&[to], &frame);
     }
--- a/crates/daemon/src/entry/store_reader.rs
+++ b/crates/daemon/src/entry/store_reader.rs
@@ -40,6 +40,18 @@
 const PAGE_MS: u64 = 1_000;
 /// Time between two tries while the store doesn't answer, in ms.
 const RETRY_MS: u64 = 150;
+/// Time for which an instance counts as starting, in ms. What isn't reached in short tries until then
+/// may be slow, and not away.
+const STARTING_MS: u64 = 3_000;
+/// Time between two tries of an instance that starts, and knows nothing yet, to reach a store that
+/// doesn't take its connections, in ms: callers wait meanwhile, and nothing of that is a call.
+const STARTING_RETRY_MS: u64 = 40;
+/// Time for a connection to the store then, in ms. A first packet that is dropped is sent again only
+/// after a second.
+const STARTING_CONNECT_MS: u64 = 120;
+/// Time for a whole page then, in ms: the store may be over eighty times as slow as usual, and one that
+/// took a connection and fell silent answers on another as soon as it is back.
+const STARTING_PAGE_MS: u64 = 400;
 /// Time that bytes sent to the store may stay without an acknowledgement.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
 /// Characters of a line on something unreadable: others may write entries of a megabyte, and the
@@ -80,8 +92,14 @@
             Err(fault) => fault,
         };
         reader.failed(&fault);
-        let jitter_ms = fastrand::u64(..RETRY_MS);
-        state.clock.sleep(RETRY_MS + jitter_ms).await;
+        let is_out_of_reach = matches!(fault, ReadFault::Connect(_) | ReadFault::Silent);
+        let pause_ms = if is_out_of_reach && reader.is_starting() {
+            STARTING_RETRY_MS
+        } else {
+            RETRY_MS
+        };
+        let jitter_ms = fastrand::u64(..pause_ms);
+        state.clock.sleep(pause_ms + jitter_ms).await;
     }
 }
 
@@ -123,6 +141,12 @@
         }
     }
 
+    /// Whether the instance started a moment ago and knows nothing yet.
+    fn is_starting(&self) -> bool {
+        let passed_ms = self.state.now().since(self.state.started_at);
+        passed_ms < STARTING_MS && !self.state.serving().is_ready()
+    }
+
     /// Reads all that is published. Returns the revision from which a watch goes on.
     async fn read_all(&mut self) -> Result<u64, ReadFault> {
         let mut reading = match self.reading.take() {
@@ -150,6 +174,7 @@
         self.state
             .serving()
             .targets_published(now, reading.revision, reading.targets);
+        self.state.note_published();
         Ok(reading.revision)
     }
 
@@ -174,7 +199,12 @@
     }
 
     async fn range(&mut self, target: &str) -> Result<RangePage, ReadFault> {
-        let body = self.get(target, PAGE_MS).await?;
+        let page_ms = if self.is_starting() {
+            STARTING_PAGE_MS
+        } else {
+            PAGE_MS
+        };
+        let body = self.get(target, page_ms).await?;
         Ok(read_range(&body)?)
     }
 
@@ -213,7 +243,12 @@
         let mut connection = if let Some(connection) = self.connection.take() {
             connection
         } else {
-            let opened = connect_within(clock, address, ANSWER_MS, UNACKNOWLEDGED);
+            let connect_ms = if self.is_starting() {
+                STARTING_CONNECT_MS
+            } else {
+                ANSWER_MS
+            };
+            let opened = connect_within(clock, address, connect_ms, UNACKNOWLEDGED);
             TargetConnection::new(opened.await?)
         };
         let called = call(&mut connection, target, address.to_string());
@@ -269,6 +304,7 @@
                 self.state.log(&line);
             }
         }
+        self.state.note_published();
     }
 
     /// Takes in configurations and returns the changes of targets.
