--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -16,6 +16,10 @@
     /// Troubles that begin in a second; they last up to three seconds each and overlap.
     #[bpaf(long, argument("N"), fallback(1.5), display_fallback)]
     pub troubles_per_s: f64,
+    /// Targets that start again under their names, or whose entries somebody else overwrites, in a
+    /// second; beside the other troubles of a seed, which stay as they are.
+    #[bpaf(long, argument("N"), fallback(0.0), display_fallback)]
+    pub restarts_per_s: f64,
     /// Number of instances.
     #[bpaf(long, argument("N"), fallback(5), display_fallback)]
     pub instances: usize,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -15,6 +15,8 @@
     pub length_ms: u64,
     /// Troubles that begin in a second.
     pub troubles_per_s: f64,
+    /// Targets that start again under their names, or whose entries are overwritten, in a second.
+    pub restarts_per_s: f64,
     /// Number of instances.
     pub instances: usize,
     /// Number of targets, of both services.
@@ -97,6 +99,10 @@
     Crash(usize),
     /// A target does something wrong to a part of its requests.
     Moody(usize, Mood),
+    /// A target starts again under its name and at its address; open connections are dead.
+    Restart(usize),
+    /// Somebody else overwrites a target's entry with bytes that name none.
+    Overwrite(usize),
 }
 
 /// A trouble and its time.
@@ -128,11 +134,34 @@
         let mut steps: Vec<Step> = (0..count)
             .map(|_| draw_step(&mut rng, size, is_planned))
             .collect();
+        if !is_planned {
+            steps.extend(draw_restarts(seed, size));
+        }
         steps.sort_by_key(|step| step.at_ms);
         Self { is_planned, steps }
     }
 }
 
+/// Draws them from a sequence of their own, so that the other troubles of a seed are the same with
+/// and without them.
+fn draw_restarts(seed: u64, size: Size) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(!seed);
+    let count = (size.length_ms as f64 / 1_000.0 * size.restarts_per_s).ceil() as usize;
+    let mut draw = || {
+        let target = rng.usize(..size.targets);
+        Step {
+            at_ms: rng.u64(..size.length_ms),
+            for_ms: rng.u64(TROUBLE_MS),
+            trouble: if rng.bool() {
+                Trouble::Restart(target)
+            } else {
+                Trouble::Overwrite(target)
+            },
+        }
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 fn draw_step(rng: &mut fastrand::Rng, size: Size, is_planned: bool) -> Step {
     let at_ms = rng.u64(..size.length_ms);
     let drawn_ms = rng.u64(TROUBLE_MS);
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -63,6 +63,7 @@
     let size = Size {
         length_ms: options.seconds * 1_000,
         troubles_per_s: options.troubles_per_s,
+        restarts_per_s: options.restarts_per_s,
         instances: options.instances,
         targets: 2 * options.targets,
     };
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -68,6 +68,8 @@
     pub service: &'static str,
     /// Name of its present run.
     pub id: String,
+    /// When its present run began, in Unix ms, where it says so.
+    pub started_at_ms: Option<u64>,
     /// Whether it has announced that it leaves.
     pub is_leaving: bool,
     /// Whether it has crashed.
@@ -91,6 +93,7 @@
             relay: relay_to(standin.address())?,
             service: if is_engine { ENGINES } else { PLAIN },
             id,
+            started_at_ms: None,
             is_leaving: false,
             is_down: false,
             mood,
