--- a/crates/cli/src/cli/options.rs
+++ b/crates/cli/src/cli/options.rs
@@ -42,6 +42,19 @@
         #[bpaf(positional("REQUEST"))]
         request: String,
     },
+    /// Tells which requests weren't served in time, by route, second and reason
+    #[bpaf(command)]
+    Losses {
+        #[bpaf(external)]
+        json: bool,
+        /// Log files of instances, `-` for standard input
+        #[bpaf(
+            positional("FILE"),
+            complete_shell(ShellComp::File { mask: None }),
+            some("name at least one log file")
+        )]
+        logs: Vec<PathBuf>,
+    },
     /// Checks settings and record files and tells all their faults
     #[bpaf(command)]
     Check {
--- a/crates/cli/src/cli/run.rs
+++ b/crates/cli/src/cli/run.rs
@@ -5,7 +5,7 @@
         check::check_files,
         entries::EntryList,
         errors::{CliError, Exit},
-        reports::{explain, show_entries, show_records, show_status, story_of_log},
+        reports::{explain, losses_of_log, show_entries, show_records, show_status, story_of_log},
     },
     async_std::task::block_on,
     bpaf::{Args, ParseFailure},
@@ -68,6 +68,7 @@
                 .map_err(|_unreadable| CliError::BadRequestId { text: request })?;
             print(&explain(&entry_list(&options)?, request, options.json).await?)
         }
+        Command::Losses { json, logs } => print(&losses_of_log(&logs, json)?),
         Command::Check { json, files } => {
             let checked = check_files(&files);
             print(&checked.to_text(json))?;
--- a/crates/cli/src/reports.rs
+++ b/crates/cli/src/reports.rs
@@ -4,11 +4,12 @@
 mod explain;
 mod fetch;
 mod log_story;
+mod losses;
 mod records;
 mod status;
 mod table;
 
 pub(crate) use {
-    entries::show_entries, explain::explain, log_story::story_of_log, records::show_records,
-    status::show_status,
+    entries::show_entries, explain::explain, log_story::story_of_log, losses::losses_of_log,
+    records::show_records, status::show_status,
 };
--- a/crates/cli/src/reports/log_story.rs
+++ b/crates/cli/src/reports/log_story.rs
@@ -1,7 +1,7 @@
 use {
     super::table::Table,
     crate::errors::CliError,
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::{Map, Value},
     std::{
         collections::BTreeSet,
@@ -46,11 +46,7 @@
     request: &str,
     json: bool,
 ) -> Result<String, CliError> {
-    let mut lines = Vec::new();
-    for file in files {
-        let text = read(file)?;
-        lines.extend(text.lines().filter_map(line));
-    }
+    let lines = read_lines(files)?;
     let story = story(lines, request).ok_or_else(|| CliError::NotLogged {
         request: request.to_owned(),
     })?;
@@ -60,6 +56,16 @@
     Ok(story.to_text())
 }
 
+/// The lines of log files that can be read as one of an instance's; others may be mixed in.
+pub(super) fn read_lines<T: DeserializeOwned>(files: &[PathBuf]) -> Result<Vec<T>, CliError> {
+    let mut lines = Vec::new();
+    for file in files {
+        let text = read(file)?;
+        lines.extend(text.lines().filter_map(line));
+    }
+    Ok(lines)
+}
+
 fn read(file: &Path) -> Result<String, CliError> {
     if file.as_os_str() == STDIN {
         let mut text = String::new();
@@ -75,7 +81,7 @@
 }
 
 /// The line from its first brace on: what collects logs may put a time or a name before it.
-fn line(text: &str) -> Option<LogLine> {
+fn line<T: DeserializeOwned>(text: &str) -> Option<T> {
     let begin = text.find('{')?;
     serde_json::from_str(&text[begin..]).ok()
 }
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod check;
 mod log_story;
+mod losses;
 mod reports;
 mod support;
 mod usage;
