--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -25,5 +25,6 @@
 mod stream_relay;
 mod target_connection;
 mod target_pool;
+mod unreadable_lines;
 
 pub use run::{Entry, run};
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -16,6 +16,10 @@
     whinlatch_serving::{Serving, fleet::Frame},
 };
 
+/// Time for which an instance counts as starting, in ms: as long as callers take to come back after
+/// all instances were lost. What isn't reached in short tries until then may be slow, and not away.
+const STARTING_MS: u64 = 3_000;
+
 /// What the tasks of an entry instance share.
 #[derive(Debug)]
 pub struct EntryState {
@@ -61,6 +65,11 @@
         }
     }
 
+    /// Whether the instance started a moment ago, so that others may have done so with it.
+    pub fn is_starting(&self) -> bool {
+        self.now().since(self.started_at) < STARTING_MS
+    }
+
     /// Notes that something published was taken in.
     pub fn note_published(&self) {
         if self.serving().is_ready() {
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -40,9 +40,6 @@
 const NEWS_MS: u64 = 20;
 /// Time between looks for what time alone decides, in ms.
 const TICK_MS: u64 = 250;
-/// Time for which an instance counts as starting, in ms: as long as callers take to come back after
-/// all instances were lost.
-const STARTING_MS: u64 = 3_000;
 /// Time between looks for links that are missing while an instance starts, in ms.
 const STARTING_LOOK_MS: u64 = 50;
 /// Time for a link to open, in ms.
@@ -77,7 +74,6 @@
 /// What keeps links and tells news.
 struct Keeper {
     state: Arc<EntryState>,
-    began: MonoMs,
     /// The peers that know this instance's prompts, and on which groups of engines.
     informed: BTreeMap<SocketAddr, Vec<EngineGroup>>,
     wanted: WantedLinks,
@@ -92,7 +88,6 @@
     let mut last = state.now();
     let mut keeper = Keeper {
         state: Arc::clone(&state),
-        began: state.now(),
         informed: BTreeMap::new(),
         wanted: WantedLinks::default(),
         is_hub: false,
@@ -106,7 +101,7 @@
             next_tick = now + TICK_MS;
             keeper.tick(now);
         }
-        if keeper.is_starting(now) && now >= next_look {
+        if state.is_starting() && now >= next_look {
             next_look = now + STARTING_LOOK_MS;
             keeper.look_for_links(now);
         }
@@ -128,12 +123,8 @@
 }
 
 impl Keeper {
-    fn is_starting(&self, now: MonoMs) -> bool {
-        now.since(self.began) < STARTING_MS
-    }
-
-    fn open_rule(&self, now: MonoMs) -> OpenRule {
-        if self.is_starting(now) {
+    fn open_rule(&self) -> OpenRule {
+        if self.state.is_starting() {
             return OpenRule {
                 open_ms: STARTING_OPEN_MS,
                 reopen_ms: STARTING_REOPEN_MS,
@@ -185,7 +176,7 @@
         for (address, asks_for_link) in own.chain(asked) {
             if let Some(queue) = state.links.open(address) {
                 let first = state.serving().greeting(now, asks_for_link);
-                let rule = self.open_rule(now);
+                let rule = self.open_rule();
                 task::spawn(keep_link(Arc::clone(state), address, rule, first, queue));
             }
         }
--- a/crates/daemon/src/entry/store_reader.rs
+++ b/crates/daemon/src/entry/store_reader.rs
@@ -5,6 +5,7 @@
         decision_line::Decision,
         entry_state::EntryState,
         target_connection::{TargetConnection, TargetFault},
+        unreadable_lines::UnreadableLines,
     },
     crate::{clock::timeout, targets::connect_within},
     futures::{FutureExt, pin_mut, select},
@@ -40,9 +41,6 @@
 const PAGE_MS: u64 = 1_000;
 /// Time between two tries while the store doesn't answer, in ms.
 const RETRY_MS: u64 = 150;
-/// Time for which an instance counts as starting, in ms. What isn't reached in short tries until then
-/// may be slow, and not away.
-const STARTING_MS: u64 = 3_000;
 /// Time between two tries of an instance that starts, and knows nothing yet, to reach a store that
 /// doesn't take its connections, in ms: callers wait meanwhile, and nothing of that is a call.
 const STARTING_RETRY_MS: u64 = 40;
@@ -85,6 +83,7 @@
         lost_at: None,
         reading: None,
         watched: None,
+        unreadable: UnreadableLines::default(),
     };
     loop {
         let fault = match reader.follow().await {
@@ -119,6 +118,8 @@
     reading: Option<Reading>,
     /// Revision up to which all changes are known here.
     watched: Option<u64>,
+    /// Lines that were written on what can't be read.
+    unreadable: UnreadableLines,
 }
 
 impl StoreReader<'_> {
@@ -143,8 +144,7 @@
 
     /// Whether the instance started a moment ago and knows nothing yet.
     fn is_starting(&self) -> bool {
-        let passed_ms = self.state.now().since(self.state.started_at);
-        passed_ms < STARTING_MS && !self.state.serving().is_ready()
+        self.state.is_starting() && !self.state.serving().is_ready()
     }
 
     /// Reads all that is published. Returns the revision from which a watch goes on.
@@ -296,7 +296,7 @@
     }
 
     /// Takes in changes one by one.
-    fn apply(&self, changes: Vec<Result<Change, StoreFault>>) {
+    fn apply(&mut self, changes: Vec<Result<Change, StoreFault>>) {
         let now = self.state.now();
         for change in self.apply_configurations(changes) {
             let line = target_line(&change);
@@ -308,13 +308,19 @@
     }
 
     /// Takes in configurations and returns the changes of targets.
-    fn apply_configurations(&self, changes: Vec<Result<Change, StoreFault>>) -> Vec<TargetChange> {
+    fn apply_configurations(
+        &mut self,
+        changes: Vec<Result<Change, StoreFault>>,
+    ) -> Vec<TargetChange> {
         let mut targets = Vec::new();
         for change in changes {
             match change {
-                Ok(Change::Target(change)) => targets.push(change),
+                Ok(Change::Target(change)) => {
+                    self.note_unknown_service(&change);
+                    targets.push(change);
+                }
                 Ok(Change::Foreign(change, fault)) => {
-                    self.note_unreadable(&fault);
+                    self.note_unreadable(&fault.to_string());
                     targets.push(change);
                 }
                 Ok(Change::Configuration(configuration, text)) => {
@@ -324,14 +330,31 @@
                         self.state.log(&Decision::Configured { version, source });
                     }
                 }
-                Err(fault) => self.note_unreadable(&fault),
+                Err(fault) => self.note_unreadable(&fault.to_string()),
             }
         }
         targets
     }
 
-    fn note_unreadable(&self, fault: &StoreFault) {
-        let mut fault = fault.to_string();
+    /// Notes a target that is of no service that is published: nobody sends it anything.
+    fn note_unknown_service(&mut self, change: &TargetChange) {
+        let Some(entry) = &change.entry else {
+            return;
+        };
+        let configuration = self.state.serving().configuration().map(Arc::clone);
+        if configuration.is_some_and(|published| published.service(&entry.service).is_none()) {
+            let (name, service) = (&change.name, &entry.service);
+            let fault = format!("the entry of `{name}`: no service is called `{service}`");
+            self.note_unreadable(&fault);
+        }
+    }
+
+    fn note_unreadable(&mut self, fault: &str) {
+        if !self.unreadable.take(self.state.now()) {
+            self.state.metrics.note_dropped_log_line();
+            return;
+        }
+        let mut fault = fault.to_owned();
         if let Some((cut, _)) = fault.char_indices().nth(MOST_FAULT_CHARS) {
             fault.truncate(cut);
         }
--- a/crates/daemon/tests/entry/published.rs
+++ b/crates/daemon/tests/entry/published.rs
@@ -273,3 +273,31 @@
 
     assert_eq!(world.store.watch_waits_ms()[before], 0);
 }
+
+/// The log is full of one writer's entries: it writes what names no target, and of no service, again and
+/// again below the targets' prefix. The others hold all the while.
+#[async_std::test]
+async fn entries_of_another_writer_fill_no_log_and_touch_no_target() {
+    let plain = target("p-1", Behaviour::Serve("listing"));
+    let store = StoreStandin::start();
+    Fixture::default().publish(&store);
+    store.publish_plain(&plain);
+    for number in 0..60 {
+        store.publish_foreign(&format!("foreign-{number}"));
+        let id = format!("unknown-{number}");
+        store.publish_target(
+            &id,
+            "nothing",
+            ([127, 0, 0, 1], 9_000 + number).into(),
+            "ready",
+        );
+    }
+
+    let entry = start_by_clock(&store, &[], Arc::new(PausedClock::default())).await;
+    let world = World { store, entry };
+    world.wait_until_ready().await;
+
+    let counters = question(world.entry.settings().metrics_address, "/metrics").body;
+    assert!(counters.contains("whinlatch_entry_dropped_log_lines_total 70"));
+    assert_eq!(world.ask(&call()).status, 200);
+}
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -22,7 +22,7 @@
     /// What is likely to be in time counts as less than what is sure to be.
     Risk,
     /// What prompts that wait lose by being delayed counts.
-    WholeDelay,
+    Delays,
     /// An instance that knows little of the others keeps to engines that it likes.
     Spreading,
     /// Engines' reports tell how slow they are.
@@ -49,7 +49,7 @@
         Self::Exposure,
         Self::OwnPause,
         Self::Risk,
-        Self::WholeDelay,
+        Self::Delays,
         Self::Spreading,
         Self::ReportedPace,
         Self::Poison,
@@ -67,7 +67,7 @@
             Self::Exposure => "exposure",
             Self::OwnPause => "own-pause",
             Self::Risk => "risk",
-            Self::WholeDelay => "whole-delay",
+            Self::Delays => "delays",
             Self::Spreading => "spreading",
             Self::ReportedPace => "reported-pace",
             Self::Poison => "poison",
--- a/crates/serving/src/placement/choose.rs
+++ b/crates/serving/src/placement/choose.rs
@@ -153,7 +153,8 @@
 struct Share {
     place: usize,
     finish_ms: f64,
-    /// What streams lose, and the caller who isn't liked.
+    /// What streams lose by longer pauses, and what others lose by the choice of an engine that is
+    /// kept for them.
     paused: f64,
     delays: Vec<Delay>,
 }
@@ -254,7 +255,7 @@
         .map(|share| share.finish_ms)
         .fold(first.finish_ms, f64::max);
     let parts: Vec<&Share> = std::iter::once(&first).chain(&shares).collect();
-    let harm = if shape.without.has(Mechanism::WholeDelay) {
+    let harm = if shape.without.has(Mechanism::Delays) {
         harm_of(&parts)
     } else {
         parts.iter().map(|share| share.paused).sum()
