--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -20,6 +20,7 @@
 mod placing;
 mod request_context;
 mod reservations;
+mod routing;
 mod run;
 mod store_reader;
 mod stream_relay;
--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -5,10 +5,11 @@
         accept::accept_all,
         answers::CallerAnswer,
         entry_state::EntryState,
-        exchange::{ReadRequest, exchange},
+        exchange::exchange,
         http::{
             BodyDecoder, BodyFault, Framing, HeadFault, Input, Progress, RequestHead, find_head_end,
         },
+        request_context::ReadRequest,
     },
     crate::{clock::timeout, targets::set_options},
     async_std::net::{TcpListener, TcpStream},
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -6,32 +6,24 @@
         answers_whole::serve_call,
         decision_line::Decision,
         entry_state::EntryState,
-        http::{Input, RequestHead},
-        request_context::RequestContext,
+        http::Input,
+        request_context::{ReadRequest, RequestContext},
+        routing::{ASSUMED_DEADLINE_MS, MOST_RETRY_SHARE, Unrouted, route},
         stream_relay::serve_stream,
     },
     crate::clock::timeout,
     async_std::net::TcpStream,
     futures::{FutureExt, future, pin_mut, select},
     std::sync::Arc,
-    whinlatch_core::MonoMs,
     whinlatch_platform::{CallerHead, read_caller_head},
-    whinlatch_serving::{Refusal, catalog::Refused},
-    xxhash_rust::xxh3::Xxh3,
+    whinlatch_serving::Refusal,
 };
 
-/// Deadline of a caller that names none, in ms.
-const ASSUMED_DEADLINE_MS: u64 = 30_000;
 /// Time before the due moment at which a request without an answer is ended, in ms, so that the
 /// caller hears of it while it still waits.
 const ANSWER_MARGIN_MS: u64 = 30;
 /// Bytes of further requests that are read while one is at work.
 const MOST_AHEAD_BYTES: usize = 64 * 1024;
-/// Share of the time left after which a refused caller may come back at the latest; callers don't
-/// wait longer than a third.
-const MOST_RETRY_SHARE: u64 = 3;
-/// Shortest time that is told to a caller while there is no configuration, in ms.
-const UNREADY_RETRY_MS: u64 = 300;
 /// Time for which a request waits for a configuration at most, in ms: half of the shortest time after
 /// which callers leave a stream that doesn't begin.
 const UNREADY_WAIT_MS: u64 = 1_000;
@@ -134,17 +126,6 @@
     }
 }
 
-/// A request that was read whole.
-#[derive(Debug)]
-pub struct ReadRequest {
-    /// Its head.
-    pub head: RequestHead,
-    /// Its body.
-    pub body: Vec<u8>,
-    /// When its first byte was read.
-    pub arrived: MonoMs,
-}
-
 /// Serves a request. Returns whether the connection may carry another one.
 pub async fn exchange(
     state: &Arc<EntryState>,
@@ -155,11 +136,16 @@
 ) -> bool {
     state.metrics.note_opened();
     let arrived = request.arrived;
-    let request_id = read_caller_head(request.head.pairs()).map(|head| head.request_id);
     let answer = CallerAnswer::new(stream, is_last);
-    let ended = match readied(state, stream, input, request).await {
-        None => Ended::caller_gone(),
-        Some(request) => routed(state, stream, input, request, &answer).await,
+    let (request_id, ended) = match read_caller_head(request.head.pairs()) {
+        Ok(caller) => (
+            caller.request_id.clone(),
+            attend(state, stream, input, request, caller, &answer).await,
+        ),
+        Err(fault) => (
+            String::new(),
+            Ended::own(&answer, 400, &fault.to_string(), None).await,
+        ),
     };
     let took_ms = state.now().since(arrived);
     state
@@ -168,7 +154,7 @@
     let is_kept = ended.is_kept && !is_last;
     let progress = answer.progress();
     state.log(&Decision::Ended {
-        request: request_id.unwrap_or_default(),
+        request: request_id,
         outcome: ended.outcome,
         status: ended.status,
         reason: ended.reason,
@@ -180,8 +166,8 @@
     is_kept
 }
 
-/// Waits for a moment until the instance knows what is published, unless it does. `None` if the
-/// caller leaves meanwhile.
+/// Waits for a moment until the instance knows what is published, unless it does. Returns whether the
+/// caller is still there.
 ///
 /// The load that this answers: all instances start anew, and callers come back before the store has
 /// told what is published. Most have one try left, which a refusal would use up: 0.006 of mean worth
@@ -190,115 +176,47 @@
     state: &EntryState,
     stream: &TcpStream,
     input: &mut Input,
-    request: ReadRequest,
-) -> Option<ReadRequest> {
+    deadline_ms: Option<u64>,
+) -> bool {
     if state.was_ready() {
-        return Some(request);
+        return true;
     }
-    let wait_ms = UNREADY_WAIT_MS.min(deadline_ms(&request) / UNREADY_WAIT_PART);
+    let deadline_ms = deadline_ms.unwrap_or(ASSUMED_DEADLINE_MS);
+    let wait_ms = UNREADY_WAIT_MS.min(deadline_ms / UNREADY_WAIT_PART);
     let waited = timeout(state.clock.as_ref(), wait_ms, state.until_ready()).fuse();
     let left = caller_gone(stream, input).fuse();
     pin_mut!(waited, left);
     select! {
-        _in_time = waited => Some(request),
-        () = left => None,
+        _in_time = waited => true,
+        () = left => false,
     }
 }
 
-fn deadline_ms(request: &ReadRequest) -> u64 {
-    let caller = read_caller_head(request.head.pairs()).ok();
-    let deadline_ms = caller.and_then(|caller| caller.deadline_ms);
-    deadline_ms.unwrap_or(ASSUMED_DEADLINE_MS)
-}
-
-/// When a caller is to come back while there is no configuration, in ms: a store that has been away
-/// for so long is likely to be away as long again, and its callers have few tries.
-fn unready_retry_ms(state: &EntryState, deadline_ms: u64) -> u64 {
-    let without_ms = state.now().since(state.started_at);
-    let most_ms = deadline_ms / MOST_RETRY_SHARE;
-    without_ms.max(UNREADY_RETRY_MS).min(most_ms)
-}
-
-async fn routed(
+/// Finds out where a request goes and serves it.
+async fn attend(
     state: &Arc<EntryState>,
     stream: &TcpStream,
     input: &mut Input,
     request: ReadRequest,
+    caller: CallerHead,
     answer: &CallerAnswer<'_>,
 ) -> Ended {
-    let deadline_ms = deadline_ms(&request);
-    match route(state, request) {
-        Ok(context) => {
-            let ended = serve(state, stream, input, &context, answer).await;
-            if ended.is_success() {
-                state.serving().served(context.fingerprint);
-            }
-            ended
-        }
-        Err((status, message)) => {
-            let retry_ms = (status == 503).then(|| unready_retry_ms(state, deadline_ms));
-            Ended::own(answer, status, &message, retry_ms).await
-        }
+    if !readied(state, stream, input, caller.deadline_ms).await {
+        return Ended::caller_gone();
     }
-}
-
-/// Finds route, account and service; else the status and message of the answer.
-fn route(state: &Arc<EntryState>, request: ReadRequest) -> Result<RequestContext, (u16, String)> {
-    let mut serving = state.serving();
-    let Some(configuration) = serving.configuration().map(Arc::clone) else {
-        return Err((
-            503,
-            "this instance has no configuration yet: come back".into(),
-        ));
-    };
-    let ReadRequest {
-        head,
-        body,
-        arrived,
-    } = request;
-    let caller = read_caller_head(head.pairs()).map_err(|fault| (400, fault.to_string()))?;
-    let host = head.header("host").unwrap_or_default();
-    let route = configuration.route(host, &head.target).map_err(refusal)?;
-    let account = configuration
-        .account(route, caller.key.as_deref())
-        .map_err(refusal)?
-        .map(|(name, _priority)| name.clone());
-    let service = route
-        .draw_service(fastrand::f64())
-        .cloned()
-        .ok_or((503, "the route leads to no service: come back".to_owned()))?;
-    serving.arrived(state.now(), &service);
-    let deadline_ms = caller.deadline_ms.unwrap_or(ASSUMED_DEADLINE_MS);
-    Ok(RequestContext {
-        fingerprint: fingerprint(account.as_deref(), &head, &body),
-        due: arrived + deadline_ms.min(route.timeout_ms),
-        route: Arc::clone(route),
-        service,
-        account,
-        version: configuration.version,
-        head,
-        body,
-        caller,
-        arrived,
-    })
-}
-
-fn refusal(refused: Refused) -> (u16, String) {
-    let status = match refused {
-        Refused::NoRoute => 404,
-        Refused::UnknownKey => 401,
+    let context = match route(state, request, caller) {
+        Ok(context) => context,
+        Err(Unrouted {
+            status,
+            message,
+            retry_after_ms,
+        }) => return Ended::own(answer, status, &message, retry_after_ms).await,
     };
-    (status, refused.to_string())
-}
-
-fn fingerprint(account: Option<&str>, head: &RequestHead, body: &[u8]) -> u64 {
-    let mut hasher = Xxh3::new();
-    hasher.update(account.unwrap_or_default().as_bytes());
-    hasher.update(&[0]);
-    hasher.update(head.target.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(body);
-    hasher.digest()
+    let ended = serve(state, stream, input, &context, answer).await;
+    if ended.is_success() {
+        state.serving().served(context.fingerprint);
+    }
+    ended
 }
 
 /// Serves until the answer is whole, the caller is gone or the time is over. What is at work for
--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -10,6 +10,17 @@
     },
 };
 
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct ReadRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When its first byte was read.
+    pub arrived: MonoMs,
+}
+
 /// A caller's request that was read whole and found its route.
 #[derive(Debug)]
 pub struct RequestContext {
