--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -6,7 +6,7 @@
 mod target_entry;
 
 pub use {
-    address_holders::AddressHolders,
+    address_holders::{AddressHolders, Claim},
     calls::CallLoads,
     target_book::{Displaced, TargetBook, TargetChange},
     target_entry::{TargetEntry, TargetState},
--- a/crates/serving/src/targets/address_holders.rs
+++ b/crates/serving/src/targets/address_holders.rs
@@ -1,9 +1,29 @@
 use {
     super::TargetEntry,
-    crate::names::TargetId,
-    std::{collections::HashMap, net::SocketAddr},
+    crate::names::{TargetId, TargetName},
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+    },
 };
 
+/// An entry that may hold its address.
+#[derive(Debug, Clone, Copy)]
+pub struct Claim<'a> {
+    /// The entry.
+    pub entry: &'a TargetEntry,
+    /// Revision of the store at which it was written.
+    pub revision: u64,
+    /// Whether it still stands, or has lapsed while the store was away.
+    pub stands: bool,
+}
+
+impl Claim<'_> {
+    fn rank(&self) -> (bool, u64) {
+        (self.stands, self.revision)
+    }
+}
+
 /// Which run each published address belongs to.
 ///
 /// Guards against a target that crashes and starts again while its old entry stands, as happens when
@@ -13,31 +33,53 @@
 /// entry that still stands goes before one that has lapsed, and the newer one before the older.
 #[derive(Debug, Default)]
 pub struct AddressHolders {
-    by_address: HashMap<SocketAddr, TargetId>,
+    names: HashMap<SocketAddr, BTreeSet<TargetName>>,
+    holders: HashMap<SocketAddr, TargetId>,
 }
 
 impl AddressHolders {
-    /// Finds the holders among entries, each with its revision and whether it still stands.
-    pub fn new<'a>(entries: impl Iterator<Item = (u64, bool, &'a TargetEntry)>) -> Self {
-        let mut entries: Vec<(u64, bool, &TargetEntry)> = entries.collect();
-        entries.sort_unstable_by_key(|(revision, stands, _)| (*stands, *revision));
-        let mut holders: HashMap<SocketAddr, &TargetEntry> = HashMap::new();
-        for (_, _, entry) in entries {
-            let holder = holders.entry(entry.address).or_insert(entry);
-            if !entry.is_before(holder) {
-                *holder = entry;
-            }
+    /// Notes that an entry with this address is published under a name.
+    pub fn add(&mut self, address: SocketAddr, name: &TargetName) {
+        self.names.entry(address).or_default().insert(name.clone());
+    }
+
+    /// Notes that the entry under a name hasn't this address any more.
+    pub fn remove(&mut self, address: SocketAddr, name: &TargetName) {
+        let Some(names) = self.names.get_mut(&address) else {
+            return;
+        };
+        names.remove(name);
+        if names.is_empty() {
+            self.names.remove(&address);
         }
-        let by_address = holders
-            .into_iter()
-            .map(|(address, entry)| (address, entry.id.clone()))
-            .collect();
-        Self { by_address }
+    }
+
+    /// Finds out anew who holds an address. `claim` gives the entry under a name, unless another target
+    /// was seen to answer for it.
+    pub fn fit<'a>(
+        &mut self,
+        address: SocketAddr,
+        claim: impl Fn(&TargetName) -> Option<Claim<'a>>,
+    ) {
+        let names = self.names.get(&address).into_iter().flatten();
+        let mut claims: Vec<Claim<'a>> = names.filter_map(claim).collect();
+        claims.sort_unstable_by_key(Claim::rank);
+        let holder = claims.into_iter().reduce(|holder, claim| {
+            if claim.entry.is_before(holder.entry) {
+                holder
+            } else {
+                claim
+            }
+        });
+        match holder {
+            Some(holder) => self.holders.insert(address, holder.entry.id.clone()),
+            None => self.holders.remove(&address),
+        };
     }
 
     /// The run that holds an address.
     pub fn at(&self, address: SocketAddr) -> Option<&TargetId> {
-        self.by_address.get(&address)
+        self.holders.get(&address)
     }
 
     /// Whether an entry's address belongs to its run.
--- a/crates/serving/src/targets/target_book.rs
+++ b/crates/serving/src/targets/target_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AddressHolders, TargetEntry, TargetState},
+    super::{AddressHolders, Claim, TargetEntry, TargetState},
     crate::names::{TargetId, TargetName},
     serde::{Deserialize, Serialize},
     std::{
@@ -100,8 +100,8 @@
             .is_none_or(|entry| entry.state == TargetState::Draining);
         let is_removal = change.entry.is_none() && !change.is_unreadable;
         if is_removal && was_away && !leaving {
-            self.doubtful.insert(change.name, change.revision);
-            self.fit_holders();
+            self.doubtful.insert(change.name.clone(), change.revision);
+            self.fit_holder_of(&change.name);
             return None;
         }
         self.merge(now, &change).then_some(change)
@@ -136,23 +136,24 @@
         if held.is_some_and(|held| held.revision >= change.revision) {
             return false;
         }
-        if let Some(former) = held.and_then(|held| held.entry.as_ref()) {
+        self.doubtful.remove(&change.name);
+        self.newest = self.newest.max(change.revision);
+        let held = Held {
+            revision: change.revision,
+            entry: change.entry.clone(),
+            removed_at: now,
+        };
+        let former = self.by_name.insert(change.name.clone(), held);
+        if let Some(former) = former.and_then(|held| held.entry) {
             self.runs.remove(&former.id);
+            self.holders.remove(former.address, &change.name);
+            self.fit_holder(former.address);
         }
         if let Some(entry) = &change.entry {
             self.runs.insert(entry.id.clone(), change.name.clone());
+            self.holders.add(entry.address, &change.name);
+            self.fit_holder(entry.address);
         }
-        self.doubtful.remove(&change.name);
-        self.newest = self.newest.max(change.revision);
-        self.by_name.insert(
-            change.name.clone(),
-            Held {
-                revision: change.revision,
-                entry: change.entry.clone(),
-                removed_at: now,
-            },
-        );
-        self.fit_holders();
         true
     }
 
@@ -164,7 +165,7 @@
             return false;
         }
         *known = displaced.revision;
-        self.fit_holders();
+        self.fit_holder_of(&displaced.name);
         true
     }
 
@@ -178,16 +179,31 @@
         })
     }
 
-    /// Finds out anew which entry holds each address.
-    fn fit_holders(&mut self) {
-        let is_displaced =
-            |name: &str, revision| self.displaced.get(name).is_some_and(|at| *at >= revision);
-        let entries = self.by_name.iter().filter_map(|(name, held)| {
-            let entry = held.entry.as_ref()?;
-            let is_out = is_displaced(name, held.revision);
-            (!is_out).then_some((held.revision, !self.doubtful.contains_key(name), entry))
+    fn fit_holder_of(&mut self, name: &TargetName) {
+        if let Some(address) = self.published_entry(name).map(|entry| entry.address) {
+            self.fit_holder(address);
+        }
+    }
+
+    /// Finds out anew which entry holds an address.
+    fn fit_holder(&mut self, address: SocketAddr) {
+        let Self {
+            by_name,
+            displaced,
+            doubtful,
+            holders,
+            ..
+        } = self;
+        holders.fit(address, |name| {
+            let held = by_name.get(name)?;
+            let is_displaced = displaced.get(name).is_some_and(|at| *at >= held.revision);
+            let entry = held.entry.as_ref().filter(|_entry| !is_displaced)?;
+            Some(Claim {
+                entry,
+                revision: held.revision,
+                stands: !doubtful.contains_key(name),
+            })
         });
-        self.holders = AddressHolders::new(entries);
     }
 
     /// Lets doubtful removals take effect once their time is over. Returns the targets.
@@ -199,8 +215,10 @@
         self.by_name.retain(|_, held| {
             held.entry.is_some() || now.since(held.removed_at) < REMEMBER_REMOVED_MS
         });
-        let by_name = &self.by_name;
-        self.displaced.retain(|name, _| by_name.contains_key(name));
+        let (by_name, newest) = (&self.by_name, self.newest);
+        // The word of a displaced entry may come before the entry itself.
+        self.displaced
+            .retain(|name, revision| by_name.contains_key(name) || *revision > newest);
         if !is_over || self.doubtful.is_empty() {
             return Vec::new();
         }
--- a/crates/serving/src/targets/target_entry.rs
+++ b/crates/serving/src/targets/target_entry.rs
@@ -4,6 +4,9 @@
     std::net::SocketAddr,
 };
 
+/// Stands between the name of a target and the start of its run.
+const START_MARK: char = '#';
+
 /// What a target says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetState {
@@ -38,20 +41,23 @@
     ///
     /// Guards against a target that starts again under its old name: prompts, memory and crashes of
     /// the run before would count as those of the new one, which knows of none of them.
+    ///
+    /// Different runs have different names, whatever somebody else writes below the targets' prefix: a
+    /// name that has the mark itself, and no start, ends in one.
     pub fn run_id(name: &str, started_at_ms: Option<u64>) -> TargetId {
         match started_at_ms {
-            Some(started_at_ms) => format!("{name}#{started_at_ms}").into(),
+            Some(started_at_ms) => format!("{name}{START_MARK}{started_at_ms}").into(),
+            None if name.contains(START_MARK) => format!("{name}{START_MARK}").into(),
             None => name.into(),
         }
     }
 
     /// Name under which it is published, and which it knows itself by.
     pub fn name(&self) -> &str {
-        let Some(started_at_ms) = self.started_at_ms else {
-            return &self.id;
-        };
-        let suffix = format!("#{started_at_ms}");
-        self.id.strip_suffix(suffix.as_str()).unwrap_or(&self.id)
+        match self.id.rsplit_once(START_MARK) {
+            Some((name, _start)) => name,
+            None => &self.id,
+        }
     }
 
     /// Whether another entry is of a later run than this one, as far as both say when they began.
