--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Opens links that are missing, and tells the new ones what is at work.
+    /// Opens links that are missing, and tells peers to which there is one by now what is at work.
     fn look_for_links(&mut self, now: MonoMs) {
         self.wanted = self.state.serving().wanted_links(now);
         let linked = self.open_missing(now);
@@ -150,7 +150,6 @@
         serving.seeded(&seeds);
         serving.tick(now);
         let roster = serving.roster_news(now);
-        self.wanted = serving.wanted_links(now);
         let (is_hub, peers) = (serving.is_hub(), serving.peers(now));
         drop(serving);
         if std::mem::replace(&mut self.is_hub, is_hub) != is_hub {
@@ -158,8 +157,7 @@
         }
         state.pool.forget_old(now);
         self.tell_all(roster);
-        let linked = self.open_missing(now);
-        self.inform(now, &linked);
+        self.look_for_links(now);
         self.ask_for_missing(now);
     }
 
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -1,9 +1,13 @@
 //! Which engines read a prompt: the choice with the least predicted loss of answers on time.
 
+mod answering;
 mod choose;
+mod prompt_shape;
+mod share;
 mod value;
 
 pub use {
-    choose::{Candidate, Choice, PromptShape, choose, work_loss},
+    choose::{Choice, choose, work_loss},
+    prompt_shape::{Candidate, PromptShape},
     value::{lateness, value_of},
 };
--- a/crates/serving/src/placement/value.rs
+++ b/crates/serving/src/placement/value.rs
@@ -6,6 +6,9 @@
 /// How steeply the odds turn around that point.
 const STEEPNESS: f64 = 20.0;
 
+/// Share of its value that an answer loses by being late.
+pub const LATE_LOSS: f64 = 0.75;
+
 /// What an answer on time is worth against others, by the length of its prompt.
 pub fn value_of(prompt_tokens: u64) -> f64 {
     1.0 + prompt_tokens as f64 / TOKENS_PER_VALUE
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -6,9 +6,9 @@
         catalog::EngineSpec,
         engines::EngineLoad,
         fleet::{EngineGroup, EnginePace, JobId, Placed, Placement, Reserved},
-        mechanism::{Mechanism, Without},
+        mechanism::Mechanism,
         names::TargetId,
-        placement::{Candidate, PromptShape, choose, work_loss},
+        placement::{Candidate, Choice, PromptShape, choose, work_loss},
         targets::TargetEntry,
     },
     whinlatch_core::MonoMs,
@@ -68,46 +68,23 @@
             return Err(Refusal::NoTarget);
         }
         self.engines.advance(now, &spec, &entries);
-        let used = self.engines.used(now, group, entries.len());
+        let shape = self.shape_of(now, &spec, group, ask, entries.len());
         let loads: Vec<&EngineLoad> = entries
             .iter()
             .filter_map(|id| self.engines.get(id))
             .collect();
-        let is_blind = self.is_blind(now, group);
-        let candidates: Vec<Candidate<'_>> = loads
+        let candidates: Vec<Candidate<'_>> = entries
             .iter()
-            .enumerate()
-            .map(|(place, load)| Candidate {
-                liking: liking(self.own.run, &entries[place]),
+            .zip(&loads)
+            .map(|(id, load)| Candidate {
+                liking: liking(self.own.run, id),
                 load,
             })
             .collect();
-        let mut shape = shape_of(&spec, ask, used);
-        shape.is_blind = is_blind;
-        shape.without = self.without;
         let choice =
             choose(now, &spec, &shape, &candidates).ok_or_else(|| overloaded(&loads, None))?;
-        // Nobody would wait for the answer, or others would lose more by it than it is worth. A
-        // stream that its caller has a part of is resumed all the same.
-        let time_loss = if self.without.has(Mechanism::PriceOfTime) {
-            work_loss(&spec, ask.prompt_tokens, used)
-        } else {
-            0.0
-        };
-        let weighed = Weighed {
-            gain: choice.gain,
-            harm: choice.harm,
-            time_loss,
-            used,
-            first_event_ms: choice.first_event_ms,
-            engines: u32::try_from(entries.len()).unwrap_or(u32::MAX),
-            is_blind,
-            heard_ms_ago: self.heard_at.map(|at| now.since(at)),
-        };
-        let costs_too_much =
-            self.without.has(Mechanism::RefusalByWorth) && choice.harm + time_loss > choice.gain;
-        let is_useless = choice.first_event_ms > shape.patience_ms || costs_too_much;
-        if is_useless && !ask.is_resumed {
+        let weighed = self.weigh(now, &spec, &shape, &choice, entries.len());
+        if self.is_useless(&shape, &weighed) && !ask.is_resumed {
             return Err(overloaded(&loads, Some(weighed)));
         }
         let engines = choice
@@ -134,6 +111,62 @@
         })
     }
 
+    /// What a prompt asks of a group's engines now.
+    fn shape_of(
+        &mut self,
+        now: MonoMs,
+        spec: &EngineSpec,
+        group: EngineGroup,
+        ask: &PromptAsk,
+        engines: usize,
+    ) -> PromptShape {
+        let tokens = ask.prompt_tokens + u64::from(ask.most_answer_tokens);
+        PromptShape {
+            prompt_tokens: ask.prompt_tokens,
+            answer_tokens: ask.answer_tokens,
+            slack_ms: ask.slack_ms.max(0) as f64,
+            pause_limit_ms: ask.pause_limit_ms as f64,
+            patience_ms: ask.patience_ms as f64,
+            reserved: Reserved::for_tokens(tokens, spec.memory_tokens),
+            used: self.engines.used(now, group, engines),
+            is_blind: self.is_blind(now, group),
+            without: self.without,
+        }
+    }
+
+    fn weigh(
+        &self,
+        now: MonoMs,
+        spec: &EngineSpec,
+        shape: &PromptShape,
+        choice: &Choice,
+        engines: usize,
+    ) -> Weighed {
+        let time_loss = if self.without.has(Mechanism::PriceOfTime) {
+            work_loss(spec, shape.prompt_tokens, shape.used)
+        } else {
+            0.0
+        };
+        Weighed {
+            gain: choice.gain,
+            harm: choice.harm,
+            time_loss,
+            used: shape.used,
+            first_event_ms: choice.first_event_ms,
+            engines: u32::try_from(engines).unwrap_or(u32::MAX),
+            is_blind: shape.is_blind,
+            heard_ms_ago: self.heard_at.map(|at| now.since(at)),
+        }
+    }
+
+    /// Whether nobody would wait for the answer, or others would lose more by it than it is worth. A
+    /// stream that its caller has a part of is resumed all the same.
+    fn is_useless(&self, shape: &PromptShape, weighed: &Weighed) -> bool {
+        let costs_too_much = weighed.harm + weighed.time_loss > weighed.gain;
+        weighed.first_event_ms > shape.patience_ms
+            || costs_too_much && self.without.has(Mechanism::RefusalByWorth)
+    }
+
     /// Whether this instance knows little of what others place on a group's engines: it isn't told, or
     /// has been for a moment only.
     ///
@@ -258,21 +291,6 @@
     hash as f64 / u64::MAX as f64
 }
 
-fn shape_of(spec: &EngineSpec, ask: &PromptAsk, used: f64) -> PromptShape {
-    let tokens = ask.prompt_tokens + u64::from(ask.most_answer_tokens);
-    PromptShape {
-        prompt_tokens: ask.prompt_tokens,
-        answer_tokens: ask.answer_tokens,
-        slack_ms: ask.slack_ms.max(0) as f64,
-        pause_limit_ms: ask.pause_limit_ms as f64,
-        patience_ms: ask.patience_ms as f64,
-        reserved: Reserved::for_tokens(tokens, spec.memory_tokens),
-        used,
-        is_blind: false,
-        without: Without::default(),
-    }
-}
-
 /// A refusal with the time after which half of what is waiting to be read will have been read.
 fn overloaded(loads: &[&EngineLoad], weighed: Option<Weighed>) -> Refusal {
     let waiting_ms: f64 = loads.iter().map(|load| load.total_ms()).sum();
