--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,6 +3,7 @@
 //! and targets see is held against what the system promises.
 
 mod finding;
+mod flag;
 mod instance;
 mod ledger;
 mod load;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -2,14 +2,11 @@
 
 use {
     crate::{
+        flag::Flag,
         ledger::{Asked, InstanceRun, Kind, Outcome},
         world::{TIMEOUT_MS, World},
     },
-    std::{
-        sync::atomic::{AtomicBool, Ordering},
-        thread,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
     whinlatch_platform_standins::{
         Ask, CALL_PREFIX, Caller, SAFE_PREFIX, STREAM_PREFIX, names::SEAL_HEADER,
     },
@@ -58,10 +55,12 @@
     }
 
     /// Asks one request after the other until told to stop.
-    pub fn run(&mut self, is_over: &AtomicBool) {
-        while !is_over.load(Ordering::SeqCst) {
+    pub fn run(&mut self, is_over: &Flag) {
+        loop {
             let think_ms = self.rng.u64(..THINK_MS);
-            thread::sleep(Duration::from_millis(think_ms));
+            if is_over.wait(Duration::from_millis(think_ms)) {
+                return;
+            }
             self.refresh_list();
             let (kind, ask) = self.draw_request();
             if let Some(asked) = self.ask(kind, &ask) {
