--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -22,10 +22,9 @@
 mod reservations;
 mod routing;
 mod run;
-mod store_reader;
+mod store;
 mod stream_relay;
 mod target_connection;
 mod target_pool;
-mod unreadable_lines;
 
 pub use run::{Entry, run};
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -8,7 +8,10 @@
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
     },
-    whinlatch_serving::Weighed,
+    whinlatch_serving::{
+        Weighed,
+        targets::{TargetChange, TargetState},
+    },
 };
 
 /// A decision that touches a request, or changes what the process believes.
@@ -79,6 +82,24 @@
         state: &'static str,
         /// Revision of the store at which that happened.
         revision: u64,
+        /// Where it came from.
+        source: &'static str,
+    },
+    /// The process goes by a relay's reading of the store.
+    Relayed {
+        /// Where the relay links.
+        relay: String,
+        /// Revision up to which it knows all.
+        revision: u64,
+        /// Time since the store told it so, in ms.
+        age_ms: u64,
+    },
+    /// The process has no fresh word of a relay any more, or is to read the store for others.
+    RelayLost {
+        /// What it does about the store now.
+        duty: &'static str,
+        /// Revision up to which it knows all, if anything.
+        known_to: Option<u64>,
     },
     /// A link to a peer is open.
     PeerLinked {
@@ -167,6 +188,22 @@
     },
 }
 
+impl Decision {
+    /// A target came, changed or went.
+    pub fn target(change: &TargetChange, source: &'static str) -> Self {
+        let entry = change.entry.as_ref();
+        Self::Target {
+            target: entry.map_or(&*change.name, |entry| &entry.id).to_owned(),
+            state: entry.map_or("gone", |entry| match entry.state {
+                TargetState::Ready => "ready",
+                TargetState::Draining => "draining",
+            }),
+            revision: change.revision,
+            source,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u64,
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -7,6 +7,9 @@
 const BUCKETS_S: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0,
 ];
+/// Buckets of the age of what is known, in seconds: from one crossing of the network to the age at which
+/// a relay's word counts no more.
+const AGE_BUCKETS_S: [f64; 8] = [0.01, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5];
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1_000.0;
 
@@ -20,6 +23,10 @@
     first_events: Histogram,
     open_requests: IntGauge,
     store_failures: IntCounter,
+    store_calls: IntCounterVec,
+    changes_passed_on: IntCounter,
+    changes_told: IntCounter,
+    knowledge_age: Histogram,
     linked_peers: IntGauge,
     dropped_log_lines: IntCounter,
 }
@@ -38,6 +45,10 @@
             "whinlatch_entry_first_event_seconds",
             "Time from a prompt's last byte to its first event.",
         );
+        let knowledge_age = HistogramOpts::new(
+            "whinlatch_entry_knowledge_age_seconds",
+            "Age of what relays told of the store, each time that it is looked at.",
+        );
         let metrics = Self {
             registry: Registry::new(),
             requests: IntCounterVec::new(
@@ -55,6 +66,19 @@
                 "whinlatch_entry_store_failures_total",
                 "Reads of the store that failed.",
             )?,
+            store_calls: IntCounterVec::new(
+                Opts::new("whinlatch_entry_store_calls_total", "Calls of the store."),
+                &["kind", "reason"],
+            )?,
+            changes_passed_on: IntCounter::new(
+                "whinlatch_entry_changes_passed_on_total",
+                "Changes of targets that were passed on, by change and instance.",
+            )?,
+            changes_told: IntCounter::new(
+                "whinlatch_entry_changes_told_total",
+                "Changes of targets that peers told first.",
+            )?,
+            knowledge_age: Histogram::with_opts(knowledge_age.buckets(AGE_BUCKETS_S.to_vec()))?,
             linked_peers: IntGauge::new("whinlatch_entry_linked_peers", "Links to peers.")?,
             dropped_log_lines: IntCounter::new(
                 "whinlatch_entry_dropped_log_lines_total",
@@ -76,6 +100,13 @@
             .register(Box::new(self.open_requests.clone()))?;
         self.registry
             .register(Box::new(self.store_failures.clone()))?;
+        self.registry.register(Box::new(self.store_calls.clone()))?;
+        self.registry
+            .register(Box::new(self.changes_passed_on.clone()))?;
+        self.registry
+            .register(Box::new(self.changes_told.clone()))?;
+        self.registry
+            .register(Box::new(self.knowledge_age.clone()))?;
         self.registry
             .register(Box::new(self.linked_peers.clone()))?;
         self.registry
@@ -128,6 +159,26 @@
         self.store_failures.inc();
     }
 
+    /// Counts a call of the store.
+    pub fn note_store_call(&self, kind: &str, reason: &str) {
+        self.store_calls.with_label_values(&[kind, reason]).inc();
+    }
+
+    /// Counts changes of targets that are passed on to peers.
+    pub fn note_passed_on(&self, count: usize) {
+        self.changes_passed_on.inc_by(count as u64);
+    }
+
+    /// Counts changes of targets that a peer told before the store did.
+    pub fn note_told(&self, count: usize) {
+        self.changes_told.inc_by(count as u64);
+    }
+
+    /// Notes how old what relays told of the store is.
+    pub fn note_knowledge_age(&self, age_ms: u64) {
+        self.knowledge_age.observe(age_ms as f64 / MS_PER_S);
+    }
+
     /// Notes a link that opened.
     pub fn note_linked(&self) {
         self.linked_peers.inc();
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -18,7 +18,7 @@
     },
     async_tungstenite::{
         WebSocketStream, accept_async_with_config, client_async_with_config,
-        tungstenite::{Bytes, Message},
+        tungstenite::{Bytes, Error, Message},
     },
     futures::StreamExt,
     std::{
@@ -30,8 +30,8 @@
     whinlatch_core::MonoMs,
     whinlatch_platform::read_configuration,
     whinlatch_serving::{
-        Recipients, Serving, WantedLinks,
-        fleet::{EngineGroup, Frame, PlacementAnswer, PlacementAsk},
+        Recipients, Serving, StoreDuty, WantedLinks,
+        fleet::{Beat, EngineGroup, Frame, PlacementAnswer, PlacementAsk},
     },
 };
 
@@ -78,6 +78,8 @@
     informed: BTreeMap<SocketAddr, Vec<EngineGroup>>,
     wanted: WantedLinks,
     is_hub: bool,
+    /// The relay that this instance goes by, as the log has it.
+    relay: Option<SocketAddr>,
 }
 
 /// Keeps links to peers and tells them what is new, for ever.
@@ -91,6 +93,7 @@
         informed: BTreeMap::new(),
         wanted: WantedLinks::default(),
         is_hub: false,
+        relay: None,
     };
     loop {
         state.clock.sleep(NEWS_MS).await;
@@ -106,6 +109,7 @@
             keeper.look_for_links(now);
         }
         keeper.tell_news();
+        keeper.pass_on(now);
         keeper.tell_roster(now);
         if now >= next_beat || state.serving().is_beat_due() {
             keeper.beat(now);
@@ -151,11 +155,13 @@
         serving.tick(now);
         let roster = serving.roster_news(now);
         let (is_hub, peers) = (serving.is_hub(), serving.peers(now));
+        let duty = serving.store_duty(now);
         drop(serving);
         if std::mem::replace(&mut self.is_hub, is_hub) != is_hub {
             state.log(&Decision::Hub { is_hub, peers });
         }
         state.pool.forget_old(now);
+        self.note_relay(duty);
         self.tell_all(roster);
         self.look_for_links(now);
         self.ask_for_missing(now);
@@ -173,7 +179,7 @@
         let asked = self.wanted.asked.iter().map(|address| (*address, false));
         for (address, asks_for_link) in own.chain(asked) {
             if let Some(queue) = state.links.open(address) {
-                let first = state.serving().greeting(now, asks_for_link);
+                let first = state.serving().greeting(now, address, asks_for_link);
                 let rule = self.open_rule();
                 task::spawn(keep_link(Arc::clone(state), address, rule, first, queue));
             }
@@ -228,16 +234,71 @@
         }
     }
 
-    /// Sends a heartbeat over all links; to those that this instance wants itself, it says so.
+    /// Passes on what is published to those that go by this instance.
+    fn pass_on(&self, now: MonoMs) {
+        let state = &self.state;
+        if !state.serving().has_followers() {
+            return;
+        }
+        let linked = state.links.linked();
+        let news = state.serving().relay_news(now, &linked);
+        for (to, frame) in news {
+            state.metrics.note_passed_on(frame.targets.len() * to.len());
+            state.send(&to, &frame);
+        }
+    }
+
+    /// Logs whether this instance goes by a relay, and by which.
+    fn note_relay(&mut self, duty: StoreDuty) {
+        let state = &self.state;
+        let relay = match duty {
+            StoreDuty::Follow(relay) => Some(relay),
+            StoreDuty::Watch | StoreDuty::StandIn { .. } => None,
+        };
+        if let Some(relay) = relay {
+            state.metrics.note_knowledge_age(relay.age_ms);
+        }
+        let address = relay.map(|relay| relay.address);
+        if self.relay.is_some() == address.is_some() {
+            return;
+        }
+        self.relay = address;
+        state.log(&match relay {
+            Some(relay) => Decision::Relayed {
+                relay: relay.address.to_string(),
+                revision: relay.revision,
+                age_ms: relay.age_ms,
+            },
+            None => Decision::RelayLost {
+                duty: duty.name(),
+                known_to: state.serving().known_to(),
+            },
+        });
+    }
+
+    /// Sends a heartbeat over all links; to those that this instance wants itself, it says so, and to its
+    /// relays what it knows.
     fn beat(&self, now: MonoMs) {
         let mut heartbeat = self.state.serving().heartbeat(now);
         let asked: Vec<SocketAddr> = self.wanted.asked.iter().copied().collect();
         self.state.send(&asked, &heartbeat);
-        if let Some(beat) = &mut heartbeat.beat {
-            beat.asks_for_link = true;
-        }
-        let own: Vec<SocketAddr> = self.wanted.own.iter().copied().collect();
+        let Some(beat) = heartbeat.beat else {
+            return;
+        };
+        let relays = self.state.serving().relays(now);
+        let mut own: Vec<SocketAddr> = self.wanted.own.iter().copied().collect();
+        own.retain(|address| !relays.contains(address));
+        let beat = Beat {
+            asks_for_link: true,
+            ..beat
+        };
+        heartbeat.beat = Some(beat);
         self.state.send(&own, &heartbeat);
+        for relay in relays {
+            let follows = self.state.serving().follow_of(now, relay);
+            heartbeat.beat = Some(Beat { follows, ..beat });
+            self.state.send(&[relay], &heartbeat);
+        }
     }
 }
 
@@ -332,8 +393,15 @@
     };
     let mut from = None;
     loop {
-        let Some(Some(Ok(message))) = timeout(clock, SILENT_MS, socket.next()).await else {
-            return;
+        let message = match timeout(clock, SILENT_MS, socket.next()).await {
+            Some(Some(Ok(message))) => message,
+            Some(Some(Err(Error::Capacity(fault)))) => {
+                state.log(&Decision::Unreadable {
+                    fault: format!("a frame of a peer: {fault}"),
+                });
+                return;
+            }
+            _silent_or_closed => return,
         };
         let Message::Binary(bytes) = message else {
             continue;
@@ -363,7 +431,7 @@
     let now = state.now();
     let mut serving = state.serving();
     let before = serving.version();
-    serving.on_frame(now, from, frame, |text| {
+    let changes = serving.on_frame(now, from, frame, |text| {
         let read = read_configuration(text);
         read.map_err(|fault| {
             let fault = fault.to_string();
@@ -376,6 +444,10 @@
     let answer = ask.map(|ask| (ask.reply_to, answer(&mut serving, now, &ask)));
     drop(serving);
     state.note_published();
+    state.metrics.note_told(changes.len());
+    for change in &changes {
+        state.log(&Decision::target(change, "peer"));
+    }
     for (to, frame) in lacking.into_iter().chain(answer) {
         state.send(&[to], &frame);
     }
--- a/crates/daemon/src/entry/peer_links.rs
+++ b/crates/daemon/src/entry/peer_links.rs
@@ -59,6 +59,11 @@
         links.keys().copied().collect()
     }
 
+    /// Peers to which there is a link, or one is being opened.
+    pub fn linked(&self) -> HashSet<SocketAddr> {
+        lock(&self.links).keys().copied().collect()
+    }
+
     /// Sends a frame over some links.
     ///
     /// # Errors
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -7,7 +7,7 @@
         entry_metrics::EntryMetrics,
         entry_state::EntryState,
         links::{keep_links, take_links},
-        store_reader::read_store,
+        store::read_store,
     },
     crate::{
         app::{StopSignal, stop_signals},
@@ -20,7 +20,7 @@
     async_std::task::{self, JoinHandle},
     std::{env, fs, path::PathBuf, sync::Arc},
     whinlatch_platform::{InstanceSettings, SETTINGS_VARIABLE, read_settings},
-    whinlatch_serving::{Serving, fleet::Member, mechanism::Without},
+    whinlatch_serving::{Serving, StoreDuty, fleet::Member, mechanism::Without},
 };
 
 /// Time between two looks whether a leaving instance is idle, in ms.
@@ -122,6 +122,12 @@
         self.state.serving().lost_store()
     }
 
+    /// Whether this instance leaves the store to a relay whose word is fresh.
+    pub fn goes_by_relay(&self) -> bool {
+        let now = self.state.now();
+        matches!(self.state.serving().store_duty(now), StoreDuty::Follow(_))
+    }
+
     /// Number of peers that are heard of.
     pub fn peers(&self) -> usize {
         self.state.serving().peers(self.state.now())
--- /dev/null
+++ b/crates/daemon/src/entry/store.rs
@@ -0,0 +1,8 @@
+//! What is published, as the store tells it.
+
+mod intake;
+mod store_calls;
+mod store_reader;
+mod unreadable_lines;
+
+pub use store_reader::read_store;
--- a/crates/daemon/tests/entry/fixture.rs
+++ b/crates/daemon/tests/entry/fixture.rs
@@ -67,6 +67,7 @@
         seed_peers: seeds.to_vec(),
         store_address,
         shutdown_ms: 4_000,
+        is_first_start: false,
         entry_ttl_most_s: 5,
         cpu_millis: 1_000,
         budget: FleetBudgetRule {
--- a/crates/daemon/tests/entry/fleet.rs
+++ b/crates/daemon/tests/entry/fleet.rs
@@ -12,6 +12,8 @@
     },
 };
 
+/// Instances of a fleet in which not each links to each other.
+const LARGE_FLEET: usize = 14;
 /// Time by which a paused clock is advanced at once, in ms: that between two looks for news.
 const STEP_MS: u64 = 20;
 /// Turns that other tasks are given after a step; what they don't come to is done after the next.
@@ -120,6 +122,35 @@
     until(|| first.peers() == 1 && second.peers() == 1).await;
 }
 
+/// Each of hundreds of instances asks the store for each change. In a fleet of over twelve two of a failure
+/// domain do, and the others go by them; a change comes to all.
+#[async_std::test]
+async fn in_a_large_fleet_most_are_told_what_the_store_says() {
+    let plain = target("p-1", Behaviour::Serve("listing"));
+    let store = StoreStandin::start();
+    Fixture::default().publish(&store);
+    store.publish_plain(&plain);
+    let mut fleet = vec![start(&store, &[]).await];
+    for _ in 1..LARGE_FLEET {
+        let seed = fleet[0].settings().peer_address;
+        fleet.push(start(&store, &[seed]).await);
+    }
+    let told = |entry: &whinlatch_daemon::entry::Entry| {
+        let counters = question(entry.settings().metrics_address, "/metrics").body;
+        !counters.contains("whinlatch_entry_changes_told_total 0")
+    };
+    until(|| fleet.iter().filter(|entry| entry.goes_by_relay()).count() == LARGE_FLEET - 2).await;
+
+    // What each asked the store before it found a relay is answered by the first change.
+    store.publish_draining(&plain);
+    until(|| fleet.iter().all(|entry| entry.ready_targets().is_empty())).await;
+    let other = target("p-2", Behaviour::Serve("listing"));
+    store.publish_plain(&other);
+
+    until(|| fleet.iter().all(|entry| entry.ready_targets() == ["p-2"])).await;
+    assert!(fleet.iter().any(told));
+}
+
 /// Prompts are late for two seconds after all instances were lost: they choose engines as if each were
 /// alone, since what one sends to another that isn't up yet is dropped, and it is waited for as at
 /// other times.
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -3,6 +3,7 @@
     crate::{
         PromptAsk, Refusal, Weighed,
         names::{FailureDomain, TargetId},
+        relays::{Follow, Word},
         retries::Fingerprint,
         targets::{Displaced, TargetChange},
     },
@@ -56,6 +57,9 @@
     pub revision: u64,
     /// Whether it wants the receiver to link back.
     pub asks_for_link: bool,
+    /// What it asks of the receiver, if that is a relay that it goes by.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub follows: Option<Follow>,
 }
 
 impl Member {
@@ -222,6 +226,9 @@
     /// Engines for a prompt of the receiver.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub answer: Option<PlacementAnswer>,
+    /// How far the sender's knowledge of what is published goes, for those that go by it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub word: Option<Word>,
     /// Configuration that the receiver wanted.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub configuration: Option<PublishedText>,
--- a/crates/serving/src/fleet/member_book.rs
+++ b/crates/serving/src/fleet/member_book.rs
@@ -282,7 +282,8 @@
     ///
     /// Returns whether that gives this instance a task that it hadn't.
     pub fn rank(&mut self, now: MonoMs, own: &Member) -> bool {
-        let ranks = Ranks::new(self.is_large(), self.fresh(now).chain([own]));
+        let alive = self.fresh(now).chain([own]);
+        let ranks = Ranks::new(self.is_large(), &own.failure_domain, alive);
         let is_new = ranks.are_new_to(own.peer_address, &self.ranks);
         self.ranks = ranks;
         is_new
--- a/crates/serving/src/fleet/ranks.rs
+++ b/crates/serving/src/fleet/ranks.rs
@@ -1,5 +1,6 @@
 use {
     super::{EngineGroup, Member, hash},
+    crate::names::FailureDomain,
     std::{cmp::Reverse, net::SocketAddr},
 };
 
@@ -20,11 +21,18 @@
     hubs: Vec<SocketAddr>,
     /// Those that serve, the strongest first.
     serving: Vec<SocketAddr>,
+    /// Those of one failure domain, the strongest first.
+    near: Vec<SocketAddr>,
 }
 
 impl Ranks {
-    /// Ranks the instances that are taken for alive, this one among them.
-    pub fn new<'a>(is_large: bool, alive: impl Iterator<Item = &'a Member>) -> Self {
+    /// Ranks the instances that are taken for alive, this one among them, as one in a failure domain sees
+    /// them.
+    pub fn new<'a>(
+        is_large: bool,
+        domain: &FailureDomain,
+        alive: impl Iterator<Item = &'a Member>,
+    ) -> Self {
         let mut members: Vec<&Member> = alive.filter(|member| !member.leaving).collect();
         members.sort_by_cached_key(|member| {
             let tie = hash(0, member.peer_address);
@@ -35,6 +43,11 @@
         Self {
             is_large,
             hubs: members.iter().take(hubs).map(address).collect(),
+            near: members
+                .iter()
+                .filter(|member| member.failure_domain == *domain)
+                .map(address)
+                .collect(),
             serving: members
                 .iter()
                 .filter(|member| member.ready)
@@ -48,6 +61,11 @@
         &self.hubs
     }
 
+    /// The instances of this one's failure domain, this one among them, the strongest first.
+    pub fn near(&self) -> &[SocketAddr] {
+        &self.near
+    }
+
     /// Whether there are too many instances for each to link to all others.
     pub fn is_large(&self) -> bool {
         self.is_large
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,11 +10,13 @@
 pub mod mechanism;
 pub mod names;
 pub mod placement;
+pub mod relays;
 pub mod retries;
 pub mod targets;
 
 mod serving;
 
 pub use serving::{
-    CallAsk, CallPlace, PromptAsk, PromptPlace, Recipients, Refusal, Serving, WantedLinks, Weighed,
+    CallAsk, CallPlace, PromptAsk, PromptPlace, Recipients, Refusal, Serving, StoreDuty,
+    WantedLinks, Weighed,
 };
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -7,11 +7,13 @@
 mod news;
 mod peers;
 mod prompts;
+mod relaying;
 
 pub use {
     asks::{CallAsk, CallPlace, PromptAsk, PromptPlace, Refusal, Weighed},
     members::WantedLinks,
     news::Recipients,
+    relaying::StoreDuty,
 };
 
 use {
@@ -20,10 +22,12 @@
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, MemberBook, PublishedText, hash},
         mechanism::Without,
+        relays::{Extent, Followers, Following},
         retries::{CrashBook, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetBook},
     },
     news::News,
+    peers::Behind,
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
@@ -60,7 +64,20 @@
     /// When this instance has been told of all prompts that it is to know, after its start or its last
     /// new task.
     settled_at: MonoMs,
-    behind_since: Option<MonoMs>,
+    /// What peers have known for a while and this instance doesn't.
+    behind: Option<Behind>,
+    /// The relays that this instance goes by, and what it knows through them.
+    following: Following,
+    /// Those that go by this instance.
+    followers: Followers,
+    /// When the store last told this instance what was published.
+    read_at: Option<MonoMs>,
+    /// Since when the store doesn't answer this instance.
+    cut_off_since: Option<MonoMs>,
+    /// Whether those that go by this instance are to be told how far it is.
+    is_word_due: bool,
+    /// What the last word told them.
+    passed_on: Extent,
     without: Without,
     /// When a peer last told of a prompt.
     heard_at: Option<MonoMs>,
@@ -88,7 +105,13 @@
             told: None,
             is_roster_due: false,
             settled_at: MonoMs(0),
-            behind_since: None,
+            behind: None,
+            following: Following::default(),
+            followers: Followers::default(),
+            read_at: None,
+            cut_off_since: None,
+            is_word_due: false,
+            passed_on: Extent::default(),
             without: Without::default(),
             heard_at: None,
         }
@@ -148,6 +171,7 @@
         self.crashes.forget_old(now);
         self.fit_groups();
         self.rank(now);
+        self.tick_relays(now);
         let targets = &self.targets;
         self.engines
             .forget_old(now, |id| targets.entry(id).is_some());
--- a/crates/serving/src/serving/configured.rs
+++ b/crates/serving/src/serving/configured.rs
@@ -36,13 +36,16 @@
     }
 
     /// The store didn't answer.
-    pub fn store_failed(&mut self) {
+    pub fn store_failed(&mut self, now: MonoMs) {
         self.targets.store_failed();
+        self.cut_off_since.get_or_insert(now);
     }
 
     /// The store answers.
     pub fn store_answers(&mut self, now: MonoMs) {
         self.targets.store_answers(now);
+        self.cut_off_since = None;
+        self.following.answers(self.own.peer_address);
     }
 
     /// Whether the store didn't answer when it was last asked.
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -59,7 +59,8 @@
     /// The links to keep.
     pub fn wanted_links(&self, now: MonoMs) -> WantedLinks {
         let own_address = self.own.peer_address;
-        let own = self.members.wanted(now, own_address, &self.own_groups());
+        let mut own = self.members.wanted(now, own_address, &self.own_groups());
+        own.extend(self.relays(now));
         let asking = self.members.asking(now);
         let asked = asking.filter(|address| !own.contains(address)).collect();
         WantedLinks { own, asked }
@@ -71,12 +72,6 @@
         hubs.contains(&self.own.peer_address)
     }
 
-    /// Whether this instance is one of those that watch the store closely, for all: their
-    /// heartbeats tell the others when a watch of theirs has gone silent.
-    pub fn watches_closely(&self) -> bool {
-        !self.members.is_large() || self.is_hub()
-    }
-
     /// The engines whose reports this instance is to read for all: those of the groups for which it
     /// is the first that chooses.
     pub fn reported_engines(&self) -> Vec<TargetEntry> {
@@ -95,11 +90,15 @@
             .collect()
     }
 
-    /// What a link begins with: this instance, where peers link, and whom it hears.
-    pub fn greeting(&self, now: MonoMs, asks_for_link: bool) -> Frame {
+    /// What a link to a peer begins with: this instance, where peers link, and whom it hears.
+    pub fn greeting(&self, now: MonoMs, to: SocketAddr, asks_for_link: bool) -> Frame {
+        let beat = Beat {
+            follows: self.follow_of(now, to),
+            ..self.beat(asks_for_link)
+        };
         Frame {
             member: Some(self.own_member(now)),
-            beat: Some(self.beat(asks_for_link)),
+            beat: Some(beat),
             peers: self.members.addresses_to_tell(now),
             roster: Some(self.members.full_roster(now, self.own.peer_address)),
             ..Frame::default()
@@ -153,6 +152,7 @@
             version: self.version(),
             revision: self.targets.revision(),
             asks_for_link,
+            follows: None,
         }
     }
 
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -7,10 +7,11 @@
         fleet::{Beat, Crash, EnginePace, Frame, JobId, Member, Placed, Roster, Wants},
         mechanism::Mechanism,
         names::TargetId,
+        relays::Extent,
         retries::Fingerprint,
-        targets::{Displaced, TargetEntry},
+        targets::{Displaced, TargetChange, TargetEntry},
     },
-    std::net::SocketAddr,
+    std::{cmp::Reverse, net::SocketAddr},
     whinlatch_core::MonoMs,
 };
 
@@ -21,6 +22,13 @@
 /// Peers that are asked at once for what is lacking.
 const ASKED_PEERS: usize = 2;
 
+/// What a peer knew first.
+#[derive(Debug, Clone, Copy)]
+pub struct Behind {
+    extent: Extent,
+    since: MonoMs,
+}
+
 /// What all instances are to know at once.
 struct Warnings {
     crashes: Vec<Crash>,
@@ -51,13 +59,29 @@
     }
 
     /// Notes since when a peer knows something published that this instance doesn't.
+    ///
+    /// Guards against changes that come one after the other: some peer has always just heard of one more, so
+    /// that only what this instance still lacks of what was known then counts.
     pub(super) fn notice_behind(&mut self, now: MonoMs) {
-        let is_behind = self.ahead(now).next().is_some();
-        self.behind_since = match (is_behind, self.behind_since) {
-            (false, _) => None,
-            (true, None) => Some(now),
-            (true, since) => since,
-        };
+        let extent = self.newest_known();
+        let first_ahead = self.ahead(now).next().map(|member| Behind {
+            extent: Extent {
+                revision: member.revision,
+                version: member.version,
+            },
+            since: now,
+        });
+        let known_before = self
+            .behind
+            .filter(|behind| first_ahead.is_some() && !extent.covers(&behind.extent));
+        self.behind = known_before.or(first_ahead);
+    }
+
+    fn newest_known(&self) -> Extent {
+        Extent {
+            revision: self.targets.revision(),
+            version: self.version(),
+        }
     }
 
     fn ahead(&self, now: MonoMs) -> impl Iterator<Item = &Member> {
@@ -70,8 +94,10 @@
     /// Whether peers have known something published for so long that this instance's own way to
     /// the store must be out of order, however it looks.
     pub fn is_behind(&self, now: MonoMs) -> bool {
-        self.behind_since
-            .is_some_and(|since| now.since(since) >= BEHIND_MS)
+        self.behind.is_some_and(|behind| {
+            let still_lacks = !self.newest_known().covers(&behind.extent);
+            still_lacks && now.since(behind.since) >= BEHIND_MS
+        })
     }
 
     /// What to ask peers for, and which ones, if this instance is behind them.
@@ -83,8 +109,14 @@
         if !self.lost_store() && self.version() != 0 && !self.is_behind(now) {
             return None;
         }
-        let peers: Vec<SocketAddr> = self
-            .ahead(now)
+        // Those nearby first: bytes between failure domains cost, and take longer.
+        let mut ahead: Vec<&Member> = self.ahead(now).collect();
+        ahead.sort_by_key(|member| {
+            let is_far = member.failure_domain != self.own.failure_domain;
+            (is_far, Reverse(member.cpu_millis))
+        });
+        let peers: Vec<SocketAddr> = ahead
+            .iter()
             .map(|member| member.peer_address)
             .take(ASKED_PEERS)
             .collect();
@@ -112,18 +144,20 @@
         }
     }
 
-    /// Takes in what a peer tells. `decode` reads a published configuration.
+    /// Takes in what a peer tells. `decode` reads a published configuration. Returns the changes of targets
+    /// that are news.
     pub fn on_frame(
         &mut self,
         now: MonoMs,
         from: u64,
         frame: Frame,
         decode: impl Fn(&str) -> Option<Configuration>,
-    ) {
+    ) -> Vec<TargetChange> {
         if let Some(member) = frame.member {
             self.take_member(now, member);
         }
-        if let Some(address) = self.members.lives(now, from) {
+        let address = self.members.lives(now, from);
+        if let Some(address) = address {
             self.take_beat(now, address, frame.beat, frame.roster);
         }
         let own = self.own.peer_address;
@@ -134,9 +168,11 @@
         {
             self.put_in_force(configuration, published.text);
         }
-        for change in &frame.targets {
-            self.targets.told(now, change);
-        }
+        let changes = match (frame.word, address) {
+            (Some(word), Some(relay)) => self.take_word(now, relay, &word, frame.targets),
+            (Some(_), None) => Vec::new(),
+            (None, _) => self.take_changes(now, frame.targets),
+        };
         let warnings = Warnings {
             crashes: frame.crashes,
             served: frame.served,
@@ -167,6 +203,16 @@
         for job in frame.ended {
             self.engines.ended(job);
         }
+        changes
+    }
+
+    /// Takes in changes of targets. Returns those that are news.
+    pub(super) fn take_changes(
+        &mut self,
+        now: MonoMs,
+        changes: Vec<TargetChange>,
+    ) -> Vec<TargetChange> {
+        keep(changes, |change| self.targets.told(now, change))
     }
 
     fn take_member(&mut self, now: MonoMs, member: Member) {
@@ -189,6 +235,9 @@
     ) {
         if let Some(beat) = beat {
             self.members.beat(now, from, beat);
+            if let Some(follow) = beat.follows {
+                self.followers.note(now, from, follow);
+            }
         }
         let Some(roster) = roster else {
             return;
--- /dev/null
+++ b/crates/serving/src/serving/relaying.rs
@@ -0,0 +1,246 @@
+//! Who reads the store, and what is passed on to those that don't.
+
+use {
+    super::Serving,
+    crate::{
+        fleet::Frame,
+        relays::{Extent, Follow, Relay, Word},
+        targets::TargetChange,
+    },
+    std::{collections::HashSet, net::SocketAddr},
+    whinlatch_core::MonoMs,
+};
+
+/// Instances of a failure domain that an instance goes by: one tells it each change, the other takes
+/// over when that one is gone.
+const RELAYS: usize = 2;
+/// Instances of a failure domain that are asked to read the store, in the order of their strength, before
+/// all of them are taken to be turned away: each of them asks a store that is away several times a second.
+const RELAY_CANDIDATES: usize = 4;
+/// Time without an answer of the store after which a relay says so, in ms: a few tries.
+const CUT_OFF_MS: u64 = 600;
+/// Processor time from which an instance reads the store at once also when the system starts for the first
+/// time, in thousandths of a core: such instances are the first that others go by.
+const STRONG_CPU_MILLIS: u32 = 200;
+/// Time that a weaker instance waits for its peers then, at least, in ms: the links of a fleet that starts as
+/// a whole are open and relays known.
+const FIRST_START_PATIENCE_MS: u64 = 1_000;
+/// Time within which those that were told nothing by then read the store, one after the other, in ms.
+const FIRST_START_SPREAD_MS: u64 = 500;
+
+/// What an instance does about the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreDuty {
+    /// It watches the store, for itself and those that go by it.
+    Watch,
+    /// It goes by a relay.
+    Follow(Relay),
+    /// It has no fresh word from any relay and looks for itself.
+    StandIn {
+        /// Whether the store doesn't answer its relays either.
+        is_store_lost: bool,
+    },
+}
+
+impl StoreDuty {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Watch => "watch",
+            Self::Follow(_) => "follow",
+            Self::StandIn { .. } => "stand_in",
+        }
+    }
+}
+
+impl Serving {
+    /// Whether any instance goes by this one.
+    pub fn has_followers(&self) -> bool {
+        !self.followers.is_empty()
+    }
+
+    /// What this instance does about the store now.
+    pub fn store_duty(&self, now: MonoMs) -> StoreDuty {
+        let is_relay = !self.followers.is_empty() || self.is_first_reader(now);
+        if !self.members.is_large() || is_relay {
+            return StoreDuty::Watch;
+        }
+        match self.following.freshest(now) {
+            Some(relay) => StoreDuty::Follow(relay),
+            None => StoreDuty::StandIn {
+                is_store_lost: self.following.is_store_lost(now),
+            },
+        }
+    }
+
+    /// The instances of this failure domain that are to read the store, this one possibly among them.
+    fn readers(&self, now: MonoMs) -> impl Iterator<Item = SocketAddr> {
+        let near = self.members.ranks().near().iter().take(RELAY_CANDIDATES);
+        near.filter(move |address| self.following.may_read(now, **address))
+            .take(RELAYS)
+            .copied()
+    }
+
+    fn is_first_reader(&self, now: MonoMs) -> bool {
+        self.readers(now)
+            .any(|address| address == self.own.peer_address)
+    }
+
+    /// The instances that this one goes by, the one that tells it each change first.
+    pub fn relays(&self, now: MonoMs) -> Vec<SocketAddr> {
+        if !self.members.is_large() || self.is_first_reader(now) {
+            return Vec::new();
+        }
+        self.readers(now).collect()
+    }
+
+    /// What this instance asks of a relay in a heartbeat; nothing of anybody else.
+    pub fn follow_of(&self, now: MonoMs, address: SocketAddr) -> Option<Follow> {
+        let place = self
+            .relays(now)
+            .iter()
+            .position(|relay| *relay == address)?;
+        Some(Follow {
+            known: self.extent(),
+            wants_changes: place == 0,
+        })
+    }
+
+    /// How far this instance's knowledge goes.
+    fn extent(&self) -> Extent {
+        let known_to = self.following.known_to().unwrap_or(0);
+        Extent {
+            revision: self.targets.settled_up_to(known_to),
+            version: self.version(),
+        }
+    }
+
+    /// Revision up to which all that was published is known, read here or told.
+    pub fn known_to(&self) -> Option<u64> {
+        self.following.known_to()
+    }
+
+    /// How long an instance that starts waits to be told what is published before it reads it, in ms.
+    ///
+    /// Nobody waits but at the first start of the system, when no callers are there yet. After the loss of all
+    /// instances reading takes a twentieth of a second, and finding each other half a second and more.
+    pub fn start_patience_ms(&mut self, is_first_start: bool) -> u64 {
+        if !is_first_start || self.own.cpu_millis >= STRONG_CPU_MILLIS {
+            return 0;
+        }
+        FIRST_START_PATIENCE_MS + self.rng.u64(..FIRST_START_SPREAD_MS)
+    }
+
+    /// The store told all that was published up to a revision.
+    pub fn store_told(&mut self, now: MonoMs, revision: u64) {
+        self.following.complete(revision);
+        self.read_at = Some(now);
+        self.is_word_due = true;
+    }
+
+    /// Settles what time alone decides of who reads the store.
+    pub(super) fn tick_relays(&mut self, now: MonoMs) {
+        self.followers.forget_old(now);
+        self.following.forget_old(now);
+        let own = self.own.peer_address;
+        let is_cut_off = self
+            .cut_off_since
+            .is_some_and(|since| now.since(since) >= CUT_OFF_MS);
+        if is_cut_off && self.following.may_read(now, own) {
+            self.following.pass_over(now, own);
+            self.is_word_due = true;
+        }
+        // What is removed once the store is back may have lapsed only, whoever noticed its absence.
+        let is_store_lost = true;
+        if self.store_duty(now) == (StoreDuty::StandIn { is_store_lost }) {
+            self.targets.store_failed();
+        }
+    }
+
+    /// Takes in a relay's word with what came with it. Returns what is news.
+    pub(super) fn take_word(
+        &mut self,
+        now: MonoMs,
+        from: SocketAddr,
+        word: &Word,
+        targets: Vec<TargetChange>,
+    ) -> Vec<TargetChange> {
+        let news = match word.since {
+            _ if !self.following.continues(word) => Vec::new(),
+            None => self.targets.told_all(now, word.known.revision, targets),
+            Some(_) => self.take_changes(now, targets),
+        };
+        let version = self.version();
+        self.following.heard(now, from, word, version);
+        if matches!(self.store_duty(now), StoreDuty::Follow(_)) {
+            self.targets.store_answers(now);
+        }
+        news
+    }
+
+    /// What is to be sent to those that go by this instance and are linked.
+    pub fn relay_news(
+        &mut self,
+        now: MonoMs,
+        linked: &HashSet<SocketAddr>,
+    ) -> Vec<(Vec<SocketAddr>, Frame)> {
+        let Some(as_of) = self.read_at.max(self.followed_as_of(now)) else {
+            return Vec::new();
+        };
+        let known = self.extent();
+        let is_due = std::mem::take(&mut self.is_word_due);
+        let shipment = self.followers.shipment(now, known, is_due, linked);
+        let word = Word {
+            known,
+            age_ms: now.since(as_of),
+            since: Some(known.revision),
+            is_cut_off: !self.following.may_read(now, self.own.peer_address),
+        };
+        let mut news = Vec::new();
+        for (extent, to) in shipment.behind {
+            news.push((to, self.lacking_since(extent, word)));
+        }
+        if !shipment.changes_to.is_empty() {
+            news.push((
+                shipment.changes_to,
+                self.lacking_since(self.passed_on, word),
+            ));
+        }
+        if !shipment.word_to.is_empty() {
+            news.push((shipment.word_to, word_frame(word)));
+        }
+        if is_due {
+            self.passed_on = known;
+        }
+        news
+    }
+
+    fn followed_as_of(&self, now: MonoMs) -> Option<MonoMs> {
+        let relay = self.following.freshest(now)?;
+        Some(MonoMs(now.0.saturating_sub(relay.age_ms)))
+    }
+
+    /// What somebody lacks who knows all up to an extent.
+    fn lacking_since(&self, extent: Extent, word: Word) -> Frame {
+        let is_known = extent.revision > 0 && self.targets.remembers_since(extent.revision);
+        let since = is_known.then_some(extent.revision);
+        let published = self.published.clone();
+        Frame {
+            word: Some(Word { since, ..word }),
+            configuration: published.filter(|published| published.version > extent.version),
+            targets: match since {
+                Some(since) => self.targets.changes_after(since),
+                None => self.targets.all(),
+            },
+            ..Frame::default()
+        }
+    }
+}
+
+/// A word with no changes; it says nothing to those that lack any.
+fn word_frame(word: Word) -> Frame {
+    Frame {
+        word: Some(word),
+        ..Frame::default()
+    }
+}
--- a/crates/serving/src/targets/target_book.rs
+++ b/crates/serving/src/targets/target_book.rs
@@ -62,6 +62,8 @@
     store_back_at: Option<MonoMs>,
     read_once: bool,
     newest: u64,
+    /// Revision from which on no removal is missing here.
+    complete_since: u64,
 }
 
 impl TargetBook {
@@ -109,17 +111,8 @@
 
     /// Takes in all entries that the store held at `revision`.
     pub fn published_all(&mut self, now: MonoMs, revision: u64, changes: Vec<TargetChange>) {
-        self.read_once = true;
-        let listed: HashSet<TargetName> =
-            changes.iter().map(|change| change.name.clone()).collect();
-        let missing: Vec<TargetChange> = self
-            .by_name
-            .iter()
-            .filter(|(name, held)| {
-                held.entry.is_some() && held.revision <= revision && !listed.contains(*name)
-            })
-            .map(|(name, _)| removal(name, revision))
-            .collect();
+        let missing = self.missing_from(&changes, revision);
+        self.begin_at(revision);
         for change in changes.into_iter().chain(missing) {
             self.published(now, change);
         }
@@ -131,6 +124,42 @@
         self.merge(now, change)
     }
 
+    /// Takes in all entries that a peer held at `revision`. Returns what is news.
+    pub fn told_all(
+        &mut self,
+        now: MonoMs,
+        revision: u64,
+        changes: Vec<TargetChange>,
+    ) -> Vec<TargetChange> {
+        let missing = self.missing_from(&changes, revision);
+        self.begin_at(revision);
+        changes
+            .into_iter()
+            .chain(missing)
+            .filter(|change| self.merge(now, change))
+            .collect()
+    }
+
+    /// The removals that a list of all entries at `revision` tells by not naming them.
+    fn missing_from(&self, listed: &[TargetChange], revision: u64) -> Vec<TargetChange> {
+        let listed: HashSet<&TargetName> = listed.iter().map(|change| &change.name).collect();
+        self.by_name
+            .iter()
+            .filter(|(name, held)| {
+                held.entry.is_some() && held.revision <= revision && !listed.contains(name)
+            })
+            .map(|(name, _)| removal(name, revision))
+            .collect()
+    }
+
+    /// Notes that all entries at `revision` are known. Removals before the first such list are not.
+    fn begin_at(&mut self, revision: u64) {
+        if !self.read_once {
+            self.complete_since = self.complete_since.max(revision);
+        }
+        self.read_once = true;
+    }
+
     fn merge(&mut self, now: MonoMs, change: &TargetChange) -> bool {
         let held = self.by_name.get(&change.name);
         if held.is_some_and(|held| held.revision >= change.revision) {
@@ -212,9 +241,7 @@
             && self
                 .store_back_at
                 .is_none_or(|back| now.since(back) >= LAPSE_GRACE_MS);
-        self.by_name.retain(|_, held| {
-            held.entry.is_some() || now.since(held.removed_at) < REMEMBER_REMOVED_MS
-        });
+        self.forget_removals(now);
         let (by_name, newest) = (&self.by_name, self.newest);
         // The word of a displaced entry may come before the entry itself.
         self.displaced
@@ -231,6 +258,17 @@
             .collect()
     }
 
+    fn forget_removals(&mut self, now: MonoMs) {
+        let complete_since = &mut self.complete_since;
+        self.by_name.retain(|_, held| {
+            let is_kept = held.entry.is_some() || now.since(held.removed_at) < REMEMBER_REMOVED_MS;
+            if !is_kept {
+                *complete_since = held.revision.max(*complete_since);
+            }
+            is_kept
+        });
+    }
+
     /// The entry of a run, while it is published.
     pub fn entry(&self, run: &str) -> Option<&TargetEntry> {
         self.published_entry(self.runs.get(run)?)
@@ -280,11 +318,32 @@
         self.newest
     }
 
+    /// Revision before which nothing is left to be found out: that of the first doubtful removal at
+    /// most.
+    pub fn settled_up_to(&self, revision: u64) -> u64 {
+        let doubtful = self.doubtful.values().min();
+        doubtful.map_or(revision, |first| revision.min(first.saturating_sub(1)))
+    }
+
+    /// Whether [`Self::changes_after`] a revision names all removals since then.
+    pub fn remembers_since(&self, revision: u64) -> bool {
+        revision >= self.complete_since
+    }
+
     /// What is known that happened after a revision.
     pub fn changes_after(&self, revision: u64) -> Vec<TargetChange> {
+        self.held(|held| held.revision > revision)
+    }
+
+    /// All that is published.
+    pub fn all(&self) -> Vec<TargetChange> {
+        self.held(|held| held.entry.is_some())
+    }
+
+    fn held(&self, is_asked: impl Fn(&Held) -> bool) -> Vec<TargetChange> {
         self.by_name
             .iter()
-            .filter(|(_, held)| held.revision > revision)
+            .filter(|(_, held)| is_asked(held))
             .map(|(name, held)| TargetChange {
                 name: name.clone(),
                 revision: held.revision,
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -4,6 +4,8 @@
 mod engine_load;
 #[path = "serving/fixture.rs"]
 mod fixture;
+#[path = "serving/fleet_fixture.rs"]
+mod fleet_fixture;
 #[path = "serving/instances.rs"]
 mod instances;
 #[path = "serving/large_fleet.rs"]
@@ -12,6 +14,8 @@
 mod placement;
 #[path = "serving/properties.rs"]
 mod properties;
+#[path = "serving/relays.rs"]
+mod relays;
 #[path = "serving/retries.rs"]
 mod retries;
 #[path = "serving/targets.rs"]
--- /dev/null
+++ b/crates/serving/tests/serving/fleet_fixture.rs
@@ -0,0 +1,234 @@
+//! Many instances in one process, with links at which frames arrive at once, and a store.
+
+use {
+    super::fixture::{START, change, member, rule, service},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashSet},
+        net::SocketAddr,
+    },
+    whinlatch_core::MonoMs,
+    whinlatch_serving::{
+        Serving, StoreDuty,
+        catalog::{Configuration, Limits},
+        fleet::{Frame, Member},
+        targets::{TargetChange, TargetState},
+    },
+};
+
+/// Time between two looks of the instances, in ms.
+const LOOK_MS: u64 = 250;
+/// Revision of the store at the start.
+const FIRST_REVISION: u64 = 1;
+
+/// What the store holds, and who asked it.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub changes: Vec<TargetChange>,
+    /// Instances that asked, once for each call.
+    pub callers: Vec<SocketAddr>,
+    pub is_away: bool,
+    /// Instances that it turns away while it serves the others.
+    pub turned_away: BTreeSet<SocketAddr>,
+}
+
+impl Store {
+    pub fn revision(&self) -> u64 {
+        self.changes
+            .last()
+            .map_or(FIRST_REVISION, |change| change.revision)
+    }
+
+    /// Those that asked since the last call of this.
+    pub fn take_callers(&mut self) -> BTreeSet<SocketAddr> {
+        std::mem::take(&mut self.callers).into_iter().collect()
+    }
+}
+
+/// Name of a failure domain.
+pub fn domain(number: u64) -> String {
+    format!("domain-{number}")
+}
+
+/// An instance that knows a configuration and four engines.
+fn instance_of(run: u64, domain: &str) -> Serving {
+    let own = Member {
+        failure_domain: domain.into(),
+        ..member(run, 7_000 + 10 * run as u16)
+    };
+    let mut serving = Serving::new(own, rule());
+    let services = vec![service()];
+    let configuration = Configuration::new(1, Limits::default(), Vec::new(), services, Vec::new());
+    serving.put_in_force(configuration, "{}".to_owned());
+    for name in ["e-00", "e-01", "e-02", "e-03"] {
+        serving.target_published(START, change(name, FIRST_REVISION, TargetState::Ready));
+    }
+    serving.take_news();
+    serving
+}
+
+/// Instances with the links between them; frames arrive at once, in order.
+pub struct Fleet {
+    pub now: MonoMs,
+    pub alive: BTreeMap<SocketAddr, Serving>,
+    runs: BTreeMap<SocketAddr, u64>,
+    pub links: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// Frames go between instances of the same part only.
+    pub parts: BTreeMap<SocketAddr, u8>,
+    pub store: Store,
+}
+
+impl Fleet {
+    /// Instances that know the first two of them as seeds.
+    pub fn start(count: u64) -> Self {
+        Self::in_domains(count, 1)
+    }
+
+    /// The same, divided among failure domains.
+    pub fn in_domains(count: u64, domains: u64) -> Self {
+        let mut fleet = Self {
+            now: START,
+            alive: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            links: BTreeSet::new(),
+            parts: BTreeMap::new(),
+            store: Store::default(),
+        };
+        for run in 1..=count {
+            let serving = instance_of(run, &domain(run % domains));
+            let address = serving.peer_address();
+            fleet.runs.insert(address, run);
+            fleet.alive.insert(address, serving);
+        }
+        let seeds: Vec<SocketAddr> = fleet.alive.keys().take(2).copied().collect();
+        for serving in fleet.alive.values_mut() {
+            serving.seeded(&seeds);
+        }
+        fleet
+    }
+
+    fn can_reach(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        self.alive.contains_key(&to) && self.parts.get(&from) == self.parts.get(&to)
+    }
+
+    pub fn deliver(&mut self, from: SocketAddr, to: SocketAddr, frame: Frame) {
+        if self.can_reach(from, to) {
+            let run = self.runs[&from];
+            let now = self.now;
+            let receiver = self.alive.get_mut(&to).unwrap();
+            receiver.on_frame(now, run, frame, |_text| None);
+        }
+    }
+
+    /// One look of each instance: what changed is told, links are kept, and all beat.
+    pub fn look(&mut self) {
+        self.now = self.now + LOOK_MS;
+        let addresses: Vec<SocketAddr> = self.alive.keys().copied().collect();
+        for from in addresses {
+            let now = self.now;
+            let serving = self.alive.get_mut(&from).unwrap();
+            serving.tick(now);
+            let roster = serving.roster_news(now);
+            let wanted = serving.wanted_links(now);
+            let links: BTreeSet<SocketAddr> = wanted.own.union(&wanted.asked).copied().collect();
+            let former = self.links_of(from);
+            if let Some(roster) = roster {
+                for to in former.intersection(&links) {
+                    self.deliver(from, *to, roster.clone());
+                }
+            }
+            self.links.retain(|(source, _)| *source != from);
+            let heartbeat = self.alive.get_mut(&from).unwrap().heartbeat(now);
+            for to in links {
+                let asks = wanted.own.contains(&to);
+                if !self.can_reach(from, to) {
+                    self.alive.get_mut(&from).unwrap().peer_lost(now, to);
+                    continue;
+                }
+                self.links.insert((from, to));
+                let serving = self.alive.get_mut(&from).unwrap();
+                let frame = if former.contains(&to) {
+                    let mut heartbeat = heartbeat.clone();
+                    let beat = heartbeat.beat.as_mut().unwrap();
+                    beat.asks_for_link = asks;
+                    beat.follows = serving.follow_of(now, to);
+                    heartbeat
+                } else {
+                    serving.greeting(now, to, asks)
+                };
+                self.deliver(from, to, frame);
+            }
+            self.ask_store(from);
+            self.pass_on(from);
+        }
+    }
+
+    /// Whoever is to read the store does.
+    fn ask_store(&mut self, from: SocketAddr) {
+        let now = self.now;
+        let serving = self.alive.get_mut(&from).unwrap();
+        if matches!(serving.store_duty(now), StoreDuty::Follow(_)) {
+            return;
+        }
+        self.store.callers.push(from);
+        if self.store.is_away || self.store.turned_away.contains(&from) {
+            serving.store_failed(now);
+            return;
+        }
+        serving.store_answers(now);
+        let known_to = serving.known_to().unwrap_or(0);
+        for change in &self.store.changes {
+            if change.revision > known_to {
+                serving.target_published(now, change.clone());
+            }
+        }
+        serving.store_told(now, self.store.revision());
+    }
+
+    fn pass_on(&mut self, from: SocketAddr) {
+        let linked = self.links_of(from);
+        let linked: HashSet<SocketAddr> = linked.into_iter().collect();
+        let serving = self.alive.get_mut(&from).unwrap();
+        for (to, frame) in serving.relay_news(self.now, &linked) {
+            for to in to {
+                self.deliver(from, to, frame.clone());
+            }
+        }
+    }
+
+    pub fn looks(&mut self, count: usize) {
+        for _ in 0..count {
+            self.look();
+        }
+    }
+
+    pub fn links_of(&self, from: SocketAddr) -> BTreeSet<SocketAddr> {
+        let links = self.links.iter();
+        links
+            .filter(|(source, _)| *source == from)
+            .map(|(_, to)| *to)
+            .collect()
+    }
+
+    /// Each instance takes so many peers for alive.
+    pub fn assert_all_know(&self, peers: usize) {
+        let known = self.alive.values().map(|serving| serving.peers(self.now));
+        let known: Vec<usize> = known.collect();
+        assert!(known.iter().all(|known| *known == peers), "{known:?}");
+    }
+
+    /// The instances to which most others link.
+    pub fn hubs(&self) -> Vec<SocketAddr> {
+        let mut counts: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+        for (_, to) in &self.links {
+            *counts.entry(*to).or_default() += 1;
+        }
+        let many = self.alive.len() / 2;
+        counts.retain(|_, count| *count > many);
+        counts.into_keys().collect()
+    }
+
+    pub fn kill(&mut self, address: SocketAddr) {
+        self.alive.remove(&address);
+        self.links.retain(|(from, _)| *from != address);
+    }
+}
