--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -13,6 +13,7 @@
 mod entry_state;
 mod event_splitter;
 mod exchange;
+mod frame_codec;
 mod http;
 mod job_guard;
 mod links;
@@ -27,4 +28,7 @@
 mod target_connection;
 mod target_pool;
 
-pub use run::{Entry, run};
+pub use {
+    frame_codec::{DecodeFault, EncodeFault, decode_frame, encode_frame},
+    run::{Entry, run},
+};
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -2,7 +2,8 @@
     super::{
         decision_line::{Decision, DecisionLines},
         entry_metrics::EntryMetrics,
-        peer_links::{EncodeFault, PeerLinks},
+        frame_codec::EncodeFault,
+        peer_links::PeerLinks,
         target_pool::TargetPool,
     },
     crate::clock::Clock,
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -4,7 +4,10 @@
 
 use {
     super::{
-        accept::accept_all, decision_line::Decision, entry_state::EntryState, peer_links::encode,
+        accept::accept_all,
+        decision_line::Decision,
+        entry_state::EntryState,
+        frame_codec::{decode_frame, encode_frame},
     },
     crate::{
         clock::timeout,
@@ -357,7 +360,7 @@
     first: Frame,
     queue: &Receiver<Bytes>,
 ) -> Option<String> {
-    let mut next = match encode(&first) {
+    let mut next = match encode_frame(&first) {
         Ok(bytes) => Some(bytes),
         Err(fault) => return Some(fault.to_string()),
     };
@@ -406,12 +409,11 @@
         let Message::Binary(bytes) = message else {
             continue;
         };
-        let frame: Frame = match ciborium::from_reader(bytes.as_ref()) {
+        let frame = match decode_frame(&bytes) {
             Ok(frame) => frame,
             Err(fault) => {
-                state.log(&Decision::Unreadable {
-                    fault: format!("a frame of a peer: {fault}"),
-                });
+                let fault = fault.to_string();
+                state.log(&Decision::Unreadable { fault });
                 return;
             }
         };
--- a/crates/daemon/src/entry/peer_links.rs
+++ b/crates/daemon/src/entry/peer_links.rs
@@ -1,4 +1,5 @@
 use {
+    super::frame_codec::{EncodeFault, encode_frame},
     async_channel::{Receiver, Sender, TrySendError},
     async_tungstenite::tungstenite::Bytes,
     std::{
@@ -6,18 +7,12 @@
         net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
     },
-    thiserror::Error,
     whinlatch_serving::fleet::{Frame, JobId, PlacementAnswer},
 };
 
 /// Frames that may wait for a slow peer; the link is opened anew when there are more.
 const WAITING_FRAMES: usize = 256;
 
-/// Why a frame isn't sent.
-#[derive(Debug, Error)]
-#[error("a frame can't be encoded: {0}")]
-pub struct EncodeFault(#[from] ciborium::ser::Error<std::io::Error>);
-
 /// The open links to peers, and the answers that are awaited from them.
 #[derive(Debug, Default)]
 pub struct PeerLinks {
@@ -69,7 +64,7 @@
     /// # Errors
     /// [`EncodeFault`].
     pub fn send(&self, to: &[SocketAddr], frame: &Frame) -> Result<(), EncodeFault> {
-        let bytes = encode(frame)?;
+        let bytes = encode_frame(frame)?;
         let mut links = lock(&self.links);
         for address in to {
             let is_full = links
@@ -88,7 +83,7 @@
     /// # Errors
     /// [`EncodeFault`].
     pub fn send_to_all(&self, frame: &Frame) -> Result<(), EncodeFault> {
-        let bytes = encode(frame)?;
+        let bytes = encode_frame(frame)?;
         lock(&self.links).retain(|_, frames| !is_full(frames, &bytes));
         Ok(())
     }
@@ -112,16 +107,6 @@
     }
 }
 
-/// Encodes a frame.
-///
-/// # Errors
-/// [`EncodeFault`].
-pub fn encode(frame: &Frame) -> Result<Bytes, EncodeFault> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(frame, &mut bytes)?;
-    Ok(Bytes::from(bytes))
-}
-
 fn is_full(frames: &Sender<Bytes>, bytes: &Bytes) -> bool {
     matches!(frames.try_send(bytes.clone()), Err(TrySendError::Full(_)))
 }
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -8,6 +8,8 @@
 mod fixture;
 #[path = "entry/fleet.rs"]
 mod fleet;
+#[path = "entry/frames.rs"]
+mod frames;
 #[path = "entry/published.rs"]
 mod published;
 #[path = "entry/streams.rs"]
--- /dev/null
+++ b/crates/daemon/tests/entry/frames.rs
@@ -0,0 +1,67 @@
+//! Frames between instances as bytes.
+
+use {
+    whinlatch_daemon::entry::{decode_frame, encode_frame},
+    whinlatch_serving::fleet::{Frame, PublishedText},
+};
+
+/// Routes of a large configuration.
+const ROUTES: usize = 1_400;
+
+fn configured(routes: usize) -> Frame {
+    let route = |number| format!("{{\"Prefix\":\"/lohu{number}/2f/\",\"TimeoutMs\":10000}},");
+    let text = (0..routes).map(route).collect();
+    Frame {
+        configuration: Some(PublishedText { version: 7, text }),
+        ..Frame::default()
+    }
+}
+
+/// Prompts wait most of a second for their engines each time that a large configuration is passed on: it
+/// fills the links of those that choose.
+#[test]
+fn a_large_configuration_takes_a_fraction_of_its_bytes() {
+    let frame = configured(ROUTES);
+    let text_bytes = frame.configuration.as_ref().unwrap().text.len();
+
+    let bytes = encode_frame(&frame).unwrap();
+
+    assert!(bytes.len() < text_bytes / 4, "{} bytes", bytes.len());
+    assert_eq!(decode_frame(&bytes).unwrap(), frame);
+}
+
+#[test]
+fn a_small_frame_is_read_as_it_was_written() {
+    let frame = configured(1);
+
+    let bytes = encode_frame(&frame).unwrap();
+
+    assert_eq!(decode_frame(&bytes).unwrap(), frame);
+}
+
+#[test]
+fn a_torn_frame_is_no_frame() {
+    for frame in [configured(1), configured(ROUTES)] {
+        let bytes = encode_frame(&frame).unwrap();
+
+        let torn = decode_frame(&bytes[..bytes.len() / 2]);
+
+        assert!(torn.is_err());
+    }
+}
+
+/// A peer that goes wrong sends few bytes that unfold to gigabytes, and the process is ended for its memory.
+#[test]
+fn a_frame_that_unfolds_beyond_what_a_link_takes_is_no_frame() {
+    let text = "x".repeat(8 * 1_024 * 1_024);
+    let frame = Frame {
+        configuration: Some(PublishedText { version: 7, text }),
+        ..Frame::default()
+    };
+    let bytes = encode_frame(&frame).unwrap();
+
+    let read = decode_frame(&bytes);
+
+    assert!(bytes.len() < 64 * 1_024);
+    assert!(read.is_err());
+}
