--- a/crates/serving/src/fleet/engine_groups.rs
+++ b/crates/serving/src/fleet/engine_groups.rs
@@ -29,8 +29,9 @@
 /// Into how many groups the engines are divided.
 ///
 /// The load that this answers: thousands of engines and hundreds of instances, where no instance
-/// has the processor time to choose for all of them or to hear of all prompts. Two views of the
-/// number cost time and nothing else: an instance that asks says which group it means.
+/// has the processor time to choose for all of them or to hear of all prompts. An instance that asks says
+/// which group it means; all go by the number of one hub, since those with another number choose among the
+/// same engines without hearing of each other's prompts.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineGroups {
     count: u32,
@@ -59,6 +60,13 @@
         }
     }
 
+    /// Takes the number that another instance has, if there can be so many.
+    pub fn adopt(&mut self, count: u32) {
+        if count.is_power_of_two() {
+            self.count = count;
+        }
+    }
+
     /// The group with a number.
     pub fn group(self, number: u32) -> EngineGroup {
         EngineGroup {
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -57,6 +57,9 @@
     pub revision: u64,
     /// Whether it wants the receiver to link back.
     pub asks_for_link: bool,
+    /// Number of groups into which it divides the engines, 0 if it doesn't say.
+    #[serde(default)]
+    pub engine_groups: u32,
     /// What it asks of the receiver, if that is a relay that it goes by.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub follows: Option<Follow>,
--- a/crates/serving/src/fleet/known.rs
+++ b/crates/serving/src/fleet/known.rs
@@ -20,6 +20,8 @@
     pub listed_by: Vec<SocketAddr>,
     /// When it was heard of last, here or through others.
     pub last: MonoMs,
+    /// Number of groups into which it divides the engines, 0 if it didn't say.
+    pub engine_groups: u32,
     heard: Option<MonoMs>,
     asked: Option<MonoMs>,
 }
@@ -31,6 +33,7 @@
             member,
             listed_by: Vec::new(),
             last: now,
+            engine_groups: 0,
             heard: None,
             asked: None,
         }
--- a/crates/serving/src/fleet/member_book.rs
+++ b/crates/serving/src/fleet/member_book.rs
@@ -116,6 +116,7 @@
         if let Some(known) = self.known.get_mut(&address) {
             known.member.version = known.member.version.max(beat.version);
             known.member.revision = known.member.revision.max(beat.revision);
+            known.engine_groups = beat.engine_groups;
             if beat.asks_for_link {
                 known.ask(now);
             }
@@ -289,6 +290,18 @@
         is_new
     }
 
+    /// Number of groups of engines that the first hub has which is heard, if that is another instance.
+    pub fn engine_groups(&self, now: MonoMs, own: SocketAddr) -> Option<u32> {
+        let hubs = self.ranks.hubs().iter();
+        let is_there = |hub: &&SocketAddr| {
+            let known = self.known.get(*hub);
+            **hub == own || known.is_some_and(|known| known.is_heard(now, 0))
+        };
+        let first = hubs.copied().find(|hub| is_there(&hub))?;
+        let told = self.known.get(&first)?.engine_groups;
+        (first != own && told > 0).then_some(told)
+    }
+
     /// The runs that are not taken for alive; their work is over or about to be.
     pub fn silent_runs(&self, now: MonoMs) -> Vec<u64> {
         let fresh: HashSet<u64> = self.fresh(now).map(|member| member.run).collect();
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -169,8 +169,8 @@
         }
         self.members.forget_old(now);
         self.crashes.forget_old(now);
-        self.fit_groups();
         self.rank(now);
+        self.fit_groups(now);
         self.tick_relays(now);
         let targets = &self.targets;
         self.engines
@@ -185,7 +185,15 @@
         }
     }
 
-    fn fit_groups(&mut self) {
+    /// Guards against two views of the number of groups, which last, since it changes back only far below
+    /// where it changed: while targets were replaced some instances had heard of so many engines at once, and
+    /// others not. Each engine then got prompts of two deciders that knew nothing of each other's, and of
+    /// 3,936 short prompts in eleven seconds 478 began late.
+    fn fit_groups(&mut self, now: MonoMs) {
+        if let Some(told) = self.members.engine_groups(now, self.own.peer_address) {
+            self.groups.adopt(told);
+            return;
+        }
         let is_engine = |service: &str| self.spec_of_service(service).is_some();
         let engines = self.targets.all_ready();
         let engines = engines.filter(|entry| is_engine(&entry.service)).count();
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -152,6 +152,7 @@
             version: self.version(),
             revision: self.targets.revision(),
             asks_for_link,
+            engine_groups: self.groups.count(),
             follows: None,
         }
     }
--- a/crates/serving/tests/serving/relays.rs
+++ b/crates/serving/tests/serving/relays.rs
@@ -169,6 +169,7 @@
             version: 1,
             revision: 1,
             asks_for_link: true,
+            engine_groups: 0,
             follows: Some(follow),
         }),
         ..Frame::default()
