--- a/crates/daemon/src/entry/peer_links.rs
+++ b/crates/daemon/src/entry/peer_links.rs
@@ -54,7 +54,7 @@
         links.keys().copied().collect()
     }
 
-    /// Peers to which there is a link, or one is being opened.
+    /// Peers to which there is a link, or one is being opened; what is sent there waits for it.
     pub fn linked(&self) -> HashSet<SocketAddr> {
         lock(&self.links).keys().copied().collect()
     }
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -151,8 +151,8 @@
             self.is_word_due = true;
         }
         // What is removed once the store is back may have lapsed only, whoever noticed its absence.
-        let is_store_lost = true;
-        if self.store_duty(now) == (StoreDuty::StandIn { is_store_lost }) {
+        let duty = self.store_duty(now);
+        if matches!(duty, StoreDuty::StandIn { is_store_lost } if is_store_lost) {
             self.targets.store_failed();
         }
     }
