--- a/crates/serving/tests/serving/relays.rs
+++ b/crates/serving/tests/serving/relays.rs
@@ -109,6 +109,24 @@
     assert!(callers.len() <= 12, "{callers:?}");
 }
 
+/// The strongest instances of each failure domain never read the store again after it turned them away for five
+/// seconds: what they go by since is others' reading, and nothing tells them that it serves them again.
+#[test]
+fn relays_that_the_store_turned_away_for_a_while_come_back() {
+    let mut fleet = settled(60, 3);
+    fleet.look();
+    let relays = fleet.store.take_callers();
+    fleet.store.turned_away = relays.clone();
+    fleet.looks(20);
+
+    fleet.store.turned_away.clear();
+    fleet.looks(SETTLED_LOOKS + 20);
+    fleet.store.take_callers();
+    fleet.looks(4);
+
+    assert_eq!(fleet.store.take_callers(), relays);
+}
+
 /// Callers of a whole failure domain are turned away: the store was away, the targets' entries lapsed, and those
 /// that were told so took them to be gone.
 #[test]
