--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -13,11 +13,9 @@
 mod entry_state;
 mod event_splitter;
 mod exchange;
-mod frame_codec;
 mod http;
 mod job_guard;
 mod links;
-mod peer_links;
 mod placing;
 mod request_context;
 mod reservations;
@@ -29,6 +27,6 @@
 mod target_pool;
 
 pub use {
-    frame_codec::{DecodeFault, EncodeFault, decode_frame, encode_frame},
+    links::{DecodeFault, EncodeFault, decode_frame, encode_frame},
     run::{Entry, run},
 };
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -2,8 +2,7 @@
     super::{
         decision_line::{Decision, DecisionLines},
         entry_metrics::EntryMetrics,
-        frame_codec::EncodeFault,
-        peer_links::PeerLinks,
+        links::{EncodeFault, PeerLinks},
         target_pool::TargetPool,
     },
     crate::clock::Clock,
--- a/crates/daemon/src/entry/peer_links.rs
+++ b/crates/daemon/src/entry/links/peer_links.rs
@@ -54,9 +54,9 @@
         links.keys().copied().collect()
     }
 
-    /// Peers to which there is a link, or one is being opened; what is sent there waits for it.
-    pub fn linked(&self) -> HashSet<SocketAddr> {
-        lock(&self.links).keys().copied().collect()
+    /// Whether there is a link to a peer, or one is being opened; what is sent there waits for it.
+    pub fn has(&self, address: SocketAddr) -> bool {
+        lock(&self.links).contains_key(&address)
     }
 
     /// Sends a frame over some links.
--- a/crates/daemon/src/entry/store.rs
+++ b/crates/daemon/src/entry/store.rs
@@ -2,6 +2,7 @@
 
 mod intake;
 mod store_calls;
+mod store_pace;
 mod store_reader;
 mod unreadable_lines;
 
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -4,6 +4,7 @@
     super::{
         intake::Intake,
         store_calls::{CallKind, ReadFault, StoreCalls},
+        store_pace::{StorePace, Turn},
     },
     crate::entry::{decision_line::Decision, entry_state::EntryState},
     futures::{FutureExt, pin_mut, select},
@@ -12,62 +13,38 @@
     whinlatch_platform::{
         History, RangePage, key_request, range_request, read_range, read_watch, watch_request,
     },
-    whinlatch_serving::{StoreDuty, targets::TargetChange},
+    whinlatch_serving::targets::TargetChange,
 };
 
 /// Time that a watch waits for news, in ms. A connection that has gone silent is noticed after
 /// this and [`ANSWER_MS`], well within the two seconds in which a leaving target is to be left
 /// alone.
 const WATCH_MS: u64 = 900;
-/// Time between two watches, in ms: targets that start or are replaced write one after the other,
-/// and each change by itself would cost a call.
-const GATHER_MS: u64 = 50;
-/// The same for an instance that only looks for itself while its relays are silent, in ms. It stays
-/// well below the two seconds in which a leaving target is to be left alone.
-const STAND_IN_GATHER_MS: u64 = 250;
 /// Time between two looks whether peers know more, in ms.
 const BEHIND_LOOK_MS: u64 = 200;
-/// Time between two looks whether relays have fresh word, in ms.
-const DUTY_LOOK_MS: u64 = 50;
-/// The same while an instance waits to be told what is published at its start, in ms.
-const START_LOOK_MS: u64 = 20;
 /// Time for an answer of the store, in ms: a hundred times the usual one.
 const ANSWER_MS: u64 = 400;
 /// Time for a whole page, in ms: the store may be sixty times as slow as usual.
 const PAGE_MS: u64 = 1_000;
-/// Time between two tries while the store doesn't answer, in ms.
-const RETRY_MS: u64 = 150;
-/// Time between two tries of an instance that starts, and knows nothing yet, to reach a store that
-/// doesn't take its connections, in ms: callers wait meanwhile, and nothing of that is a call.
-const STARTING_RETRY_MS: u64 = 40;
 /// Time for a whole page then, in ms: the store may be over eighty times as slow as usual, and one that
 /// took a connection and fell silent answers on another as soon as it is back.
 const STARTING_PAGE_MS: u64 = 400;
-/// Time within which instances whose relays fell silent look for themselves, in ms: not all at once, and
-/// soon enough for a target that leaves meanwhile.
-const STAND_IN_SPREAD_MS: u64 = 150;
-/// The same if the store doesn't answer the relays either, in ms. It is likely to be away for all.
-const LOST_SPREAD_MS: u64 = 2_000;
-/// Time until such an instance tries again after its first failure, in ms, and twice as long after each
-/// further one: hundreds that try as often as a relay would take most calls of a store that is back.
-const STAND_IN_RETRY_MS: u64 = 500;
-/// Failures after which that time grows no more.
-const MOST_DOUBLINGS: u32 = 3;
 /// Status of a watch whose history is gone.
 const GONE: u16 = 410;
 
 /// Keeps what is published up to date, for ever.
 pub async fn read_store(state: Arc<EntryState>) {
     let mut reader = StoreReader::new(&state);
-    reader.wait_to_be_told().await;
+    reader.pace.wait_to_be_told().await;
     loop {
         let fault = match reader.follow().await {
             Ok(never) => match never {},
             Err(fault) => fault,
         };
         reader.failed(&fault);
-        let pause_ms = reader.pause_ms(&fault);
-        reader.wait_for_word(pause_ms).await;
+        let is_out_of_reach = matches!(fault, ReadFault::Connect(_) | ReadFault::Silent);
+        let is_starting = is_out_of_reach && reader.calls.is_starting();
+        reader.pace.pause(is_starting).await;
     }
 }
 
@@ -117,9 +94,7 @@
     reads_anew: bool,
     /// Whether peers knew more than the watch told, so that it is asked again what happened.
     is_doubtful: bool,
-    /// Whether this instance looks for itself since its relays are silent.
-    stands_in: bool,
-    failures: u32,
+    pace: StorePace<'a>,
 }
 
 impl<'a> StoreReader<'a> {
@@ -132,8 +107,7 @@
             reading: None,
             reads_anew: false,
             is_doubtful: false,
-            stands_in: false,
-            failures: 0,
+            pace: StorePace::new(state),
         }
     }
 
@@ -144,14 +118,20 @@
     /// again after each short trouble of the store.
     async fn follow(&mut self) -> Result<Infallible, ReadFault> {
         loop {
-            if !self.is_to_ask().await {
-                continue;
+            match self.pace.turn().await {
+                Turn::Ask => {}
+                Turn::Wait => continue,
+                Turn::Told => {
+                    // The relay has told all that it knew, whatever couldn't be gone on from here.
+                    self.reads_anew = false;
+                    continue;
+                }
             }
             let known_to = self.state.serving().known_to();
             if let Some(revision) = known_to.filter(|_| !self.reads_anew) {
                 let revision = self.read_changes(revision).await?;
                 self.told(revision);
-                self.gather().await;
+                self.pace.gather().await;
             } else {
                 let revision = self.read_all().await?;
                 self.told(revision);
@@ -164,59 +144,6 @@
         self.state.serving().store_told(now, revision);
     }
 
-    /// Whether the store is to be asked now; waits if not.
-    async fn is_to_ask(&mut self) -> bool {
-        let duty = self.duty();
-        let stood_in = self.stands_in;
-        self.stands_in = matches!(duty, StoreDuty::StandIn { .. });
-        match duty {
-            StoreDuty::Watch => true,
-            StoreDuty::Follow(_) => {
-                // The relay has told all that it knew, whatever couldn't be gone on from here.
-                self.reads_anew = false;
-                self.state.clock.sleep(DUTY_LOOK_MS).await;
-                false
-            }
-            StoreDuty::StandIn { .. } if stood_in => true,
-            StoreDuty::StandIn { is_store_lost } => {
-                let spread_ms = if is_store_lost {
-                    LOST_SPREAD_MS
-                } else {
-                    STAND_IN_SPREAD_MS
-                };
-                self.wait_for_word(fastrand::u64(..spread_ms)).await;
-                false
-            }
-        }
-    }
-
-    fn duty(&self) -> StoreDuty {
-        let now = self.state.now();
-        self.state.serving().store_duty(now)
-    }
-
-    /// Waits for so long, or until a relay has fresh word.
-    async fn wait_for_word(&self, most_ms: u64) {
-        let until = self.state.now() + most_ms;
-        loop {
-            let left_ms = until.since(self.state.now());
-            if left_ms == 0 || matches!(self.duty(), StoreDuty::Follow(_)) {
-                return;
-            }
-            self.state.clock.sleep(left_ms.min(DUTY_LOOK_MS)).await;
-        }
-    }
-
-    /// Gives peers the time to tell what is published, if nobody waits for it.
-    async fn wait_to_be_told(&self) {
-        let is_first_start = self.state.settings.is_first_start;
-        let patience_ms = self.state.serving().start_patience_ms(is_first_start);
-        let until = self.state.now() + patience_ms;
-        while self.state.now() < until && self.state.serving().known_to().is_none() {
-            self.state.clock.sleep(START_LOOK_MS).await;
-        }
-    }
-
     /// Reads all that is published. Returns the revision from which a watch goes on.
     async fn read_all(&mut self) -> Result<u64, ReadFault> {
         let mut reading = match self.reading.take() {
@@ -259,16 +186,6 @@
         })
     }
 
-    /// Lets changes that follow each other closely gather, so that one call brings them all.
-    async fn gather(&self) {
-        let gather_ms = if self.stands_in {
-            STAND_IN_GATHER_MS
-        } else {
-            GATHER_MS
-        };
-        self.state.clock.sleep(gather_ms).await;
-    }
-
     async fn range(&mut self, kind: CallKind, target: &str) -> Result<RangePage, ReadFault> {
         let page_ms = if self.calls.is_starting() {
             STARTING_PAGE_MS
@@ -293,7 +210,7 @@
     /// requests for as long.
     async fn read_changes(&mut self, revision: u64) -> Result<u64, ReadFault> {
         let is_recheck = self.lost_at.is_some() || self.is_doubtful;
-        let (reason, watch_ms) = match (is_recheck, self.stands_in) {
+        let (reason, watch_ms) = match (is_recheck, self.pace.stands_in()) {
             (true, _) => (Reason::Recheck, 0),
             (false, true) => (Reason::StandIn, WATCH_MS),
             (false, false) => (Reason::Watch, WATCH_MS),
@@ -340,7 +257,7 @@
     }
 
     fn answered(&mut self) {
-        self.failures = 0;
+        self.pace.succeeded();
         let now = self.state.now();
         self.state.serving().store_answers(now);
         if let Some(lost_at) = self.lost_at.take() {
@@ -351,7 +268,7 @@
 
     fn failed(&mut self, fault: &ReadFault) {
         self.state.metrics.note_store_failure();
-        self.failures = self.failures.saturating_add(1);
+        self.pace.failed();
         match fault {
             ReadFault::Content(fault) => {
                 self.reads_anew = true;
@@ -377,20 +294,6 @@
             self.state.log(&Decision::StoreLost { fault });
         }
     }
-
-    /// Time until the store is asked again after a failure, in ms.
-    fn pause_ms(&self, fault: &ReadFault) -> u64 {
-        let is_out_of_reach = matches!(fault, ReadFault::Connect(_) | ReadFault::Silent);
-        let pause_ms = if self.stands_in {
-            let doublings = self.failures.saturating_sub(1).min(MOST_DOUBLINGS);
-            STAND_IN_RETRY_MS << doublings
-        } else if is_out_of_reach && self.calls.is_starting() {
-            STARTING_RETRY_MS
-        } else {
-            RETRY_MS
-        };
-        pause_ms + fastrand::u64(..pause_ms)
-    }
 }
 
 /// Ends when peers have known more for a while than this instance.
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -3,7 +3,7 @@
     crate::{
         PromptAsk, Refusal, Weighed,
         names::{FailureDomain, TargetId},
-        relays::{Follow, Word},
+        relays::{Extent, Follow, Word},
         retries::Fingerprint,
         targets::{Displaced, TargetChange},
     },
@@ -161,10 +161,8 @@
 pub struct Wants {
     /// Where the answer goes.
     pub reply_to: SocketAddr,
-    /// Version of the configuration that it has.
-    pub version: u64,
-    /// Revision of the newest change that it knows.
-    pub revision: u64,
+    /// What it knows.
+    pub known: Extent,
 }
 
 /// A prompt for which the receiver is to choose engines.
--- a/crates/serving/src/relays/followers.rs
+++ b/crates/serving/src/relays/followers.rs
@@ -1,7 +1,7 @@
 use {
     super::{Extent, Follow},
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
     },
     whinlatch_core::MonoMs,
@@ -32,8 +32,10 @@
 /// What is to be sent to whom.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Shipment {
-    /// Those that get the changes since the last word.
+    /// Those that get the changes since the last word to all, and what that said.
     pub changes_to: Vec<SocketAddr>,
+    /// See `changes_to`.
+    pub told: Extent,
     /// Those that are told only how far the relay is.
     pub word_to: Vec<SocketAddr>,
     /// Those that lack more, by what they have.
@@ -44,6 +46,9 @@
 #[derive(Debug, Default)]
 pub struct Followers {
     by_address: HashMap<SocketAddr, Follower>,
+    /// What the last word to all said.
+    told: Extent,
+    is_word_due: bool,
 }
 
 impl Followers {
@@ -67,6 +72,11 @@
         }
     }
 
+    /// It is time for a word to all.
+    pub fn word_is_due(&mut self) {
+        self.is_word_due = true;
+    }
+
     /// Whether nobody goes by this instance.
     pub fn is_empty(&self) -> bool {
         self.by_address.is_empty()
@@ -78,18 +88,24 @@
             .retain(|_, follower| now.since(follower.heard_at) < GONE_MS);
     }
 
-    /// What is to be sent now to those that are linked, if this instance knows so much. `is_due` tells
-    /// whether it is time for a word to all.
+    /// What is to be sent now to those that are linked, if this instance knows so much.
     pub fn shipment(
         &mut self,
         now: MonoMs,
         known: Extent,
-        is_due: bool,
-        linked: &HashSet<SocketAddr>,
+        is_linked: impl Fn(&SocketAddr) -> bool,
     ) -> Shipment {
-        let mut shipment = Shipment::default();
+        let mut shipment = Shipment {
+            told: self.told,
+            ..Shipment::default()
+        };
+        let is_due = std::mem::take(&mut self.is_word_due);
+        if is_due {
+            self.told = known;
+        }
         for (address, follower) in &mut self.by_address {
-            if !linked.contains(address) {
+            let is_awaiting = is_due || follower.is_new || follower.lost_something();
+            if !is_awaiting || !is_linked(address) {
                 continue;
             }
             let is_new = std::mem::take(&mut follower.is_new);
@@ -100,10 +116,8 @@
                 follower.awaited = None;
             } else if is_due && wants_changes {
                 shipment.changes_to.push(*address);
-            } else if is_due || is_new {
-                shipment.word_to.push(*address);
             } else {
-                continue;
+                shipment.word_to.push(*address);
             }
             follower.await_it(now, known);
         }
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -22,7 +22,7 @@
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, MemberBook, PublishedText, hash},
         mechanism::Without,
-        relays::{Extent, Followers, Following},
+        relays::{Followers, Following},
         retries::{CrashBook, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetBook},
     },
@@ -74,10 +74,6 @@
     read_at: Option<MonoMs>,
     /// Since when the store doesn't answer this instance.
     cut_off_since: Option<MonoMs>,
-    /// Whether those that go by this instance are to be told how far it is.
-    is_word_due: bool,
-    /// What the last word told them.
-    passed_on: Extent,
     without: Without,
     /// When a peer last told of a prompt.
     heard_at: Option<MonoMs>,
@@ -110,8 +106,6 @@
             followers: Followers::default(),
             read_at: None,
             cut_off_since: None,
-            is_word_due: false,
-            passed_on: Extent::default(),
             without: Without::default(),
             heard_at: None,
         }
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -60,7 +60,7 @@
     pub fn wanted_links(&self, now: MonoMs) -> WantedLinks {
         let own_address = self.own.peer_address;
         let mut own = self.members.wanted(now, own_address, &self.own_groups());
-        own.extend(self.relays(now));
+        own.extend(self.follows(now).into_iter().map(|(relay, _)| relay));
         let asking = self.members.asking(now);
         let asked = asking.filter(|address| !own.contains(address)).collect();
         WantedLinks { own, asked }
@@ -92,8 +92,9 @@
 
     /// What a link to a peer begins with: this instance, where peers link, and whom it hears.
     pub fn greeting(&self, now: MonoMs, to: SocketAddr, asks_for_link: bool) -> Frame {
+        let mut follows = self.follows(now).into_iter();
         let beat = Beat {
-            follows: self.follow_of(now, to),
+            follows: follows.find_map(|(relay, follow)| (relay == to).then_some(follow)),
             ..self.beat(asks_for_link)
         };
         Frame {
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -122,8 +122,7 @@
             .collect();
         let wants = Wants {
             reply_to: self.own.peer_address,
-            version: self.version(),
-            revision: self.targets.revision(),
+            known: self.extent(),
         };
         let frame = Frame {
             wants: Some(wants),
@@ -132,18 +131,6 @@
         (!peers.is_empty()).then_some((peers, frame))
     }
 
-    /// What a peer that is behind lacks.
-    pub fn lacking(&self, wants: &Wants) -> Frame {
-        Frame {
-            configuration: self
-                .published
-                .clone()
-                .filter(|published| published.version > wants.version),
-            targets: self.targets.changes_after(wants.revision),
-            ..Frame::default()
-        }
-    }
-
     /// Takes in what a peer tells. `decode` reads a published configuration. Returns the changes of targets
     /// that are news.
     pub fn on_frame(
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -3,11 +3,11 @@
 use {
     super::Serving,
     crate::{
-        fleet::Frame,
+        fleet::{Frame, Wants},
         relays::{Extent, Follow, Relay, Word},
         targets::TargetChange,
     },
-    std::{collections::HashSet, net::SocketAddr},
+    std::net::SocketAddr,
     whinlatch_core::MonoMs,
 };
 
@@ -86,28 +86,25 @@
             .any(|address| address == self.own.peer_address)
     }
 
-    /// The instances that this one goes by, the one that tells it each change first.
-    pub fn relays(&self, now: MonoMs) -> Vec<SocketAddr> {
+    /// The relays that this instance goes by, and what it asks of each in a heartbeat; the first one is to
+    /// tell it each change.
+    pub fn follows(&self, now: MonoMs) -> Vec<(SocketAddr, Follow)> {
         if !self.members.is_large() || self.is_first_reader(now) {
             return Vec::new();
         }
-        self.readers(now).collect()
-    }
-
-    /// What this instance asks of a relay in a heartbeat; nothing of anybody else.
-    pub fn follow_of(&self, now: MonoMs, address: SocketAddr) -> Option<Follow> {
-        let place = self
-            .relays(now)
-            .iter()
-            .position(|relay| *relay == address)?;
-        Some(Follow {
-            known: self.extent(),
-            wants_changes: place == 0,
-        })
+        let known = self.extent();
+        let follow = |wants_changes| Follow {
+            known,
+            wants_changes,
+        };
+        self.readers(now)
+            .enumerate()
+            .map(|(place, relay)| (relay, follow(place == 0)))
+            .collect()
     }
 
     /// How far this instance's knowledge goes.
-    fn extent(&self) -> Extent {
+    pub(super) fn extent(&self) -> Extent {
         let known_to = self.following.known_to().unwrap_or(0);
         Extent {
             revision: self.targets.settled_up_to(known_to),
@@ -135,7 +132,7 @@
     pub fn store_told(&mut self, now: MonoMs, revision: u64) {
         self.following.complete(revision);
         self.read_at = Some(now);
-        self.is_word_due = true;
+        self.followers.word_is_due();
     }
 
     /// Settles what time alone decides of who reads the store.
@@ -148,7 +145,7 @@
             .is_some_and(|since| now.since(since) >= CUT_OFF_MS);
         if is_cut_off && self.following.may_read(now, own) {
             self.following.pass_over(now, own);
-            self.is_word_due = true;
+            self.followers.word_is_due();
         }
         // What is removed once the store is back may have lapsed only, whoever noticed its absence.
         let duty = self.store_duty(now);
@@ -182,51 +179,53 @@
     pub fn relay_news(
         &mut self,
         now: MonoMs,
-        linked: &HashSet<SocketAddr>,
+        is_linked: impl Fn(&SocketAddr) -> bool,
     ) -> Vec<(Vec<SocketAddr>, Frame)> {
-        let Some(as_of) = self.read_at.max(self.followed_as_of(now)) else {
+        let Some(word) = self.word(now) else {
             return Vec::new();
         };
-        let known = self.extent();
-        let is_due = std::mem::take(&mut self.is_word_due);
-        let shipment = self.followers.shipment(now, known, is_due, linked);
-        let word = Word {
-            known,
-            age_ms: now.since(as_of),
-            since: Some(known.revision),
-            is_cut_off: !self.following.may_read(now, self.own.peer_address),
-        };
-        let mut news = Vec::new();
+        let shipment = self.followers.shipment(now, word.known, is_linked);
+        let mut news: Vec<(Vec<SocketAddr>, Frame)> = Vec::new();
         for (extent, to) in shipment.behind {
-            news.push((to, self.lacking_since(extent, word)));
+            news.push((to, self.lacking(extent, Some(word))));
         }
         if !shipment.changes_to.is_empty() {
-            news.push((
-                shipment.changes_to,
-                self.lacking_since(self.passed_on, word),
-            ));
+            news.push((shipment.changes_to, self.lacking(shipment.told, Some(word))));
         }
         if !shipment.word_to.is_empty() {
-            news.push((shipment.word_to, word_frame(word)));
-        }
-        if is_due {
-            self.passed_on = known;
+            news.push((shipment.word_to, bare(word)));
         }
         news
     }
 
-    fn followed_as_of(&self, now: MonoMs) -> Option<MonoMs> {
-        let relay = self.following.freshest(now)?;
-        Some(MonoMs(now.0.saturating_sub(relay.age_ms)))
+    /// What this instance can say of its knowledge, if it was ever told all.
+    fn word(&self, now: MonoMs) -> Option<Word> {
+        let followed = self.following.freshest(now);
+        let told_at = followed.map(|relay| MonoMs(now.0.saturating_sub(relay.age_ms)));
+        let as_of = self.read_at.max(told_at)?;
+        let known = self.extent();
+        Some(Word {
+            known,
+            age_ms: now.since(as_of),
+            since: Some(known.revision),
+            is_cut_off: !self.following.may_read(now, self.own.peer_address),
+        })
+    }
+
+    /// What a peer lacks that is behind.
+    pub fn reply_to(&self, now: MonoMs, wants: &Wants) -> Frame {
+        self.lacking(wants.known, self.word(now))
     }
 
-    /// What somebody lacks who knows all up to an extent.
-    fn lacking_since(&self, extent: Extent, word: Word) -> Frame {
+    /// What somebody lacks who knows all up to an extent, with a word that confirms the rest, if this instance
+    /// can give one.
+    fn lacking(&self, extent: Extent, word: Option<Word>) -> Frame {
         let is_known = extent.revision > 0 && self.targets.remembers_since(extent.revision);
-        let since = is_known.then_some(extent.revision);
+        // A list of all targets tells removals by what it lacks, which only a word makes certain.
+        let since = (is_known || word.is_none()).then_some(extent.revision);
         let published = self.published.clone();
         Frame {
-            word: Some(Word { since, ..word }),
+            word: word.map(|word| Word { since, ..word }),
             configuration: published.filter(|published| published.version > extent.version),
             targets: match since {
                 Some(since) => self.targets.changes_after(since),
@@ -238,7 +237,7 @@
 }
 
 /// A word with no changes; it says nothing to those that lack any.
-fn word_frame(word: Word) -> Frame {
+fn bare(word: Word) -> Frame {
     Frame {
         word: Some(word),
         ..Frame::default()
