--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -170,8 +170,7 @@
 /// caller is still there.
 ///
 /// The load that this answers: all instances start anew, and callers come back before the store has
-/// told what is published. Most have one try left, which a refusal would use up: 0.006 of mean worth
-/// over 72 days without processor charge, and a half of the refusals where the store is away as well.
+/// told what is published. Most have one try left, which a refusal would use up.
 async fn readied(
     state: &EntryState,
     stream: &TcpStream,
--- a/crates/serving/src/placement/choose.rs
+++ b/crates/serving/src/placement/choose.rs
@@ -28,10 +28,8 @@
 const LOSS_PER_HELPER: f64 = 0.004;
 
 /// What a second of one engine's reading costs those that come later, while the engines are half
-/// used. At full load the sheets' prompts are worth some four times as much for each second of an
-/// engine. With it, bursts of audits are given up to four fifths of the engines' time: given nine
-/// tenths, half of them begin late or are paused for too long, which costs 0.008 of mean worth over
-/// 96 days without processor charge.
+/// used. It leaves a part of the engines' time to the prompts that come next: given all of it, a
+/// burst of long prompts makes half of its own late.
 const SECOND_LOSS: f64 = 1.6;
 
 /// What is lost to later prompts by reading a prompt now, with so much of the engines' time used.
--- a/crates/serving/src/placement/share.rs
+++ b/crates/serving/src/placement/share.rs
@@ -91,9 +91,8 @@
 }
 
 /// What others lose by all parts together. A prompt is read when the last of its parts is, so that
-/// it loses by the one that is delayed most and not by each of them. Where each part bore its share of
-/// the loss only, newer prompts on some of its engines delayed it by seconds: 0.009 of mean worth over
-/// 72 days without processor charge.
+/// it loses by the one that is delayed most and not by each of them. Were each part charged a share of
+/// the loss only, newer prompts on some of its engines would delay it by seconds.
 pub fn harm_of(shares: &[&Share]) -> f64 {
     let paused: f64 = shares.iter().map(|share| share.paused).sum();
     let mut delays: Vec<Delay> = shares
--- a/crates/serving/src/placement/value.rs
+++ b/crates/serving/src/placement/value.rs
@@ -1,5 +1,5 @@
-/// Tokens of prompt that are worth as much as having an answer at all. The operators' sheets give
-/// 1.3 to an answer of 5,000 tokens, 3.9 to one of 45,000 and 24 to one of 182,000.
+/// Tokens of prompt that are worth as much as having an answer at all. Routes publish no worth; whoever
+/// sends a long prompt loses about in proportion to its length when the answer is late.
 const TOKENS_PER_VALUE: f64 = 9_000.0;
 /// Share of the way to its limit at which a predicted time is even odds to be late in the end.
 const EVEN_ODDS_AT: f64 = 0.92;
--- a/crates/serving/tests/serving/fixture.rs
+++ b/crates/serving/tests/serving/fixture.rs
@@ -144,7 +144,7 @@
     serving
 }
 
-/// What a short or a long prompt asks for, as the operators' sheets have them.
+/// What a short or a long prompt asks for.
 pub fn ask(prompt_tokens: u64) -> PromptAsk {
     let is_short = prompt_tokens < 30_000;
     PromptAsk {
