--- a/crates/cli/src/reports.rs
+++ b/crates/cli/src/reports.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod fetch;
 mod log_story;
+mod logged_request;
 mod losses;
 mod records;
 mod status;
--- a/crates/cli/src/reports/losses.rs
+++ b/crates/cli/src/reports/losses.rs
@@ -1,12 +1,8 @@
 use {
-    super::{log_story::read_lines, table::Table},
+    super::{log_story::read_lines, logged_request::LoggedRequest, table::Table},
     crate::errors::CliError,
     serde::Serialize,
-    serde_json::Value,
-    std::{
-        collections::{BTreeMap, HashMap},
-        path::PathBuf,
-    },
+    std::{collections::BTreeMap, path::PathBuf},
 };
 
 /// Milliseconds in a second.
@@ -16,28 +12,15 @@
 /// What a request's route is called that no line names.
 const NO_ROUTE: &str = "(none)";
 
-/// What the log lines tell of one request.
-#[derive(Debug, Default)]
-struct Request {
-    route: Option<String>,
-    first_sent: Option<(u64, i64)>,
-    ended: Option<Ended>,
-}
-
-#[derive(Debug)]
-struct Ended {
-    at_ms: u64,
-    took_ms: u64,
-    outcome: String,
-    reason: String,
-    first_event_ms: Option<u64>,
-}
-
 /// How requests of one kind, or of one second, ended.
 #[derive(Debug, Default, Clone, Serialize)]
 struct Tally {
     requests: usize,
     late: usize,
+    /// Streams that began in time and paused for too long.
+    paused: usize,
+    /// Refused at least once, whatever became of the next try.
+    came_back: usize,
     refused: usize,
     failed: usize,
     cut: usize,
@@ -46,7 +29,7 @@
 
 impl Tally {
     fn not_in_time(&self) -> usize {
-        self.late + self.refused + self.failed + self.cut + self.left
+        self.late + self.paused + self.refused + self.failed + self.cut + self.left
     }
 }
 
@@ -61,81 +44,26 @@
 /// Tells from log lines of any number of instances, in any order, which requests weren't served in
 /// time: by route, by second and by reason.
 pub(crate) fn losses_of_log(files: &[PathBuf], json: bool) -> Result<String, CliError> {
-    let losses = Losses::of(&requests(&read_lines(files)?));
+    let losses = Losses::of(&LoggedRequest::all_in(&read_lines(files)?));
     if json {
         return Ok(format!("{:#}", serde_json::json!(losses)));
     }
     Ok(losses.to_text())
 }
 
-fn requests(lines: &[Value]) -> Vec<Request> {
-    let mut requests: HashMap<&str, Request> = HashMap::new();
-    for line in lines {
-        let Some(id) = line["request"].as_str() else {
-            continue;
-        };
-        let request = requests.entry(id).or_default();
-        if let Some(route) = line["route"].as_str() {
-            request.route = Some(route.to_owned());
-        }
-        request.take(line);
-    }
-    requests.into_values().collect()
-}
-
-impl Request {
-    fn take(&mut self, line: &Value) {
-        let at_ms = line["at_ms"].as_u64().unwrap_or_default();
-        match line["event"].as_str() {
-            Some("sent") if line["attempt"] == 1 => {
-                let slack_ms = line["slack_ms"].as_i64().unwrap_or_default();
-                self.first_sent = Some((at_ms, slack_ms));
-            }
-            Some("ended") => {
-                let text = |name: &str| line[name].as_str().unwrap_or_default().to_owned();
-                self.ended = Some(Ended {
-                    at_ms,
-                    took_ms: line["took_ms"].as_u64().unwrap_or_default(),
-                    outcome: text("outcome"),
-                    reason: text("reason"),
-                    first_event_ms: line["first_event_ms"].as_u64(),
-                });
-            }
-            _ => {}
-        }
-    }
-}
-
-impl Ended {
-    fn began_ms(&self) -> u64 {
-        self.at_ms.saturating_sub(self.took_ms)
-    }
-
-    /// Whether its first event came later than it was due; a call has none and counts as in time.
-    fn is_late(&self, first_sent: Option<(u64, i64)>) -> bool {
-        let (Some(first_event_ms), Some((sent_ms, slack_ms))) = (self.first_event_ms, first_sent)
-        else {
-            return false;
-        };
-        let due_ms = sent_ms.saturating_add_signed(slack_ms);
-        self.began_ms() + first_event_ms > due_ms
-    }
-}
-
 impl Losses {
-    fn of(requests: &[Request]) -> Self {
+    fn of(requests: &[LoggedRequest]) -> Self {
         let mut losses = Self::default();
         for request in requests {
             let Some(ended) = &request.ended else {
                 continue;
             };
-            let is_late = ended.is_late(request.first_sent);
             let route = request.route.as_deref().unwrap_or(NO_ROUTE);
-            let second = ended.began_ms() / MS_PER_S;
+            let second = request.began_ms() / MS_PER_S;
             let by_route = losses.routes.entry(route.to_owned()).or_default();
-            by_route.note(&ended.outcome, is_late);
+            by_route.note(request, &ended.outcome);
             let by_second = losses.seconds.entry(second).or_default();
-            by_second.note(&ended.outcome, is_late);
+            by_second.note(request, &ended.outcome);
             if !ended.reason.is_empty() {
                 let reason = format!("{}: {}", ended.outcome, ended.reason);
                 *losses.reasons.entry(reason).or_default() += 1;
@@ -145,7 +73,16 @@
     }
 
     fn to_text(&self) -> String {
-        let head = ["LATE", "REFUSED", "FAILED", "CUT", "LEFT", "OF"];
+        let head = [
+            "LATE",
+            "PAUSED",
+            "REFUSED",
+            "FAILED",
+            "CUT",
+            "LEFT",
+            "CAME BACK",
+            "OF",
+        ];
         let mut routes = Table::new(&[&["ROUTE"], &head[..]].concat());
         for (route, tally) in &self.routes {
             routes.row(&tally.cells(route));
@@ -169,25 +106,29 @@
 }
 
 impl Tally {
-    fn note(&mut self, outcome: &str, is_late: bool) {
+    fn note(&mut self, request: &LoggedRequest, outcome: &str) {
         self.requests += 1;
+        self.came_back += usize::from(request.came_back);
         match outcome {
             "refused" => self.refused += 1,
             "failed" => self.failed += 1,
             "cut" => self.cut += 1,
             "caller_gone" => self.left += 1,
-            _ => self.late += usize::from(is_late),
+            _ if request.is_late() => self.late += 1,
+            _ => self.paused += usize::from(request.is_paused()),
         }
     }
 
-    fn cells<'a>(&'a self, name: &'a dyn ToString) -> [&'a dyn ToString; 7] {
+    fn cells<'a>(&'a self, name: &'a dyn ToString) -> [&'a dyn ToString; 9] {
         [
             name,
             &self.late,
+            &self.paused,
             &self.refused,
             &self.failed,
             &self.cut,
             &self.left,
+            &self.came_back,
             &self.requests,
         ]
     }
--- a/crates/cli/tests/cli/losses.rs
+++ b/crates/cli/tests/cli/losses.rs
@@ -56,3 +56,34 @@
     assert_ne!(run.code, 0);
     assert!(run.err.contains("not-there.log"));
 }
+
+/// An audit is refused, comes back half a second later and begins half a second after that: in time for
+/// the second try, and late for its caller, who has waited since the first one.
+const TRIES: &str = r#"
+{"at_ms":1010,"event":"refused","request":"a","route":"r-1","reason":"too busy","fingerprint":"f1"}
+{"at_ms":1010,"event":"ended","request":"a","outcome":"refused","status":503,"reason":"too busy","took_ms":10,"first_event_ms":null}
+{"at_ms":1505,"event":"sent","request":"b","route":"r-1","slack_ms":895,"attempt":1,"fingerprint":"f1"}
+{"at_ms":2500,"event":"ended","request":"b","outcome":"answered","status":200,"reason":"","took_ms":1000,"first_event_ms":500}
+{"at_ms":2010,"event":"refused","request":"c","route":"r-1","reason":"too busy","fingerprint":"f2"}
+{"at_ms":2010,"event":"ended","request":"c","outcome":"refused","status":503,"reason":"too busy","took_ms":10,"first_event_ms":null}
+{"at_ms":2605,"event":"refused","request":"d","route":"r-1","reason":"too busy","fingerprint":"f2"}
+{"at_ms":2605,"event":"ended","request":"d","outcome":"refused","status":503,"reason":"too busy","took_ms":5,"first_event_ms":null}
+{"at_ms":5000,"event":"sent","request":"e","route":"r-1","slack_ms":900,"attempt":1,"pause_limit_ms":250}
+{"at_ms":7000,"event":"ended","request":"e","outcome":"answered","status":200,"reason":"","took_ms":2000,"first_event_ms":100,"longest_pause_ms":251}
+"#;
+
+#[test]
+fn tries_of_one_request_count_as_one() {
+    let directory = Directory::new("losses_tries");
+    let log = directory.file("entry-1.log", TRIES);
+
+    let run = whinlatch(&["losses", "--json", &log]);
+
+    let told: serde_json::Value = serde_json::from_str(&run.out).unwrap();
+    let route = &told["routes"]["r-1"];
+    assert_eq!(route["requests"], 3);
+    assert_eq!(route["came_back"], 2);
+    assert_eq!(route["late"], 1);
+    assert_eq!(route["refused"], 1);
+    assert_eq!(route["paused"], 1);
+}
--- a/crates/daemon/src/entry/answers_whole.rs
+++ b/crates/daemon/src/entry/answers_whole.rs
@@ -128,6 +128,8 @@
         helpers: Vec::new(),
         expected_ms: 0,
         slack_ms: context.due.since(now).cast_signed(),
+        pause_limit_ms: None,
+        fingerprint: context.fingerprint_text(),
         attempt: answer.note_sent(),
         weighed: None,
     });
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -136,6 +136,13 @@
         expected_ms: u64,
         /// Time until it is late, in ms.
         slack_ms: i64,
+        /// Longest pause with which its stream is on time, in ms.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pause_limit_ms: Option<u64>,
+        /// What all tries of the same request of a caller have in common; `None` where nothing tells
+        /// them from requests of others.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<String>,
         /// Place among the request's attempts.
         attempt: u32,
         /// What was weighed, of a prompt.
@@ -152,6 +159,10 @@
         reason: &'static str,
         /// When its caller is to come back, in ms, if at all.
         retry_after_ms: Option<u64>,
+        /// What all tries of the same request of a caller have in common; `None` where nothing tells
+        /// them from requests of others.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<String>,
         /// What was weighed, of a prompt that others would lose too much by.
         #[serde(skip_serializing_if = "Option::is_none")]
         weighed: Option<Weighed>,
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -120,6 +120,7 @@
             route: context.route.name.clone(),
             reason: message,
             retry_after_ms,
+            fingerprint: context.fingerprint_text(),
             weighed: refusal.weighed(),
         });
         Self::own(answer, 503, message, retry_after_ms).await
--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -47,6 +47,11 @@
 }
 
 impl RequestContext {
+    /// The fingerprint for the log; `None` of a request without a body, which is like others.
+    pub fn fingerprint_text(&self) -> Option<String> {
+        (!self.body.is_empty()).then(|| format!("{:016x}", self.fingerprint))
+    }
+
     /// The request as a target gets it: the caller's method, path, headers and body, and what this
     /// system sets.
     pub fn for_target(&self, own: &TargetHead<'_>) -> Vec<u8> {
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -260,6 +260,8 @@
                 .collect(),
             expected_ms: place.first_event_ms as u64,
             slack_ms: context.route.objective_ms.cast_signed() - passed_ms.cast_signed(),
+            pause_limit_ms: context.route.pause_limit_ms,
+            fingerprint: context.fingerprint_text(),
             attempt: self.answer.note_sent(),
             weighed: Some(place.weighed),
         });
