--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -95,9 +95,13 @@
             let fault = match self.attempt(&place).await {
                 Ok(StreamEnd::Whole) => return Ended::answered(200),
                 Ok(StreamEnd::CallerGone) => return Ended::caller_gone(),
-                Ok(StreamEnd::Failure(head, body)) => return self.pass_on(&head, &body).await,
+                Ok(StreamEnd::Failure(head, body)) => {
+                    self.note_engine_failed(&place);
+                    return self.pass_on(&head, &body).await;
+                }
                 Err(fault) => fault,
             };
+            self.note_engine_failed(&place);
             drop(guard);
             note_failed(self.state, self.context, &target, &fault);
             tried.push(target.id);
@@ -152,6 +156,11 @@
         place(self.state, &ask).await
     }
 
+    fn note_engine_failed(&self, place: &PromptPlace) {
+        let now = self.state.now();
+        self.state.serving().prompt_failed(now, place.job);
+    }
+
     async fn give_up(&self, refusal: Refusal) -> Ended {
         if self.answer.has_begun() {
             let message = refusal.message();
--- a/crates/serving/src/engines/engine_load.rs
+++ b/crates/serving/src/engines/engine_load.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{catalog::EngineSpec, fleet::JobId},
+    crate::{catalog::EngineSpec, fleet::JobId, targets::FailureShare},
     whinlatch_core::MonoMs,
 };
 
@@ -78,6 +78,8 @@
     pub pace: f64,
     /// Prompts that it helps to read, or has helped with and that aren't over.
     pub helping: usize,
+    /// How many of the prompts that it was to answer it failed.
+    pub failures: FailureShare,
     ratios: Vec<f64>,
     at_ms: f64,
     pass_began_ms: f64,
--- a/crates/serving/src/engines/engine_loads.rs
+++ b/crates/serving/src/engines/engine_loads.rs
@@ -118,7 +118,9 @@
         let late = now.since(job.sent_at) > u64::try_from(placed.slack_ms).unwrap_or(0);
         let mut engines = placed.engines.iter();
         if let Some(first) = engines.next() {
-            self.engine(now, spec, first).begins(Writer {
+            let engine = self.engine(now, spec, first);
+            engine.failures.note(now, false);
+            engine.begins(Writer {
                 job: id,
                 pause_limit_ms: f64::from(placed.pause_limit_ms),
                 value: value_of(placed.prompt_tokens),
@@ -130,6 +132,17 @@
         }
     }
 
+    /// Notes that the engine that was to answer a prompt failed it.
+    pub fn failed(&mut self, now: MonoMs, id: JobId) {
+        let engine = self
+            .jobs
+            .get(&id)
+            .and_then(|job| job.placed.engines.first());
+        if let Some(engine) = engine.and_then(|id| self.engines.get_mut(id)) {
+            engine.failures.note(now, true);
+        }
+    }
+
     /// Notes an event of a stream of an engine. Returns the engine's pace if that changed it.
     pub fn event_seen(&mut self, now: MonoMs, spec: &EngineSpec, engine: &TargetId) -> Option<f64> {
         let engine = self.engines.get_mut(engine)?;
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -242,6 +242,9 @@
     /// Prompts whose first event came.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub begun: Vec<JobId>,
+    /// Prompts that their engines failed.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub failed: Vec<JobId>,
     /// Prompts that are over.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub ended: Vec<JobId>,
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -31,6 +31,8 @@
     Poison,
     /// Targets that failed to be reached or to help are passed over for a while.
     PassingOver,
+    /// Engines that failed prompts of late get fewer.
+    Failures,
 }
 
 /// A name that is none of a mechanism.
@@ -40,7 +42,7 @@
 
 impl Mechanism {
     /// All of them, in the order of their names on the pages.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -54,6 +56,7 @@
         Self::ReportedPace,
         Self::Poison,
         Self::PassingOver,
+        Self::Failures,
     ];
 
     /// Its name on the command line.
@@ -72,6 +75,7 @@
             Self::ReportedPace => "reported-pace",
             Self::Poison => "poison",
             Self::PassingOver => "passing-over",
+            Self::Failures => "failures",
         }
     }
 
--- a/crates/serving/src/placement/choose.rs
+++ b/crates/serving/src/placement/choose.rs
@@ -114,7 +114,10 @@
     if shares.len() + 1 < degree {
         return None;
     }
-    let rank = |share: &Share| share.harm() + own_loss(share.finish_ms) / degree as f64;
+    let rank = |share: &Share| {
+        let failed = setting.failed_loss(candidates[share.place].load);
+        share.harm() + failed + own_loss(share.finish_ms) / degree as f64
+    };
     shares.sort_by(|left, right| rank(left).total_cmp(&rank(right)));
     shares.truncate(degree - 1);
     if let Some(reserved) = shape.reserved
@@ -170,7 +173,8 @@
             first.paused += LIKING_GAIN * (1.0 - candidate.liking);
             let paused = pause_loss(setting, candidate.load, part, first.finish_ms);
             let disliked = blind_gain * (1.0 - candidate.liking);
-            let loss = first.harm() + paused + disliked + own_loss(first.finish_ms);
+            let failed = setting.failed_loss(candidate.load);
+            let loss = first.harm() + paused + disliked + failed + own_loss(first.finish_ms);
             (loss, first)
         })
         .min_by(|left, right| left.0.total_cmp(&right.0))
--- a/crates/serving/src/placement/share.rs
+++ b/crates/serving/src/placement/share.rs
@@ -1,7 +1,7 @@
 //! What one part of a prompt costs those that are at work on its engine.
 
 use {
-    super::{PromptShape, lateness},
+    super::{PromptShape, lateness, value_of},
     crate::{catalog::EngineSpec, engines::EngineLoad, fleet::JobId, mechanism::Mechanism},
     whinlatch_core::MonoMs,
 };
@@ -28,6 +28,18 @@
 }
 
 impl Setting<'_> {
+    /// What a prompt loses by an engine that failed others of late.
+    ///
+    /// Guards against an engine that says that it is well and fails what it gets: it is always idle, so
+    /// that it would be the best place for each prompt in turn. Being a loss beside others it only moves
+    /// prompts to better engines, and none is refused where all engines fail some.
+    pub fn failed_loss(self, load: &EngineLoad) -> f64 {
+        if !self.shape.without.has(Mechanism::Failures) {
+            return 0.0;
+        }
+        value_of(self.shape.prompt_tokens) * load.failures.at(self.now)
+    }
+
     /// Share of its value by which what is likely to be in time counts as less than what is sure to be.
     pub fn risk(self) -> f64 {
         if self.shape.without.has(Mechanism::Risk) {
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -187,6 +187,9 @@
         for job in frame.begun {
             self.note_begun(now, job);
         }
+        for job in frame.failed {
+            self.engines.failed(now, job);
+        }
         for job in frame.ended {
             self.engines.ended(job);
         }
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -262,6 +262,14 @@
         }
     }
 
+    /// Notes that the engine that was to answer a prompt failed it.
+    pub fn prompt_failed(&mut self, now: MonoMs, job: JobId) {
+        for group in self.groups_of(job) {
+            self.news.of(group).failed.push(job);
+        }
+        self.engines.failed(now, job);
+    }
+
     /// Notes that a prompt is over.
     pub fn prompt_ended(&mut self, job: JobId) {
         for group in self.groups_of(job) {
--- a/crates/serving/src/targets/calls.rs
+++ b/crates/serving/src/targets/calls.rs
@@ -1,9 +1,11 @@
 use {
-    super::TargetEntry, crate::names::TargetId, std::collections::HashMap, whinlatch_core::MonoMs,
+    super::{FailureShare, TargetEntry},
+    crate::names::TargetId,
+    std::collections::HashMap,
+    whinlatch_core::MonoMs,
 };
 
-/// Weight of the newest answer in the mean of answer times and failures: a target that turns bad
-/// is noticed after a handful of calls.
+/// Weight of the newest answer in the mean of answer times.
 const NEWEST_WEIGHT: f64 = 0.2;
 /// Time of an answer that is assumed of a target that hasn't answered yet, in ms: that of a small
 /// service call.
@@ -14,15 +16,12 @@
 /// How much a share of failed answers weighs against waiting time: at one failure in two, a target
 /// counts as eleven times as slow.
 const FAILURE_WEIGHT: f64 = 20.0;
-/// Time constant with which a failure is forgotten, in ms, so that a mended target is tried again.
-const FORGET_MS: f64 = 2_000.0;
 
 #[derive(Debug, Default, Clone, Copy)]
 struct CallLoad {
     in_flight: u32,
     answer_ms: Option<f64>,
-    failed_share: f64,
-    judged_at: MonoMs,
+    failures: FailureShare,
     unreachable_until: MonoMs,
 }
 
@@ -52,8 +51,7 @@
         let load = self.by_target.get(&entry.id).copied().unwrap_or_default();
         let answer_ms = load.answer_ms.unwrap_or(ASSUMED_ANSWER_MS);
         let waiting = f64::from(load.in_flight) / f64::from(entry.slots.max(1));
-        let age_ms = now.since(load.judged_at) as f64;
-        let failed = load.failed_share * (-age_ms / FORGET_MS).exp();
+        let failed = load.failures.at(now);
         let unreachable = if load.unreachable_until > now {
             1e6
         } else {
@@ -80,10 +78,7 @@
             return;
         };
         load.in_flight = load.in_flight.saturating_sub(1);
-        let age_ms = now.since(load.judged_at) as f64;
-        load.judged_at = now;
-        load.failed_share *= (-age_ms / FORGET_MS).exp();
-        load.failed_share += NEWEST_WEIGHT * (f64::from(u8::from(failed)) - load.failed_share);
+        load.failures.note(now, failed);
         if !failed {
             let mean_ms = load.answer_ms.unwrap_or(took_ms);
             load.answer_ms = Some(mean_ms + NEWEST_WEIGHT * (took_ms - mean_ms));
--- /dev/null
+++ b/crates/serving/tests/serving/failing_engines.rs
@@ -0,0 +1,102 @@
+//! Engines that fail prompts while they are published as ready.
+
+use {
+    super::fixture::{START, instance, job, place, placed},
+    whinlatch_core::MonoMs,
+    whinlatch_serving::{Serving, fleet::Frame},
+};
+
+/// Sends a prompt and lets its engine fail it or answer it, by `fails`. Returns whether it failed.
+fn send(serving: &mut Serving, now: MonoMs, fails: impl Fn(&str) -> bool) -> bool {
+    let placed = place(serving, now, 5_000).unwrap();
+    let has_failed = fails(&placed.engine.id);
+    if has_failed {
+        serving.prompt_failed(now + 1, placed.job);
+    } else {
+        serving.prompt_begun(now + 90, placed.job);
+    }
+    serving.prompt_ended(placed.job);
+    has_failed
+}
+
+/// One reply in twenty fails for seconds. An engine resets all that it gets and says that it is well:
+/// it is always idle, so that it looks like the best place for each prompt.
+#[test]
+fn an_engine_that_fails_all_prompts_gets_few() {
+    let mut serving = instance(1, 6);
+    let first = place(&mut serving, START, 5_000).unwrap();
+    serving.prompt_ended(first.job);
+
+    let failed = (1..=100)
+        .filter(|number| {
+            let now = START + 20 * number;
+            send(&mut serving, now, |id| *id == *first.engine.id)
+        })
+        .count();
+
+    assert!((1..=4).contains(&failed), "{failed}");
+}
+
+/// An engine that was ill for a moment is left idle for good, though it has been well for long.
+#[test]
+fn an_engine_that_is_well_again_gets_prompts_again() {
+    let mut serving = instance(1, 2);
+    let is_first = |id: &str| id == "e-00";
+    for number in 0..40 {
+        send(&mut serving, START + 20 * number, is_first);
+    }
+    let later = START + 15_000;
+
+    // All stay at work, so that one engine alone hasn't the slots for them.
+    let placed: Vec<_> = (0..20)
+        .map(|number| place(&mut serving, later + 20 * number, 1_000).unwrap())
+        .collect();
+
+    assert!(placed.iter().any(|place| is_first(&place.engine.id)));
+}
+
+/// Connections to all engines are reset at once: each has failed some prompts, and none is worse than
+/// the others, so that prompts must not be refused for it.
+#[test]
+fn prompts_are_placed_where_all_engines_failed_some() {
+    let mut serving = instance(1, 4);
+    for number in 0..40 {
+        send(&mut serving, START + number, |_id| true);
+    }
+
+    let placed = place(&mut serving, START + 50, 5_000);
+
+    assert!(placed.is_ok(), "{placed:?}");
+}
+
+/// Instances choose for themselves in a small fleet: one that was failed by an engine tells the others.
+#[test]
+fn a_failure_is_told_to_peers() {
+    let mut teller = instance(1, 6);
+    let failing = place(&mut teller, START, 5_000).unwrap();
+
+    teller.prompt_failed(START + 1, failing.job);
+    let news = teller.take_news();
+
+    assert!(
+        news.iter()
+            .any(|(_to, frame)| frame.failed == [failing.job])
+    );
+}
+
+#[test]
+fn an_engine_that_failed_a_peer_is_not_chosen_first() {
+    let liked = place(&mut instance(2, 6), START, 5_000).unwrap().engine.id;
+    let mut serving = instance(2, 6);
+    let frame = Frame {
+        placed: vec![placed(1, &liked, 5_000)],
+        failed: vec![job(1)],
+        ended: vec![job(1)],
+        ..Frame::default()
+    };
+
+    serving.on_frame(START, 1, frame, |_text| None);
+    let chosen = place(&mut serving, START + 10, 5_000).unwrap();
+
+    assert_ne!(chosen.engine.id, liked);
+}
