--- a/crates/serving/src/engines/engine_load.rs
+++ b/crates/serving/src/engines/engine_load.rs
@@ -31,6 +31,9 @@
     pub goes_first: bool,
     /// When the prompt's first event is late.
     pub late_at: MonoMs,
+    /// When the prompt's first event is expected: other engines may still read parts of it when this
+    /// one is through.
+    pub begins_at: MonoMs,
     /// Longest pause with which the prompt's stream is on time, in ms.
     pub pause_limit_ms: f64,
     /// What is lost when the stream is late.
--- a/crates/serving/src/engines/engine_loads.rs
+++ b/crates/serving/src/engines/engine_loads.rs
@@ -90,6 +90,7 @@
                 is_helper,
                 goes_first: is_helper || placed.goes_first,
                 late_at: now + slack_ms,
+                begins_at: now + u64::from(placed.first_event_ms),
                 pause_limit_ms: f64::from(placed.pause_limit_ms),
                 value,
                 in_pass: false,
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -108,6 +108,9 @@
     /// Whether a little memory is set aside at the engine that answers, too, so that its part isn't
     /// read behind those of prompts that come later.
     pub goes_first: bool,
+    /// When its first event is expected, in ms from its sending.
+    #[serde(default)]
+    pub first_event_ms: u32,
 }
 
 /// How many times slower than published an engine was seen to be.
--- a/crates/serving/src/placement/share.rs
+++ b/crates/serving/src/placement/share.rs
@@ -144,6 +144,9 @@
         let passes = ((tokens + part.tokens) / room_tokens).ceil().max(1.0);
         load.pass_left_ms(now) + queue_ms + part_ms + passes * base_ms
     };
+    let begin_paused: f64 = (0..load.parts.len())
+        .map(|place| first_pause_loss(setting, load, place, part, goes_first))
+        .sum();
     let paused: f64 = load
         .writers
         .iter()
@@ -164,7 +167,7 @@
     Share {
         place,
         finish_ms: finish_ms + CROSSING_MS,
-        paused,
+        paused: paused + begin_paused,
         delays,
     }
 }
@@ -191,8 +194,39 @@
         let risk = setting.risk() * (part_ms / slack_ms.max(1.0)).min(1.0);
         return waiting.value * (after - before + risk);
     }
+    0.0
+}
+
+/// What a prompt that has yet to begin loses by a longer first pause: what its engine has still to
+/// read for others when its first event comes is read beside the next one.
+///
+/// The load that this answers: bursts of long prompts, each read by many engines. The engine that
+/// answers is through with its part long before the others, looks idle, and is given parts of the
+/// next prompts; these pause the answer for seconds once it begins.
+fn first_pause_loss(
+    setting: Setting<'_>,
+    load: &EngineLoad,
+    place: usize,
+    part: OwnPart,
+    goes_first: bool,
+) -> f64 {
+    let waiting = &load.parts[place];
     if waiting.is_helper {
         return 0.0;
     }
-    waiting.value * lateness(part_ms, waiting.pause_limit_ms)
+    let part_ms = part.ms * load.pace;
+    let (tokens, all_ms) = load.waiting_tokens();
+    let expected_ms = waiting.begins_at.since(setting.now) as f64;
+    let is_read = waiting.left_ms <= 0.0;
+    let read_ms = if is_read { 0.0 } else { load.ends_in_ms(place) };
+    let delay_ms = if is_read || !goes_first { 0.0 } else { part_ms };
+    let before_ms = (all_ms - expected_ms.max(read_ms)).max(0.0);
+    let after_ms = (all_ms + part_ms - expected_ms.max(read_ms + delay_ms)).max(0.0);
+    let token_ms = (all_ms + part_ms) / (tokens + part.tokens).max(1.0);
+    let most_ms = setting.spec.pass_read_tokens() as f64 * token_ms;
+    let late = |unread_ms: f64| {
+        let pause_ms = load.base_ms(setting.spec) + unread_ms.min(most_ms);
+        lateness(pause_ms, waiting.pause_limit_ms)
+    };
+    waiting.value * (late(after_ms) - late(before_ms))
 }
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -101,6 +101,7 @@
             slack_ms: i32::try_from(ask.slack_ms).unwrap_or(0),
             reserved: shape.reserved,
             goes_first: choice.goes_first,
+            first_event_ms: choice.first_event_ms as u32,
         };
         self.count_placed(now, &spec, placed.clone());
         self.news.of(group).placed.push(placed.clone());
--- a/crates/serving/tests/serving/fixture.rs
+++ b/crates/serving/tests/serving/fixture.rs
@@ -185,5 +185,6 @@
         slack_ms: 300,
         reserved: None,
         goes_first: false,
+        first_event_ms: 0,
     }
 }
--- /dev/null
+++ b/crates/serving/tests/serving/pauses.rs
@@ -0,0 +1,103 @@
+//! Pauses that a prompt makes others suffer, by the loads that cause them.
+
+use {
+    super::fixture::{GROUP, START, placed, spec},
+    whinlatch_core::MonoMs,
+    whinlatch_serving::{
+        engines::EngineLoads,
+        fleet::Placed,
+        mechanism::Without,
+        names::TargetId,
+        placement::{Candidate, Choice, PromptShape, choose},
+    },
+};
+
+/// Engines that read an audit, of which the first one answers.
+const READERS: usize = 8;
+
+fn engine_id(number: usize) -> TargetId {
+    format!("e-{number:02}").into()
+}
+
+/// An audit whose first event is expected 3 s from `START`, after one of its engines has been slow: the
+/// others are through 2 s from `START`. Four further engines read short parts for others.
+fn audit_about_to_begin() -> EngineLoads {
+    let mut loads = EngineLoads::default();
+    let audit = Placed {
+        engines: (0..READERS).map(engine_id).collect(),
+        pause_limit_ms: 1_000,
+        slack_ms: 4_000,
+        goes_first: true,
+        first_event_ms: 3_000,
+        ..placed(1, "e-00", 300_000)
+    };
+    loads.placed(START, &spec(), GROUP, audit);
+    let now = START + 2_500;
+    for number in READERS..READERS + 4 {
+        let reply = Placed {
+            first_event_ms: 300,
+            ..placed(number as u64, &engine_id(number), 30_000)
+        };
+        loads.placed(now, &spec(), GROUP, reply);
+    }
+    let all: Vec<TargetId> = (0..READERS + 4).map(engine_id).collect();
+    loads.advance(now, &spec(), &all);
+    loads
+}
+
+/// Chooses between the engine that is to answer the audit and the four that read for others.
+fn choose_beside(loads: &EngineLoads, now: MonoMs, prompt_tokens: u64, slack_ms: f64) -> Choice {
+    let shape = PromptShape {
+        prompt_tokens,
+        answer_tokens: 600,
+        slack_ms,
+        pause_limit_ms: 1_000.0,
+        patience_ms: 12_000.0,
+        reserved: None,
+        used: 0.3,
+        is_blind: false,
+        without: Without::default(),
+    };
+    let candidates: Vec<Candidate<'_>> = std::iter::once(0)
+        .chain(READERS..READERS + 4)
+        .map(|number| Candidate {
+            liking: 0.5,
+            load: loads.get(&engine_id(number)).unwrap(),
+        })
+        .collect();
+    choose(now, &spec(), &shape, &candidates).unwrap()
+}
+
+/// An audit begins in time and pauses for two seconds. The engine that answers it was through with its
+/// part while others still read theirs, looked idle, and was given a part of the next audit, which it
+/// reads beside the first one's second event.
+#[test]
+fn the_engine_that_is_about_to_answer_gets_no_long_part() {
+    let loads = audit_about_to_begin();
+
+    let choice = choose_beside(&loads, START + 2_500, 300_000, 3_500.0);
+
+    assert!(!choice.engines.contains(&0), "{choice:?}");
+}
+
+/// The other way round: a part that is read before the audit begins pauses nobody, and leaving the
+/// engine idle would only make a reply wait behind others.
+#[test]
+fn the_engine_that_is_about_to_answer_reads_what_it_can_until_then() {
+    let loads = audit_about_to_begin();
+
+    let choice = choose_beside(&loads, START + 2_500, 20_000, 300.0);
+
+    assert!(choice.engines.contains(&0), "{choice:?}");
+}
+
+/// The news that an audit has begun takes a moment, and so may its first event: what comes in that
+/// moment is read beside its second one.
+#[test]
+fn an_audit_that_is_overdue_may_begin_at_any_moment() {
+    let loads = audit_about_to_begin();
+
+    let choice = choose_beside(&loads, START + 3_100, 300_000, 3_500.0);
+
+    assert!(!choice.engines.contains(&0), "{choice:?}");
+}
