--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -19,6 +19,8 @@
     Exposure,
     /// A prompt's own first pause counts.
     OwnPause,
+    /// A longer first pause of prompts that have yet to begin counts.
+    FirstPauses,
     /// What is likely to be in time counts as less than what is sure to be.
     Risk,
     /// What prompts that wait lose by being delayed counts.
@@ -42,7 +44,7 @@
 
 impl Mechanism {
     /// All of them, in the order of their names on the pages.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -50,6 +52,7 @@
         Self::Packing,
         Self::Exposure,
         Self::OwnPause,
+        Self::FirstPauses,
         Self::Risk,
         Self::Delays,
         Self::Spreading,
@@ -69,6 +72,7 @@
             Self::Packing => "packing",
             Self::Exposure => "exposure",
             Self::OwnPause => "own-pause",
+            Self::FirstPauses => "first-pauses",
             Self::Risk => "risk",
             Self::Delays => "delays",
             Self::Spreading => "spreading",
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -2,7 +2,10 @@
 
 mod answering;
 mod choose;
+mod division;
+mod pauses;
 mod prompt_shape;
+mod setting;
 mod share;
 mod value;
 
--- a/crates/serving/src/placement/answering.rs
+++ b/crates/serving/src/placement/answering.rs
@@ -1,12 +1,7 @@
 //! What it costs that one engine answers: its writing beside what others read and write there.
 
 use {
-    super::{
-        PromptShape, lateness,
-        share::{OwnPart, Setting},
-        value::LATE_LOSS,
-        value_of,
-    },
+    super::{PromptShape, setting::Setting, value_of},
     crate::{engines::EngineLoad, mechanism::Mechanism},
 };
 
@@ -40,29 +35,6 @@
     load.running() < spec.slots as usize && load.memory_tokens + tokens <= spec.memory_tokens
 }
 
-/// What a prompt loses by its own first pause: what its engine has still to read for others when
-/// its first event comes is read beside its next one.
-///
-/// The load that this answers: bursts of long prompts, whose parts are read newest first. A prompt
-/// that comes in time overtakes older parts, and is paused by them for seconds.
-pub fn pause_loss(setting: Setting<'_>, load: &EngineLoad, part: OwnPart, finish_ms: f64) -> f64 {
-    let Setting { spec, shape, .. } = setting;
-    let (tokens, waiting_ms) = load.waiting_tokens();
-    if waiting_ms <= 0.0 || !shape.without.has(Mechanism::OwnPause) {
-        return 0.0;
-    }
-    let room_tokens = spec.pass_read_tokens() as f64;
-    let left = if load.writers.is_empty() {
-        let part_ms = part.ms * load.pace;
-        ((waiting_ms + part_ms - finish_ms) / waiting_ms).clamp(0.0, 1.0)
-    } else {
-        (1.0 - (room_tokens - part.tokens).max(0.0) / tokens.max(1.0)).max(0.0)
-    };
-    let read_ms = left * waiting_ms * (room_tokens / (left * tokens).max(1.0)).min(1.0);
-    let pause_ms = load.base_ms(spec) + read_ms;
-    LATE_LOSS * value_of(shape.prompt_tokens) * lateness(pause_ms, shape.pause_limit_ms)
-}
-
 /// What a stream with a middling pause loses by being written where long prompts are read.
 ///
 /// The load that this answers: bursts of long prompts, two of whose parts in one pass are more than
--- a/crates/serving/src/placement/share.rs
+++ b/crates/serving/src/placement/share.rs
@@ -1,55 +1,21 @@
 //! What one part of a prompt costs those that are at work on its engine.
 
 use {
-    super::{PromptShape, lateness, value_of},
-    crate::{catalog::EngineSpec, engines::EngineLoad, fleet::JobId, mechanism::Mechanism},
-    whinlatch_core::MonoMs,
+    super::{
+        lateness,
+        pauses::{first_pauses_loss, writers_loss},
+        setting::Setting,
+    },
+    crate::{engines::EngineLoad, fleet::JobId, mechanism::Mechanism},
 };
 
 /// Reading of a whole prompt from which the engine that answers is asked for a place for its part, in
 /// ms. It takes two orders and more, which are priced; shorter prompts are read within a pass or two
 /// whatever their place.
 const PLACE_FROM_MS: f64 = 150.0;
-/// Share of its value that an answer loses, on its way to being late, by what can't be foreseen:
-/// a prompt that comes later and is read ahead, an engine that is slower than it was.
-const RISK: f64 = 0.15;
 /// Time for a request and its first event to cross the network, in ms.
 const CROSSING_MS: f64 = 8.0;
 
-/// What is the same for all engines in a choice.
-#[derive(Debug, Clone, Copy)]
-pub struct Setting<'a> {
-    /// The moment of the choice.
-    pub now: MonoMs,
-    /// What is published of the engines.
-    pub spec: &'a EngineSpec,
-    /// What is asked of them.
-    pub shape: &'a PromptShape,
-}
-
-impl Setting<'_> {
-    /// What a prompt loses by an engine that failed others of late.
-    ///
-    /// Guards against an engine that says that it is well and fails what it gets: it is always idle, so
-    /// that it would be the best place for each prompt in turn. Being a loss beside others it only moves
-    /// prompts to better engines, and none is refused where all engines fail some.
-    pub fn failed_loss(self, load: &EngineLoad) -> f64 {
-        if !self.shape.without.has(Mechanism::Failures) {
-            return 0.0;
-        }
-        value_of(self.shape.prompt_tokens) * load.failures.at(self.now)
-    }
-
-    /// Share of its value by which what is likely to be in time counts as less than what is sure to be.
-    pub fn risk(self) -> f64 {
-        if self.shape.without.has(Mechanism::Risk) {
-            RISK
-        } else {
-            0.0
-        }
-    }
-}
-
 /// The part that each engine would read.
 #[derive(Debug, Clone, Copy)]
 pub struct OwnPart {
@@ -127,36 +93,9 @@
     part: OwnPart,
     goes_first: bool,
 ) -> Share {
-    let Setting { now, spec, .. } = setting;
     let part_ms = part.ms * load.pace;
-    let queue_ms = load.queue_ms(goes_first);
-    let (tokens, all_ms) = load.waiting_tokens();
-    let base_ms = load.base_ms(spec);
-    let room_tokens = spec.pass_read_tokens() as f64;
-    let in_one_pass = |tokens: f64, ms: f64| ms * (room_tokens / tokens.max(1.0)).min(1.0);
-    let pause_before_ms = base_ms + in_one_pass(tokens, all_ms);
-    let pause_after_ms = base_ms + in_one_pass(tokens + part.tokens, all_ms + part_ms);
-    let finish_ms = if load.writers.is_empty() {
-        queue_ms + part_ms
-    } else if goes_first {
-        load.pass_left_ms(now) + pause_after_ms
-    } else {
-        let passes = ((tokens + part.tokens) / room_tokens).ceil().max(1.0);
-        load.pass_left_ms(now) + queue_ms + part_ms + passes * base_ms
-    };
-    let begin_paused: f64 = (0..load.parts.len())
-        .map(|place| first_pause_loss(setting, load, place, part, goes_first))
-        .sum();
-    let paused: f64 = load
-        .writers
-        .iter()
-        .filter(|writer| !writer.is_late)
-        .map(|writer| {
-            let before = lateness(pause_before_ms, writer.pause_limit_ms);
-            let after = lateness(pause_after_ms, writer.pause_limit_ms);
-            writer.value * (after - before)
-        })
-        .sum();
+    let paused =
+        writers_loss(setting, load, part) + first_pauses_loss(setting, load, part, goes_first);
     let delays = (0..load.parts.len())
         .map(|place| Delay {
             job: load.parts[place].job,
@@ -166,14 +105,35 @@
         .collect();
     Share {
         place,
-        finish_ms: finish_ms + CROSSING_MS,
-        paused: paused + begin_paused,
+        finish_ms: finish_ms(setting, load, part, goes_first) + CROSSING_MS,
+        paused,
         delays,
     }
 }
 
+/// When an engine has read a part that comes now, in ms.
+fn finish_ms(setting: Setting<'_>, load: &EngineLoad, part: OwnPart, goes_first: bool) -> f64 {
+    let Setting { now, spec, .. } = setting;
+    let part_ms = part.ms * load.pace;
+    let queue_ms = load.queue_ms(goes_first);
+    if load.writers.is_empty() {
+        return queue_ms + part_ms;
+    }
+    let (tokens, waiting_ms) = load.waiting_tokens();
+    let room_tokens = spec.pass_read_tokens() as f64;
+    let all_tokens = tokens + part.tokens;
+    let pass_left_ms = load.pass_left_ms(now);
+    let base_ms = load.base_ms(spec);
+    if goes_first {
+        let read_ms = (waiting_ms + part_ms) * (room_tokens / all_tokens.max(1.0)).min(1.0);
+        return pass_left_ms + base_ms + read_ms;
+    }
+    let passes = (all_tokens / room_tokens).ceil().max(1.0);
+    pass_left_ms + queue_ms + part_ms + passes * base_ms
+}
+
 /// What a prompt that waits on an engine loses by a part that comes now: its first event comes
-/// later if the part is read ahead of it or in the same pass, else its first pause is longer.
+/// later if the part is read ahead of it or in the same pass.
 fn delay_loss(
     setting: Setting<'_>,
     load: &EngineLoad,
@@ -196,37 +156,3 @@
     }
     0.0
 }
-
-/// What a prompt that has yet to begin loses by a longer first pause: what its engine has still to
-/// read for others when its first event comes is read beside the next one.
-///
-/// The load that this answers: bursts of long prompts, each read by many engines. The engine that
-/// answers is through with its part long before the others, looks idle, and is given parts of the
-/// next prompts; these pause the answer for seconds once it begins.
-fn first_pause_loss(
-    setting: Setting<'_>,
-    load: &EngineLoad,
-    place: usize,
-    part: OwnPart,
-    goes_first: bool,
-) -> f64 {
-    let waiting = &load.parts[place];
-    if waiting.is_helper {
-        return 0.0;
-    }
-    let part_ms = part.ms * load.pace;
-    let (tokens, all_ms) = load.waiting_tokens();
-    let expected_ms = waiting.begins_at.since(setting.now) as f64;
-    let is_read = waiting.left_ms <= 0.0;
-    let read_ms = if is_read { 0.0 } else { load.ends_in_ms(place) };
-    let delay_ms = if is_read || !goes_first { 0.0 } else { part_ms };
-    let before_ms = (all_ms - expected_ms.max(read_ms)).max(0.0);
-    let after_ms = (all_ms + part_ms - expected_ms.max(read_ms + delay_ms)).max(0.0);
-    let token_ms = (all_ms + part_ms) / (tokens + part.tokens).max(1.0);
-    let most_ms = setting.spec.pass_read_tokens() as f64 * token_ms;
-    let late = |unread_ms: f64| {
-        let pause_ms = load.base_ms(setting.spec) + unread_ms.min(most_ms);
-        lateness(pause_ms, waiting.pause_limit_ms)
-    };
-    waiting.value * (late(after_ms) - late(before_ms))
-}
