--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -22,6 +22,7 @@
 mod routing;
 mod run;
 mod store;
+mod stream_events;
 mod stream_relay;
 mod target_connection;
 mod target_pool;
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -1,4 +1,4 @@
-//! Prompts: events are passed on as they come, and another engine resumes a stream that breaks.
+//! Prompts: an engine is found and asked, and another one resumes a stream that breaks.
 
 use {
     super::{
@@ -9,7 +9,7 @@
         entry_state::EntryState,
         event_splitter::EventSplitter,
         exchange::Ended,
-        http::{BodyDecoder, Progress, ResponseHead},
+        http::ResponseHead,
         job_guard::JobGuard,
         placing::place,
         request_context::RequestContext,
@@ -18,13 +18,13 @@
     },
     crate::clock::timeout,
     futures::{
-        future::{Either, pending, select},
+        future::{Either, select},
         pin_mut,
     },
-    std::{io, sync::Arc},
+    std::sync::Arc,
     whinlatch_core::MonoMs,
     whinlatch_platform::TargetHead,
-    whinlatch_serving::{PromptAsk, PromptPlace, Refusal, names::TargetId, targets::TargetEntry},
+    whinlatch_serving::{PromptAsk, PromptPlace, Refusal, names::TargetId},
 };
 
 /// Engines that are asked for a connection before a prompt is given up.
@@ -34,10 +34,7 @@
 const FIRST_EVENT_GRACE_MS: u64 = 1_800;
 /// Pause between events after which an engine is given up, in ms: a pass that reads parts of several
 /// long prompts takes up to three seconds, and is no failure.
-const MOST_PAUSE_MS: u64 = 5_000;
-/// Silence of an engine after which it counts whether it can be reached, in ms: over the longest
-/// pass that is on time for short streams.
-const UNREACHABLE_LOOK_MS: u64 = 700;
+pub(super) const MOST_PAUSE_MS: u64 = 5_000;
 /// Tenths of a caller's patience for which a first event is awaited at least, so that another
 /// engine can still give it in time.
 const PATIENCE_USED: u64 = 6;
@@ -45,7 +42,7 @@
 const ASSUMED_ANSWER_TOKENS: u32 = 600;
 
 /// How an attempt ended that wasn't in vain.
-enum StreamEnd {
+pub(super) enum StreamEnd {
     /// All events were passed on.
     Whole,
     /// The engine answered with a failure of its own.
@@ -55,13 +52,13 @@
 }
 
 /// A stream on its way to the caller, over all attempts.
-struct Relay<'a> {
-    state: &'a Arc<EntryState>,
-    context: &'a RequestContext,
-    answer: &'a CallerAnswer<'a>,
-    splitter: EventSplitter,
-    first_event_at: Option<MonoMs>,
-    last_event_at: MonoMs,
+pub(super) struct Relay<'a> {
+    pub(super) state: &'a Arc<EntryState>,
+    pub(super) context: &'a RequestContext,
+    pub(super) answer: &'a CallerAnswer<'a>,
+    pub(super) splitter: EventSplitter,
+    pub(super) first_event_at: Option<MonoMs>,
+    pub(super) last_event_at: MonoMs,
     runs: u32,
 }
 
@@ -122,38 +119,39 @@
     }
 
     async fn place(&self, tried: &[TargetId]) -> Result<(PromptPlace, JobGuard<'a>), Refusal> {
+        let ask = self.prompt_ask(tried).ok_or(Refusal::NoTarget)?;
+        place(self.state, &ask).await
+    }
+
+    /// What is asked of the engines now; `None` if the caller doesn't say what its prompt is.
+    fn prompt_ask(&self, tried: &[TargetId]) -> Option<PromptAsk> {
         let now = self.state.now();
-        let context = self.context;
-        let prompt = context.caller.prompt.ok_or(Refusal::NoTarget)?;
+        let Relay {
+            context, answer, ..
+        } = self;
+        let prompt = context.caller.prompt?;
         let most = prompt.most_answer_tokens;
-        let answer_tokens = prompt
-            .answer_hint_tokens
-            .unwrap_or(ASSUMED_ANSWER_TOKENS)
-            .min(most.max(1));
+        let hint = prompt.answer_hint_tokens.unwrap_or(ASSUMED_ANSWER_TOKENS);
         let pause_limit_ms = context.route.pause_limit_ms.unwrap_or(MOST_PAUSE_MS);
-        let limit_ms = match self.first_event_at {
-            Some(_) => pause_limit_ms,
-            None => context.route.objective_ms,
+        let (since, limit_ms) = match self.first_event_at {
+            Some(_) => (self.last_event_at, pause_limit_ms),
+            None => (context.arrived, context.route.objective_ms),
         };
-        let since = match self.first_event_at {
-            Some(_) => self.last_event_at,
-            None => context.arrived,
-        };
-        let ask = PromptAsk {
+        let passed_ms = now.since(since);
+        let patience_ms = context.route.patience_ms.saturating_sub(passed_ms);
+        Some(PromptAsk {
             service: context.service.clone(),
             fingerprint: context.fingerprint,
             prompt_tokens: prompt.prompt_tokens,
-            answer_tokens,
+            answer_tokens: hint.min(most.max(1)),
             most_answer_tokens: most,
-            slack_ms: limit_ms.cast_signed() - now.since(since).cast_signed(),
+            slack_ms: limit_ms.cast_signed() - passed_ms.cast_signed(),
             pause_limit_ms,
-            patience_ms: (context.route.patience_ms.saturating_sub(now.since(since)))
-                .min(context.due.since(now)),
+            patience_ms: patience_ms.min(context.due.since(now)),
             tried: tried.to_vec(),
-            is_resumed: self.answer.has_begun(),
-            is_repeat: self.answer.progress().sends > 0,
-        };
-        place(self.state, &ask).await
+            is_resumed: answer.has_begun(),
+            is_repeat: answer.progress().sends > 0,
+        })
     }
 
     fn note_engine_failed(&self, place: &PromptPlace) {
@@ -249,7 +247,7 @@
     }
 
     /// Whether a further engine may take the prompt if this attempt comes to nothing.
-    fn has_another_attempt(&self) -> bool {
+    pub(super) fn has_another_attempt(&self) -> bool {
         let route = &self.context.route;
         route.repeat.is_idempotent() && self.runs + 1 < route.max_attempts
     }
@@ -275,137 +273,6 @@
             weighed: Some(place.weighed),
         });
     }
-
-    async fn relay(
-        &mut self,
-        place: &PromptPlace,
-        mut connection: TargetConnection,
-        head: ResponseHead,
-        first_event_by: MonoMs,
-    ) -> Result<StreamEnd, AttemptFault> {
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut has_begun = false;
-        loop {
-            let wait_ms = if has_begun {
-                self.next_event_wait_ms()
-            } else {
-                first_event_by.since(self.state.now())
-            };
-            let progress = self
-                .receive(place, &mut connection, &mut decoder, wait_ms)
-                .await?;
-            let events = self.take_events(progress);
-            if !events.is_empty() {
-                self.note_event(place, !std::mem::replace(&mut has_begun, true));
-                if self.deliver(&head, &events).await.is_err() {
-                    return Ok(StreamEnd::CallerGone);
-                }
-            }
-            if progress == Progress::Whole {
-                if self.finish(&head).await.is_err() {
-                    return Ok(StreamEnd::CallerGone);
-                }
-                self.keep(place, connection, &head);
-                return Ok(StreamEnd::Whole);
-            }
-        }
-    }
-
-    /// Receives more of the stream, unless the engine is silent for too long or out of reach.
-    async fn receive(
-        &mut self,
-        place: &PromptPlace,
-        connection: &mut TargetConnection,
-        decoder: &mut BodyDecoder,
-        wait_ms: u64,
-    ) -> Result<Progress, AttemptFault> {
-        let may_move = self.has_another_attempt();
-        let more = connection.body(decoder, self.splitter.buffer());
-        let awaited = timeout(self.state.clock.as_ref(), wait_ms, more);
-        let lost = until_to_move(self.state, &place.engine, may_move);
-        pin_mut!(awaited, lost);
-        match select(awaited, lost).await {
-            Either::Left((progress, _)) => Ok(progress.ok_or(AttemptFault::Silent)??),
-            Either::Right(((), _)) => Err(AttemptFault::Silent),
-        }
-    }
-
-    /// Time for which a further event is awaited, in ms.
-    fn next_event_wait_ms(&self) -> u64 {
-        if self.has_another_attempt() {
-            return MOST_PAUSE_MS;
-        }
-        self.context.due.since(self.state.now())
-    }
-
-    fn take_events(&mut self, progress: Progress) -> Vec<u8> {
-        let mut events = self.splitter.take_whole().unwrap_or_default();
-        if progress == Progress::Whole {
-            events.extend(self.splitter.take_rest().unwrap_or_default());
-        }
-        events
-    }
-
-    fn keep(&self, place: &PromptPlace, connection: TargetConnection, head: &ResponseHead) {
-        if head.is_kept {
-            let now = self.state.now();
-            let address = place.engine.address;
-            self.state.pool.put(now, address, connection, head.keep_ms);
-        }
-    }
-
-    /// Notes an event; `is_first` if it is the first one of this attempt.
-    fn note_event(&mut self, place: &PromptPlace, is_first: bool) {
-        let now = self.state.now();
-        {
-            let mut serving = self.state.serving();
-            if is_first {
-                serving.prompt_begun(now, place.job);
-            }
-            serving.event_seen(now, &place.engine);
-        }
-        if self.first_event_at.is_some() {
-            self.answer.note_pause(now.since(self.last_event_at));
-        } else {
-            self.first_event_at = Some(now);
-            let took_ms = now.since(self.context.arrived);
-            self.state.metrics.note_first_event(took_ms);
-            self.answer.note_first_event(took_ms);
-        }
-        self.last_event_at = now;
-    }
-
-    async fn deliver(&self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
-        if self.answer.has_begun() {
-            self.answer.events(events).await
-        } else {
-            self.answer.begin(head, events).await
-        }
-    }
-
-    async fn finish(&self, head: &ResponseHead) -> io::Result<()> {
-        if !self.answer.has_begun() {
-            self.answer.begin(head, &[]).await?;
-        }
-        self.answer.end().await
-    }
-}
-
-/// Ends when nothing came from an engine for a while, some instance could not reach it, and another
-/// one can take the stream.
-///
-/// Guards against an engine that has lost power: its open connections stay as they are, and a
-/// caller waits for events until it gives up.
-async fn until_to_move(state: &EntryState, engine: &TargetEntry, may_move: bool) {
-    if !may_move {
-        return pending().await;
-    }
-    loop {
-        state.clock.sleep(UNREACHABLE_LOOK_MS).await;
-        if state.serving().is_to_move(state.now(), engine) {
-            return;
-        }
-    }
 }
 
 async fn failure(
