--- a/crates/serving/src/placement/division.rs
+++ b/crates/serving/src/placement/division.rs
@@ -81,12 +81,13 @@
 
     /// The engines that help; `None` if there are too few.
     fn best_helpers(&self, first: &Share) -> Option<Vec<Share>> {
-        let mut shares = self.shares_of_helpers(first);
-        if shares.len() + 1 < self.degree {
+        let mut ranked = self.ranked_helpers(first);
+        if ranked.len() + 1 < self.degree {
             return None;
         }
-        shares.sort_by(|left, right| self.rank(left).total_cmp(&self.rank(right)));
-        shares.truncate(self.degree - 1);
+        ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
+        ranked.truncate(self.degree - 1);
+        let mut shares: Vec<Share> = ranked.into_iter().map(|(_loss, share)| share).collect();
         let Some(reserved) = self.setting.shape.reserved else {
             return Some(shares);
         };
@@ -94,21 +95,24 @@
             .then_some(shares)
     }
 
-    fn shares_of_helpers(&self, first: &Share) -> Vec<Share> {
+    /// Those that may help, and what is lost by each.
+    fn ranked_helpers(&self, first: &Share) -> Vec<(f64, Share)> {
         let slots = self.setting.spec.slots as usize;
         self.candidates
             .iter()
             .enumerate()
             .filter(|(place, candidate)| *place != first.place && candidate.load.helping < slots)
-            .map(|(place, candidate)| share(self.setting, candidate.load, place, self.part, true))
+            .map(|(place, candidate)| self.as_helper(place, candidate))
             .collect()
     }
 
-    /// What is lost by a helper; the lowest rank is the best.
-    fn rank(&self, share: &Share) -> f64 {
-        let failed = self.setting.failed_loss(self.candidates[share.place].load);
-        let own = self.setting.own_loss(share.finish_ms);
-        share.harm() + failed + own / self.degree as f64
+    /// What is lost if an engine helps, and its share.
+    fn as_helper(&self, place: usize, candidate: &Candidate<'_>) -> (f64, Share) {
+        let Self { setting, part, .. } = *self;
+        let helper = share(setting, candidate.load, place, part, true);
+        let failed = setting.failed_loss(candidate.load);
+        let own = setting.own_loss(helper.finish_ms) / self.degree as f64;
+        (helper.harm() + failed + own, helper)
     }
 
     /// Puts those with the most free memory first. Returns whether enough of them have room for what
