--- a/crates/serving/src/placement/share.rs
+++ b/crates/serving/src/placement/share.rs
@@ -113,23 +113,22 @@
 
 /// When an engine has read a part that comes now, in ms.
 fn finish_ms(setting: Setting<'_>, load: &EngineLoad, part: OwnPart, goes_first: bool) -> f64 {
-    let Setting { now, spec, .. } = setting;
     let part_ms = part.ms * load.pace;
-    let queue_ms = load.queue_ms(goes_first);
     if load.writers.is_empty() {
-        return queue_ms + part_ms;
+        return load.queue_ms(goes_first) + part_ms;
     }
     let (tokens, waiting_ms) = load.waiting_tokens();
-    let room_tokens = spec.pass_read_tokens() as f64;
-    let all_tokens = tokens + part.tokens;
-    let pass_left_ms = load.pass_left_ms(now);
-    let base_ms = load.base_ms(spec);
-    if goes_first {
-        let read_ms = (waiting_ms + part_ms) * (room_tokens / all_tokens.max(1.0)).min(1.0);
-        return pass_left_ms + base_ms + read_ms;
-    }
-    let passes = (all_tokens / room_tokens).ceil().max(1.0);
-    pass_left_ms + queue_ms + part_ms + passes * base_ms
+    let room_tokens = setting.spec.pass_read_tokens() as f64;
+    let ahead_tokens = if goes_first { 0.0 } else { tokens };
+    let passes = ((ahead_tokens + part.tokens) / room_tokens).ceil().max(1.0);
+    let others_ms = if goes_first {
+        // What waits is read in the room that the part leaves in its last pass.
+        let left_tokens = passes * room_tokens - part.tokens;
+        waiting_ms * (left_tokens / tokens.max(1.0)).min(1.0)
+    } else {
+        waiting_ms
+    };
+    load.pass_left_ms(setting.now) + passes * load.base_ms(setting.spec) + others_ms + part_ms
 }
 
 /// What a prompt that waits on an engine loses by a part that comes now: its first event comes
