--- a/crates/serving/src/placement/share.rs
+++ b/crates/serving/src/placement/share.rs
@@ -10,7 +10,7 @@
 };
 
 /// Reading of a whole prompt from which the engine that answers is asked for a place for its part, in
-/// ms. It takes two orders and more, which are priced; shorter prompts are read within a pass or two
+/// ms. It takes two calls of the engine and more; shorter prompts are read within a pass or two
 /// whatever their place.
 const PLACE_FROM_MS: f64 = 150.0;
 /// Time for a request and its first event to cross the network, in ms.
