--- a/crates/serving/tests/serving/fixture.rs
+++ b/crates/serving/tests/serving/fixture.rs
@@ -7,7 +7,9 @@
         PromptAsk, PromptPlace, Refusal, Serving,
         catalog::{Configuration, EngineSpec, Limits, Service},
         fleet::{EngineGroup, JobId, Member, Placed},
+        mechanism::Without,
         names::ServiceName,
+        placement::PromptShape,
         retries::FleetBudgetRule,
         targets::{TargetChange, TargetEntry, TargetState},
     },
@@ -188,3 +190,18 @@
         first_event_ms: 0,
     }
 }
+
+/// A prompt that has so much time, while the engines have little to do.
+pub fn shape(prompt_tokens: u64, slack_ms: f64) -> PromptShape {
+    PromptShape {
+        prompt_tokens,
+        answer_tokens: 600,
+        slack_ms,
+        pause_limit_ms: 1_000.0,
+        patience_ms: 12_000.0,
+        reserved: None,
+        used: 0.3,
+        is_blind: false,
+        without: Without::default(),
+    }
+}
