--- a/crates/daemon/src/app/args.rs
+++ b/crates/daemon/src/app/args.rs
@@ -10,6 +10,9 @@
     /// Switch off a part of the decisions, to measure what it is worth; only with --platform
     #[bpaf(argument("MECHANISM"), many)]
     pub without: Vec<Mechanism>,
+    /// Port of the counters, in place of the first one of the instance's own range; only with --platform
+    #[bpaf(argument("PORT"), optional)]
+    pub metrics_port: Option<u16>,
     /// Check the settings and end
     pub check: bool,
 }
--- a/crates/daemon/src/app/run.rs
+++ b/crates/daemon/src/app/run.rs
@@ -6,7 +6,8 @@
     },
     crate::{
         clock::{Clock, SystemClock, timeout},
-        conf, entry,
+        conf,
+        entry::{self, EntryOptions},
         errors::DaemonError,
         logs,
     },
@@ -30,8 +31,13 @@
 fn start(args: Args) -> Result<(), DaemonError> {
     match args.source {
         Source::File { .. } if !args.without.is_empty() => Err(DaemonError::Without),
+        Source::File { .. } if args.metrics_port.is_some() => Err(DaemonError::MetricsPort),
         Source::File { settings } => start_by_records(&settings, args.check),
-        Source::Platform => entry::run(args.check, args.without.into_iter().collect()),
+        Source::Platform => entry::run(&EntryOptions {
+            check: args.check,
+            without: args.without.into_iter().collect(),
+            metrics_port: args.metrics_port,
+        }),
     }
 }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -16,6 +16,7 @@
 mod http;
 mod job_guard;
 mod links;
+mod own_call;
 mod placing;
 mod request_context;
 mod reservations;
@@ -29,5 +30,5 @@
 
 pub use {
     links::{DecodeFault, EncodeFault, decode_frame, encode_frame},
-    run::{Entry, run},
+    run::{Entry, EntryOptions, run},
 };
--- a/crates/daemon/src/entry/answers_whole.rs
+++ b/crates/daemon/src/entry/answers_whole.rs
@@ -149,7 +149,7 @@
     mut connection: TargetConnection,
     request: &[u8],
 ) -> Result<WholeAnswer, AttemptFault> {
-    let head = ask(&mut connection, context, request).await?;
+    let head = ask(state, target, &mut connection, context, request).await?;
     let body = connection.whole_body(&head).await?;
     if head.is_kept {
         let now = state.now();
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -126,10 +126,13 @@
 /// # Errors
 /// [`AttemptFault`].
 pub async fn ask(
+    state: &EntryState,
+    target: &TargetEntry,
     connection: &mut TargetConnection,
     context: &RequestContext,
     bytes: &[u8],
 ) -> Result<ResponseHead, AttemptFault> {
+    let sent_at = state.now();
     connection.send(bytes).await?;
     for _ in 0..=MOST_FOREIGN_ANSWERS {
         let head = connection.head(&context.head.method).await?;
@@ -141,6 +144,7 @@
             connection.whole_body(&head).await?;
             continue;
         }
+        state.note_answer(sent_at, &target.id, &answer.notice);
         if answer.is_not_run {
             return Err(AttemptFault::NotRun(NotRun {
                 status: head.status,
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -85,6 +85,17 @@
         /// Where it came from.
         source: &'static str,
     },
+    /// A target said something new of itself in an answer.
+    Noticed {
+        /// Its run.
+        target: String,
+        /// Requests a second that it takes from all instances together, if it names a limit.
+        limit_per_s: Option<f64>,
+        /// Whether it is about to leave.
+        is_leaving: bool,
+        /// Time for which it wants nothing from this instance, in ms.
+        retry_after_ms: Option<u64>,
+    },
     /// The process goes by a relay's reading of the store.
     Relayed {
         /// Where the relay links.
--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        attempt::{AttemptFault, connection},
+        attempt::AttemptFault,
         decision_line::Decision,
         entry_state::EntryState,
+        own_call::{OwnCall, own_call},
     },
     crate::clock::timeout,
     futures::future::join_all,
@@ -54,18 +55,7 @@
 }
 
 async fn ask(state: &EntryState, engine: &TargetEntry) -> Result<Vec<u8>, AttemptFault> {
-    let mut connection = connection(state, engine).await?;
-    let request = format!(
-        "GET {REPORT_PATH} HTTP/1.1\r\nHost: {}\r\n\r\n",
-        engine.address
-    );
-    let (head, body) = connection.exchange("GET", request.as_bytes()).await?;
-    if head.is_kept {
-        let now = state.now();
-        state
-            .pool
-            .put(now, engine.address, connection, head.keep_ms);
-    }
+    let (head, body) = own_call(state, engine, OwnCall::Ask(REPORT_PATH)).await?;
     if head.is_success() {
         Ok(body)
     } else {
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -1,6 +1,9 @@
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+use {
+    prometheus::{
+        Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+        Registry, TextEncoder,
+    },
+    whinlatch_serving::targets::TargetNotice,
 };
 
 /// Buckets of durations, in seconds: a small service call to the longest deadline.
@@ -19,6 +22,7 @@
     registry: Registry,
     requests: IntCounterVec,
     attempts_failed: IntCounterVec,
+    notices: IntCounterVec,
     durations: HistogramVec,
     first_events: Histogram,
     open_requests: IntGauge,
@@ -59,6 +63,13 @@
                 Opts::new("whinlatch_entry_attempts_failed_total", "Attempts in vain."),
                 &["may_have_run"],
             )?,
+            notices: IntCounterVec::new(
+                Opts::new(
+                    "whinlatch_entry_notices_total",
+                    "Answers in which a target says something of itself.",
+                ),
+                &["kind"],
+            )?,
             durations: HistogramVec::new(durations.buckets(BUCKETS_S.to_vec()), &["outcome"])?,
             first_events: Histogram::with_opts(first_events.buckets(BUCKETS_S.to_vec()))?,
             open_requests: IntGauge::new("whinlatch_entry_open_requests", "Requests at work.")?,
@@ -93,6 +104,7 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry
             .register(Box::new(self.attempts_failed.clone()))?;
+        self.registry.register(Box::new(self.notices.clone()))?;
         self.registry.register(Box::new(self.durations.clone()))?;
         self.registry
             .register(Box::new(self.first_events.clone()))?;
@@ -154,6 +166,20 @@
         self.attempts_failed.with_label_values(&[label]).inc();
     }
 
+    /// Counts what a target says of itself in an answer.
+    pub fn note_notice(&self, notice: &TargetNotice) {
+        let kinds = [
+            ("limit", notice.limit_per_s.is_some()),
+            ("leaving", notice.is_leaving),
+            ("retry_after", notice.retry_after_ms.is_some()),
+        ];
+        for (kind, is_said) in kinds {
+            if is_said {
+                self.notices.with_label_values(&[kind]).inc();
+            }
+        }
+    }
+
     /// Counts a read of the store that failed.
     pub fn note_store_failure(&self) {
         self.store_failures.inc();
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -13,7 +13,7 @@
     },
     whinlatch_core::MonoMs,
     whinlatch_platform::InstanceSettings,
-    whinlatch_serving::{Serving, fleet::Frame},
+    whinlatch_serving::{Serving, fleet::Frame, names::TargetId, targets::TargetNotice},
 };
 
 /// Time for which an instance counts as starting, in ms: as long as callers take to come back after
@@ -131,6 +131,20 @@
         }
     }
 
+    /// Takes in what a target says of itself in its answer to a request of `sent_at`.
+    pub fn note_answer(&self, sent_at: MonoMs, target: &TargetId, notice: &TargetNotice) {
+        self.metrics.note_notice(notice);
+        let is_news = self.serving().noticed(self.now(), sent_at, target, notice);
+        if is_news {
+            self.log(&Decision::Noticed {
+                target: target.to_string(),
+                limit_per_s: notice.limit_per_s,
+                is_leaving: notice.is_leaving,
+                retry_after_ms: notice.retry_after_ms,
+            });
+        }
+    }
+
     /// Writes a decision to the log.
     pub fn log(&self, decision: &Decision) {
         self.log.write(decision);
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -1,9 +1,10 @@
 use {
     super::{
-        attempt::{AttemptFault, connection},
+        attempt::AttemptFault,
         decision_line::Decision,
         engine_reports::report,
         entry_state::EntryState,
+        own_call::{OwnCall, own_call},
     },
     crate::{clock::timeout, entropy::random_u64},
     async_std::task,
@@ -217,37 +218,11 @@
 
 /// Gives an order. Returns the status of the answer.
 async fn order(state: &EntryState, engine: &TargetEntry, body: &[u8]) -> Result<u16, String> {
-    let answered = timeout(
-        state.clock.as_ref(),
-        ORDER_MS,
-        exchange(state, engine, body),
-    );
-    answered
+    let call = own_call(state, engine, OwnCall::Order(ORDER_PATH, body));
+    let answered = timeout(state.clock.as_ref(), ORDER_MS, call);
+    let (head, _body) = answered
         .await
         .ok_or_else(|| "no answer in time".to_owned())?
-        .map_err(|fault| fault.to_string())
-}
-
-async fn exchange(
-    state: &EntryState,
-    engine: &TargetEntry,
-    body: &[u8],
-) -> Result<u16, AttemptFault> {
-    let mut connection = connection(state, engine).await?;
-    let mut bytes = format!(
-        "POST {ORDER_PATH} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n\
-         Content-Length: {}\r\n\r\n",
-        engine.address,
-        body.len()
-    )
-    .into_bytes();
-    bytes.extend_from_slice(body);
-    let (head, _answer) = connection.exchange("POST", &bytes).await?;
-    if head.is_kept {
-        let now = state.now();
-        state
-            .pool
-            .put(now, engine.address, connection, head.keep_ms);
-    }
+        .map_err(|fault| fault.to_string())?;
     Ok(head.status)
 }
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -33,6 +33,17 @@
 /// Time before the kill at which the process ends, in ms.
 const END_MARGIN_MS: u64 = 300;
 
+/// How an entry instance is started.
+#[derive(Debug, Clone, Default)]
+pub struct EntryOptions {
+    /// Whether the settings are checked and nothing else is done.
+    pub check: bool,
+    /// Parts of the decisions that are switched off.
+    pub without: Without,
+    /// Port of the counters, in place of the one that the settings give.
+    pub metrics_port: Option<u16>,
+}
+
 /// A running entry instance. Dropped, it ends at once.
 #[derive(Debug)]
 pub struct Entry {
@@ -172,8 +183,8 @@
         });
     }
 
-    fn read_again(&self) {
-        match load() {
+    fn read_again(&self, options: &EntryOptions) {
+        match load(options) {
             Ok(settings) => self.reload(&settings),
             Err(fault) => self.state.log(&Decision::Reloaded {
                 outcome: fault.to_string(),
@@ -198,38 +209,42 @@
     }
 }
 
-fn load() -> Result<InstanceSettings, DaemonError> {
+fn load(options: &EntryOptions) -> Result<InstanceSettings, DaemonError> {
     let path = env::var_os(SETTINGS_VARIABLE)
         .map(PathBuf::from)
         .ok_or(DaemonError::NoSettings(SETTINGS_VARIABLE))?;
     let text =
         fs::read_to_string(&path).map_err(|source| DaemonError::Unreadable { path, source })?;
-    Ok(read_settings(&text)?)
+    let mut settings = read_settings(&text)?;
+    if let Some(port) = options.metrics_port {
+        settings.metrics_address.set_port(port);
+    }
+    Ok(settings)
 }
 
 /// Runs an entry instance until it is told to stop.
 ///
 /// # Errors
 /// It doesn't start.
-pub fn run(check: bool, without: Without) -> Result<(), DaemonError> {
-    let settings = load()?;
-    if check {
+pub fn run(options: &EntryOptions) -> Result<(), DaemonError> {
+    let settings = load(options)?;
+    if options.check {
         println!("the settings are good");
         return Ok(());
     }
     logs::set_up_lines()?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
-    task::block_on(serve(settings, clock, without))
+    task::block_on(serve(settings, clock, options))
 }
 
 async fn serve(
     settings: InstanceSettings,
     clock: Arc<dyn Clock>,
-    without: Without,
+    options: &EntryOptions,
 ) -> Result<(), DaemonError> {
     let signals = stop_signals()?;
     let entry = Entry::start(settings, Arc::clone(&clock)).await?;
-    entry.switch_off(without);
+    entry.switch_off(options.without);
     loop {
         let signalled = timeout(clock.as_ref(), REREAD_MS, signals.recv()).await;
         match signalled {
@@ -237,7 +252,7 @@
                 entry.leave().await;
                 return Ok(());
             }
-            Some(Ok(StopSignal::Reload)) | None => entry.read_again(),
+            Some(Ok(StopSignal::Reload)) | None => entry.read_again(options),
             Some(Err(_closed)) => return Ok(()),
         }
     }
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -212,7 +212,8 @@
     ) -> Result<StreamEnd, AttemptFault> {
         let wait_ms = self.first_event_wait_ms(place);
         let first_event_by = self.state.now() + wait_ms;
-        let asked = ask(&mut connection, self.context, request);
+        let engine = &place.engine;
+        let asked = ask(self.state, engine, &mut connection, self.context, request);
         let head = timeout(self.state.clock.as_ref(), wait_ms, asked)
             .await
             .ok_or(AttemptFault::Silent)??;
--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -13,6 +13,9 @@
     /// Parts of the decisions are to be switched off that don't decide here.
     #[error("--without is for the users' platform: leave it out, or give --platform")]
     Without,
+    /// A port is given for counters that aren't served here.
+    #[error("--metrics-port is for the users' platform: leave it out, or give --platform")]
+    MetricsPort,
     /// The settings can't be read.
     #[error("can't read the settings {path}: {source}: give a readable file with --settings")]
     Unreadable {
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -5,6 +5,7 @@
 mod configured;
 mod members;
 mod news;
+mod notices;
 mod peers;
 mod prompts;
 mod relaying;
@@ -24,7 +25,7 @@
         mechanism::Without,
         relays::{Followers, Following},
         retries::{CrashBook, FleetBudget, FleetBudgetRule},
-        targets::{CallLoads, TargetBook},
+        targets::{CallLoads, NoticeBook, TargetBook},
     },
     news::News,
     peers::Behind,
@@ -49,6 +50,7 @@
     targets: TargetBook,
     engines: EngineLoads,
     calls: CallLoads,
+    notices: NoticeBook,
     members: MemberBook,
     budget: FleetBudget,
     crashes: CrashBook,
@@ -91,6 +93,7 @@
             targets: TargetBook::default(),
             engines: EngineLoads::default(),
             calls: CallLoads::default(),
+            notices: NoticeBook::default(),
             members: MemberBook::default(),
             budget: FleetBudget::new(rule),
             crashes: CrashBook::default(),
@@ -170,6 +173,8 @@
         self.engines
             .forget_old(now, |id| targets.entry(id).is_some());
         self.calls.retain(|id| targets.entry(id).is_some());
+        self.notices
+            .forget_old(now, |id| targets.entry(id).is_some());
     }
 
     fn rank(&mut self, now: MonoMs) {
--- /dev/null
+++ b/crates/serving/src/serving/notices.rs
@@ -0,0 +1,21 @@
+//! What targets say of themselves in their answers.
+
+use {
+    super::Serving,
+    crate::{names::TargetId, targets::TargetNotice},
+    whinlatch_core::MonoMs,
+};
+
+impl Serving {
+    /// Takes in what a target says of itself in its answer to a request of `sent_at`. Returns whether
+    /// that is news.
+    pub fn noticed(
+        &mut self,
+        now: MonoMs,
+        sent_at: MonoMs,
+        target: &TargetId,
+        notice: &TargetNotice,
+    ) -> bool {
+        self.notices.answered(now, sent_at, target, notice)
+    }
+}
