--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -12,6 +12,8 @@
 mod fleet;
 #[path = "entry/frames.rs"]
 mod frames;
+#[path = "entry/limits.rs"]
+mod limits;
 #[path = "entry/published.rs"]
 mod published;
 #[path = "entry/streams.rs"]
