--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -17,6 +17,7 @@
 mod job_guard;
 mod links;
 mod own_call;
+mod permits;
 mod placing;
 mod request_context;
 mod reservations;
--- a/crates/daemon/src/entry/answers_whole.rs
+++ b/crates/daemon/src/entry/answers_whole.rs
@@ -8,6 +8,7 @@
         entry_state::EntryState,
         exchange::Ended,
         http::ResponseHead,
+        permits::may_send,
         request_context::RequestContext,
         target_connection::TargetConnection,
     },
@@ -61,9 +62,8 @@
             tried: &tried,
             is_repeat: answer.progress().sends > 0,
         };
-        let placed = state.serving().place_call(state.now(), &ask);
-        let target = match placed {
-            Ok(place) => place.target,
+        let target = match place(state, ask).await {
+            Ok(target) => target,
             Err(refusal) => return give_up(state, context, answer, refusal, failure).await,
         };
         let end = attempt(state, context, answer, &target).await;
@@ -97,6 +97,19 @@
     }
 }
 
+/// Chooses a target to which the call may be sent, and counts it as sent there.
+async fn place(state: &EntryState, mut ask: CallAsk<'_>) -> Result<TargetEntry, Refusal> {
+    loop {
+        let target = state.serving().place_call(state.now(), &ask)?.target;
+        if may_send(state, &target.id).await {
+            return Ok(target);
+        }
+        state.serving().call_withdrawn(&target.id);
+        // The budget has let this repeat through.
+        ask.is_repeat = false;
+    }
+}
+
 async fn attempt(
     state: &EntryState,
     context: &RequestContext,
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -96,6 +96,11 @@
         /// Time for which it wants nothing from this instance, in ms.
         retry_after_ms: Option<u64>,
     },
+    /// A request isn't sent to a target that takes no more now.
+    NotPermitted {
+        /// Its run.
+        target: String,
+    },
     /// The process goes by a relay's reading of the store.
     Relayed {
         /// Where the relay links.
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -2,6 +2,7 @@
 //! sends on them; what it hears comes over the links that the others open. One that breaks is opened
 //! anew and begins with all that the peer needs.
 
+mod awaiting;
 mod frame_codec;
 mod incoming;
 mod keeper;
--- a/crates/daemon/src/entry/links/incoming.rs
+++ b/crates/daemon/src/entry/links/incoming.rs
@@ -14,12 +14,13 @@
         tungstenite::{Error, Message},
     },
     futures::StreamExt,
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
     whinlatch_core::MonoMs,
     whinlatch_platform::read_configuration,
     whinlatch_serving::{
         Serving,
         fleet::{Frame, PlacementAnswer, PlacementAsk},
+        quotas::PermitAsk,
     },
 };
 
@@ -78,10 +79,14 @@
 
 fn take_frame(state: &EntryState, from: u64, mut frame: Frame) {
     if let Some(answer) = frame.answer.take() {
-        state.links.answered(answer);
+        state.links.placements.answered(&answer.job.clone(), answer);
+    }
+    if let Some(answer) = frame.permit_answer.take() {
+        state.links.permits.answered(&answer.number, answer);
     }
     let wants = frame.wants.take();
     let ask = frame.ask.take();
+    let permit_ask = frame.permit_ask.take();
     let now = state.now();
     let mut serving = state.serving();
     let before = serving.version();
@@ -95,14 +100,15 @@
     });
     let version = serving.version();
     let lacking = wants.map(|wants| (wants.reply_to, serving.reply_to(now, &wants)));
-    let answer = ask.map(|ask| (ask.reply_to, answer(&mut serving, now, &ask)));
+    let placed = ask.map(|ask| (ask.reply_to, answer(&mut serving, now, &ask)));
+    let granted = permit_ask.and_then(|ask| grant(&mut serving, now, &ask));
     drop(serving);
     state.note_published();
     state.metrics.note_told(changes.len());
     for change in &changes {
         state.log(&Decision::target(change, "peer"));
     }
-    for (to, frame) in lacking.into_iter().chain(answer) {
+    for (to, frame) in lacking.into_iter().chain(placed).chain(granted) {
         state.send(&[to], &frame);
     }
     if version != before {
@@ -111,6 +117,16 @@
     }
 }
 
+/// The answer to an ask for a permit, and where it goes.
+fn grant(serving: &mut Serving, now: MonoMs, ask: &PermitAsk) -> Option<(SocketAddr, Frame)> {
+    let permit_answer = serving.grant(now, ask);
+    let frame = Frame {
+        permit_answer,
+        ..Frame::default()
+    };
+    Some((ask.reply_to?, frame))
+}
+
 fn answer(serving: &mut Serving, now: MonoMs, ask: &PlacementAsk) -> Frame {
     let placement = serving.choose_engines(now, ask.job, ask.group, &ask.prompt);
     Frame {
--- a/crates/daemon/src/entry/links/peer_links.rs
+++ b/crates/daemon/src/entry/links/peer_links.rs
@@ -1,5 +1,8 @@
 use {
-    super::frame_codec::{EncodeFault, encode_frame},
+    super::{
+        awaiting::Awaiting,
+        frame_codec::{EncodeFault, encode_frame},
+    },
     async_channel::{Receiver, Sender, TrySendError},
     async_tungstenite::tungstenite::Bytes,
     std::{
@@ -7,7 +10,10 @@
         net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
     },
-    whinlatch_serving::fleet::{Frame, JobId, PlacementAnswer},
+    whinlatch_serving::{
+        fleet::{Frame, JobId, PlacementAnswer},
+        quotas::PermitAnswer,
+    },
 };
 
 /// Frames that may wait for a slow peer; the link is opened anew when there are more.
@@ -17,22 +23,10 @@
 #[derive(Debug, Default)]
 pub struct PeerLinks {
     links: Mutex<HashMap<SocketAddr, Sender<Bytes>>>,
-    asks: Mutex<HashMap<JobId, Sender<PlacementAnswer>>>,
-}
-
-/// An answer that is awaited; no longer, once this is dropped.
-#[derive(Debug)]
-pub struct AwaitedAnswer<'a> {
-    links: &'a PeerLinks,
-    job: JobId,
-    /// Where the answer comes.
-    pub answer: Receiver<PlacementAnswer>,
-}
-
-impl Drop for AwaitedAnswer<'_> {
-    fn drop(&mut self) {
-        lock(&self.links.asks).remove(&self.job);
-    }
+    /// Placements that peers were asked for.
+    pub placements: Awaiting<JobId, PlacementAnswer>,
+    /// Permits that peers were asked for, by the number of the ask.
+    pub permits: Awaiting<u64, PermitAnswer>,
 }
 
 impl PeerLinks {
@@ -87,24 +81,6 @@
         lock(&self.links).retain(|_, frames| !is_full(frames, &bytes));
         Ok(())
     }
-
-    /// Begins to wait for the answer to an ask.
-    pub fn await_answer(&self, job: JobId) -> AwaitedAnswer<'_> {
-        let (sender, answer) = async_channel::bounded(1);
-        lock(&self.asks).insert(job, sender);
-        AwaitedAnswer {
-            links: self,
-            job,
-            answer,
-        }
-    }
-
-    /// Hands on an answer; nobody may wait for it any more.
-    pub fn answered(&self, answer: PlacementAnswer) {
-        if let Some(sender) = lock(&self.asks).remove(&answer.job) {
-            let _late = sender.try_send(answer);
-        }
-    }
 }
 
 fn is_full(frames: &Sender<Bytes>, bytes: &Bytes) -> bool {
--- a/crates/daemon/src/entry/own_call.rs
+++ b/crates/daemon/src/entry/own_call.rs
@@ -5,6 +5,7 @@
         attempt::{AttemptFault, connection},
         entry_state::EntryState,
         http::ResponseHead,
+        permits::note_own_call,
     },
     std::fmt::Write,
     whinlatch_platform::TargetAnswer,
@@ -64,6 +65,7 @@
     call: OwnCall<'_>,
 ) -> Result<(ResponseHead, Vec<u8>), AttemptFault> {
     let mut connection = connection(state, target).await?;
+    note_own_call(state, &target.id);
     let sent_at = state.now();
     let request = call.request(target);
     let (head, body) = connection.exchange(call.method(), &request).await?;
--- /dev/null
+++ b/crates/daemon/src/entry/permits.rs
@@ -0,0 +1,59 @@
+//! Permission to send to targets that name a limit, of the instance that grants it for all.
+
+use {
+    super::{decision_line::Decision, entry_state::EntryState},
+    crate::clock::timeout,
+    std::net::SocketAddr,
+    whinlatch_serving::{
+        fleet::Frame,
+        names::TargetId,
+        quotas::{Permission, PermitAnswer, PermitAsk},
+    },
+};
+
+/// Time for the answer to an ask, in ms: two crossings of the network, and what a small instance needs to come
+/// to it.
+const PERMIT_MS: u64 = 40;
+
+/// Whether a request may be sent to a target now.
+pub async fn may_send(state: &EntryState, target: &TargetId) -> bool {
+    let permission = state.serving().permission(state.now(), target);
+    let is_given = match permission {
+        Permission::Given => return true,
+        Permission::Refused => false,
+        Permission::Ask { holder, ask } => {
+            let answer = ask_holder(state, holder, &ask).await;
+            let now = state.now();
+            state.serving().permit_answered(now, target, answer)
+        }
+    };
+    if !is_given {
+        state.log(&Decision::NotPermitted {
+            target: target.to_string(),
+        });
+    }
+    is_given
+}
+
+async fn ask_holder(
+    state: &EntryState,
+    holder: SocketAddr,
+    ask: &PermitAsk,
+) -> Option<PermitAnswer> {
+    let awaited = state.links.permits.begin(ask.number);
+    let frame = Frame {
+        permit_ask: Some(ask.clone()),
+        ..Frame::default()
+    };
+    state.send(&[holder], &frame);
+    let answered = timeout(state.clock.as_ref(), PERMIT_MS, awaited.answer.recv());
+    answered.await?.ok()
+}
+
+/// Has a report or an order count towards the limit of its target.
+pub fn note_own_call(state: &EntryState, target: &TargetId) {
+    let told = state.serving().own_call_sent(state.now(), target);
+    if let Some((holder, frame)) = told {
+        state.send(&[holder], &frame);
+    }
+}
--- a/crates/daemon/src/entry/placing.rs
+++ b/crates/daemon/src/entry/placing.rs
@@ -1,7 +1,7 @@
 //! Where the engines for a prompt are chosen: here, or by a peer that is told of all prompts.
 
 use {
-    super::{entry_state::EntryState, job_guard::JobGuard},
+    super::{entry_state::EntryState, job_guard::JobGuard, permits::may_send},
     crate::clock::timeout,
     std::net::SocketAddr,
     whinlatch_serving::{
@@ -23,7 +23,22 @@
 ///
 /// # Errors
 /// A [`Refusal`]; the prompt has not been sent.
-pub async fn place<'a>(
+pub async fn place(
+    state: &EntryState,
+    mut ask: PromptAsk,
+) -> Result<(PromptPlace, JobGuard<'_>), Refusal> {
+    loop {
+        let (place, guard) = choose(state, &ask).await?;
+        if may_send(state, &place.engine.id).await {
+            return Ok((place, guard));
+        }
+        // The budget has let this repeat through.
+        ask.is_repeat = false;
+    }
+}
+
+/// Finds engines for a prompt, which may be closed to this instance.
+async fn choose<'a>(
     state: &'a EntryState,
     ask: &PromptAsk,
 ) -> Result<(PromptPlace, JobGuard<'a>), Refusal> {
@@ -35,9 +50,12 @@
         )
     };
     let guard = JobGuard::new(state, job);
+    let closed = state.serving().closed_targets(state.now(), &ask.service);
+    let mut ask = ask.clone();
+    ask.excluded.extend(closed);
     let mut refusal = Refusal::NoTarget;
     for group in groups {
-        match find(state, job, group, ask).await {
+        match find(state, job, group, &ask).await {
             Ok(place) => return Ok((place, guard)),
             Err(fault) => refusal = fault,
         }
@@ -75,7 +93,7 @@
     group: EngineGroup,
     ask: &PromptAsk,
 ) -> Option<Result<Placement, Refusal>> {
-    let awaited = state.links.await_answer(job);
+    let awaited = state.links.placements.begin(job);
     state.serving().asked_in(job, group);
     let frame = Frame {
         ask: Some(PlacementAsk {
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -120,7 +120,7 @@
 
     async fn place(&self, tried: &[TargetId]) -> Result<(PromptPlace, JobGuard<'a>), Refusal> {
         let ask = self.prompt_ask(tried).ok_or(Refusal::NoTarget)?;
-        place(self.state, &ask).await
+        place(self.state, ask).await
     }
 
     /// What is asked of the engines now; `None` if the caller doesn't say what its prompt is.
@@ -148,7 +148,7 @@
             slack_ms: limit_ms.cast_signed() - passed_ms.cast_signed(),
             pause_limit_ms,
             patience_ms: patience_ms.min(context.due.since(now)),
-            tried: tried.to_vec(),
+            excluded: tried.to_vec(),
             is_resumed: answer.has_begun(),
             is_repeat: answer.progress().sends > 0,
         })
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -3,9 +3,10 @@
     crate::{
         PromptAsk, Refusal, Weighed,
         names::{FailureDomain, TargetId},
+        quotas::{PermitAnswer, PermitAsk},
         relays::{Extent, Follow, Word},
         retries::Fingerprint,
-        targets::{Displaced, TargetChange},
+        targets::{Displaced, TargetChange, TargetLimit},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -230,6 +231,12 @@
     /// Engines for a prompt of the receiver.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub answer: Option<PlacementAnswer>,
+    /// A request for which the receiver is to grant permission, or of which it is to know.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub permit_ask: Option<PermitAsk>,
+    /// The answer to an ask of the receiver.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub permit_answer: Option<PermitAnswer>,
     /// How far the sender's knowledge of what is published goes, for those that go by it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub word: Option<Word>,
@@ -254,6 +261,9 @@
     /// Targets that could not be reached.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub unreachable: Vec<TargetId>,
+    /// Targets that have named a limit, or name none any more.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<TargetLimit>,
     /// Entries whose targets aren't at their addresses.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub displaced: Vec<Displaced>,
--- a/crates/serving/src/fleet/ranks.rs
+++ b/crates/serving/src/fleet/ranks.rs
@@ -66,6 +66,11 @@
         &self.near
     }
 
+    /// The instances that serve, the strongest first.
+    pub fn serving(&self) -> &[SocketAddr] {
+        &self.serving
+    }
+
     /// Whether there are too many instances for each to link to all others.
     pub fn is_large(&self) -> bool {
         self.is_large
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod mechanism;
 pub mod names;
 pub mod placement;
+pub mod quotas;
 pub mod relays;
 pub mod retries;
 pub mod targets;
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -35,6 +35,8 @@
     PassingOver,
     /// Engines that failed prompts of late get fewer.
     Failures,
+    /// One instance grants requests to a target that names a limit for all; else each has an equal part.
+    SharedQuotas,
 }
 
 /// A name that is none of a mechanism.
@@ -44,7 +46,7 @@
 
 impl Mechanism {
     /// All of them, in the order of their names on the pages.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -60,6 +62,7 @@
         Self::Poison,
         Self::PassingOver,
         Self::Failures,
+        Self::SharedQuotas,
     ];
 
     /// Its name on the command line.
@@ -80,6 +83,7 @@
             Self::Poison => "poison",
             Self::PassingOver => "passing-over",
             Self::Failures => "failures",
+            Self::SharedQuotas => "shared-quotas",
         }
     }
 
--- a/crates/serving/src/placement/division.rs
+++ b/crates/serving/src/placement/division.rs
@@ -51,12 +51,17 @@
         self.candidates
             .iter()
             .enumerate()
+            .filter(|(_, candidate)| self.may_take_part(candidate))
             .filter(|(_, candidate)| can_answer(self.setting, candidate.load))
             .map(|(place, candidate)| self.as_first(place, candidate))
             .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_loss, first)| first)
     }
 
+    fn may_take_part(&self, candidate: &Candidate<'_>) -> bool {
+        self.degree == 1 || !candidate.is_limited
+    }
+
     /// What is lost if an engine answers, and its share.
     fn as_first(&self, place: usize, candidate: &Candidate<'_>) -> (f64, Share) {
         let Self { setting, part, .. } = *self;
@@ -102,6 +107,7 @@
             .iter()
             .enumerate()
             .filter(|(place, candidate)| *place != first.place && candidate.load.helping < slots)
+            .filter(|(_, candidate)| self.may_take_part(candidate))
             .map(|(place, candidate)| self.as_helper(place, candidate))
             .collect()
     }
--- /dev/null
+++ b/crates/serving/src/quotas/quota_book.rs
@@ -0,0 +1,37 @@
+use {
+    super::TokenBucket, crate::names::TargetId, std::collections::HashMap, whinlatch_core::MonoMs,
+};
+
+/// What this instance has granted for others and itself, and what it was refused.
+#[derive(Debug, Default)]
+pub struct QuotaBook {
+    buckets: HashMap<TargetId, TokenBucket>,
+    refused_until: HashMap<TargetId, MonoMs>,
+}
+
+impl QuotaBook {
+    /// The bucket from which requests to a target are granted.
+    pub fn bucket(&mut self, now: MonoMs, target: &TargetId) -> &mut TokenBucket {
+        self.buckets
+            .entry(target.clone())
+            .or_insert_with(|| TokenBucket::new(now))
+    }
+
+    /// Notes that nothing may be sent to a target for a while.
+    pub fn refused(&mut self, now: MonoMs, target: &TargetId, wait_ms: u64) {
+        self.refused_until.insert(target.clone(), now + wait_ms);
+    }
+
+    /// Until when nothing may be sent to a target, if that was refused and isn't over.
+    pub fn refused_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
+        let until = self.refused_until.get(target).copied();
+        until.filter(|until| *until > now)
+    }
+
+    /// Forgets what is over, and targets that name no limit any more.
+    pub fn forget_old(&mut self, now: MonoMs, is_limited: impl Fn(&str) -> bool) {
+        self.buckets.retain(|target, _| is_limited(target));
+        self.refused_until
+            .retain(|target, until| *until > now && is_limited(target));
+    }
+}
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod peers;
 mod prompts;
+mod quotas;
 mod relaying;
 
 pub use {
@@ -23,6 +24,7 @@
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, MemberBook, PublishedText, hash},
         mechanism::Without,
+        quotas::QuotaBook,
         relays::{Followers, Following},
         retries::{CrashBook, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, NoticeBook, TargetBook},
@@ -51,6 +53,8 @@
     engines: EngineLoads,
     calls: CallLoads,
     notices: NoticeBook,
+    quotas: QuotaBook,
+    next_permit: u64,
     members: MemberBook,
     budget: FleetBudget,
     crashes: CrashBook,
@@ -94,6 +98,8 @@
             engines: EngineLoads::default(),
             calls: CallLoads::default(),
             notices: NoticeBook::default(),
+            quotas: QuotaBook::default(),
+            next_permit: 0,
             members: MemberBook::default(),
             budget: FleetBudget::new(rule),
             crashes: CrashBook::default(),
@@ -173,8 +179,10 @@
         self.engines
             .forget_old(now, |id| targets.entry(id).is_some());
         self.calls.retain(|id| targets.entry(id).is_some());
-        self.notices
-            .forget_old(now, |id| targets.entry(id).is_some());
+        self.notices.forget_old(|id| targets.entry(id).is_some());
+        let notices = &self.notices;
+        self.quotas
+            .forget_old(now, |id| notices.limit_per_s(id).is_some());
     }
 
     fn rank(&mut self, now: MonoMs) {
--- a/crates/serving/src/serving/asks.rs
+++ b/crates/serving/src/serving/asks.rs
@@ -33,8 +33,10 @@
     pub pause_limit_ms: u64,
     /// Time until the caller leaves if no event comes, in ms.
     pub patience_ms: u64,
-    /// Engines that were tried before, the last one last.
-    pub tried: Vec<TargetId>,
+    /// Engines that aren't to answer or help: those that were tried before, and those to which the asking
+    /// instance may send nothing now.
+    #[serde(rename = "tried")]
+    pub excluded: Vec<TargetId>,
     /// Whether it was sent to an engine before.
     pub is_repeat: bool,
     /// Whether its caller has a part of the stream already.
@@ -117,6 +119,11 @@
         #[serde(default)]
         weighed: Option<Weighed>,
     },
+    /// All targets of the service take nothing for a while, at least until `retry_after_ms` are over.
+    AtLimit {
+        /// When to come back, in ms.
+        retry_after_ms: u64,
+    },
     /// It was sent to as many targets as it may.
     NoAttempt,
     /// The request has broken off the work of several targets.
@@ -130,7 +137,9 @@
     pub fn retry_after_ms(self) -> Option<u64> {
         match self {
             Self::NoTarget | Self::NoAttempt => Some(NO_TARGET_RETRY_MS),
-            Self::Overloaded { retry_after_ms, .. } => Some(retry_after_ms),
+            Self::Overloaded { retry_after_ms, .. } | Self::AtLimit { retry_after_ms } => {
+                Some(retry_after_ms)
+            }
             Self::BudgetUsed => Some(LEAST_RETRY_MS),
             Self::Poison => None,
         }
@@ -140,7 +149,11 @@
     pub fn weighed(self) -> Option<Weighed> {
         match self {
             Self::Overloaded { weighed, .. } => weighed,
-            Self::NoTarget | Self::NoAttempt | Self::Poison | Self::BudgetUsed => None,
+            Self::NoTarget
+            | Self::AtLimit { .. }
+            | Self::NoAttempt
+            | Self::Poison
+            | Self::BudgetUsed => None,
         }
     }
 
@@ -148,6 +161,7 @@
     pub fn message(self) -> &'static str {
         match self {
             Self::NoTarget => "no target takes the request now: come back",
+            Self::AtLimit { .. } => "the targets take no more requests now: come back",
             Self::NoAttempt => "several targets didn't take the request: come back",
             Self::Overloaded { .. } => "the engines are too busy to answer in time: come back",
             Self::BudgetUsed => "too many requests are being repeated: come back",
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -25,12 +25,13 @@
     /// A [`Refusal`]; the call has not been sent.
     pub fn place_call(&mut self, now: MonoMs, ask: &CallAsk<'_>) -> Result<CallPlace, Refusal> {
         self.may_send(now, ask.service, ask.fingerprint, ask.is_repeat)?;
+        let mut rng = self.rng.fork();
         let candidates = self.targets.ready(ask.service);
-        let target = self
-            .calls
-            .choose(now, candidates, ask.tried, &mut self.rng)
+        let open = candidates.filter(|entry| self.closed_until(now, &entry.id).is_none());
+        let target = self.calls.choose(now, open, ask.tried, &mut rng);
+        let target = target
             .cloned()
-            .ok_or(Refusal::NoTarget)?;
+            .ok_or_else(|| self.none_open(now, ask.service))?;
         self.calls.sent(&target.id);
         Ok(CallPlace { target })
     }
@@ -53,6 +54,11 @@
         Ok(())
     }
 
+    /// Notes that a call that was counted as sent isn't sent after all.
+    pub fn call_withdrawn(&mut self, target: &TargetId) {
+        self.calls.withdrawn(target);
+    }
+
     /// Notes the end of a call.
     pub fn call_ended(&mut self, now: MonoMs, target: &TargetId, took_ms: f64, failed: bool) {
         self.calls.ended(now, target, took_ms, failed);
--- a/crates/serving/src/serving/notices.rs
+++ b/crates/serving/src/serving/notices.rs
@@ -16,6 +16,9 @@
         target: &TargetId,
         notice: &TargetNotice,
     ) -> bool {
-        self.notices.answered(now, sent_at, target, notice)
+        let limit = self.notices.answered(now, sent_at, target, notice);
+        let is_news = limit.is_some() || notice.retry_after_ms.is_some();
+        self.news.for_all().limits.extend(limit);
+        is_news
     }
 }
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -9,7 +9,7 @@
         names::TargetId,
         relays::Extent,
         retries::Fingerprint,
-        targets::{Displaced, TargetChange, TargetEntry},
+        targets::{Displaced, TargetChange, TargetEntry, TargetLimit},
     },
     std::{cmp::Reverse, net::SocketAddr},
     whinlatch_core::MonoMs,
@@ -34,6 +34,7 @@
     crashes: Vec<Crash>,
     served: Vec<Fingerprint>,
     unreachable: Vec<TargetId>,
+    limits: Vec<TargetLimit>,
     displaced: Vec<Displaced>,
 }
 
@@ -164,6 +165,7 @@
             crashes: frame.crashes,
             served: frame.served,
             unreachable: frame.unreachable,
+            limits: frame.limits,
             displaced: frame.displaced,
         };
         self.take_warnings(now, warnings);
@@ -247,6 +249,9 @@
             crashes: keep(told.crashes, |crash| self.crashes.note(now, crash)),
             served: keep(told.served, |request| self.crashes.served(*request)),
             unreachable: keep(told.unreachable, |id| self.calls.unreachable(now, id)),
+            limits: keep(told.limits, |limit| {
+                self.notices.told_limit(now, &limit.target, limit.per_s)
+            }),
             displaced: keep(told.displaced, |entry| self.targets.displaced(entry)),
         };
         if self.is_hub() {
@@ -254,6 +259,7 @@
             news.crashes.extend(new.crashes);
             news.served.extend(new.served);
             news.unreachable.extend(new.unreachable);
+            news.limits.extend(new.limits);
             news.displaced.extend(new.displaced);
         }
     }
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -65,7 +65,7 @@
             .ok_or(Refusal::NoTarget)?;
         let entries = self.usable_engines(now, group, ask);
         if entries.is_empty() {
-            return Err(Refusal::NoTarget);
+            return Err(self.none_open(now, &ask.service));
         }
         self.engines.advance(now, &spec, &entries);
         let shape = self.shape_of(now, &spec, group, ask, entries.len());
@@ -78,6 +78,7 @@
             .zip(&loads)
             .map(|(id, load)| Candidate {
                 liking: liking(self.own.run, id),
+                is_limited: self.is_limited(id),
                 load,
             })
             .collect();
@@ -224,7 +225,7 @@
             .ready(&ask.service)
             .map(|entry| &entry.id)
             .filter(|id| group.has(id))
-            .filter(|id| !ask.tried.contains(id))
+            .filter(|id| !ask.excluded.contains(id))
             .collect();
         let reachable: Vec<TargetId> = ready
             .iter()
--- /dev/null
+++ b/crates/serving/src/serving/quotas.rs
@@ -0,0 +1,182 @@
+//! Permission to send to targets that name a limit.
+//!
+//! One instance grants requests to a target for all: its holder. Equal parts of a limit would leave most of it
+//! unused where each of hundreds of instances sends little, and a limit that each kept for itself would be
+//! exceeded by all together.
+
+use {
+    super::{Refusal, Serving, asks::LEAST_RETRY_MS},
+    crate::{
+        fleet::{Frame, hash},
+        mechanism::Mechanism,
+        names::TargetId,
+        quotas::{Permission, PermitAnswer, PermitAsk},
+        targets::TargetEntry,
+    },
+    std::net::SocketAddr,
+    whinlatch_core::MonoMs,
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Time for which a target is left alone whose holder doesn't answer or is another one by now, in ms: instances
+/// agree on the holder again within some seconds.
+const UNANSWERED_MS: u64 = 200;
+
+impl Serving {
+    /// Whether a request may be sent to a target now.
+    pub fn permission(&mut self, now: MonoMs, target: &TargetId) -> Permission {
+        if self.closed_until(now, target).is_some() {
+            return Permission::Refused;
+        }
+        let Some(limit_per_s) = self.notices.limit_per_s(target) else {
+            return Permission::Given;
+        };
+        let own = self.own.peer_address;
+        match self.holder(target) {
+            Some(holder) if holder != own => Permission::Ask {
+                holder,
+                ask: self.permit_ask(target, limit_per_s, Some(own)),
+            },
+            _ => self.take_own(now, target, limit_per_s),
+        }
+    }
+
+    fn take_own(&mut self, now: MonoMs, target: &TargetId, limit_per_s: f64) -> Permission {
+        let share_per_s = self.share_per_s(limit_per_s);
+        let bucket = self.quotas.bucket(now, target);
+        match bucket.take(now, share_per_s) {
+            Ok(()) => Permission::Given,
+            Err(wait_ms) => {
+                self.quotas.refused(now, target, wait_ms);
+                Permission::Refused
+            }
+        }
+    }
+
+    /// Takes in the answer of a holder, `None` if it gave none in time. Returns whether the request may be sent.
+    pub fn permit_answered(
+        &mut self,
+        now: MonoMs,
+        target: &TargetId,
+        answer: Option<PermitAnswer>,
+    ) -> bool {
+        let refused_for_ms = answer.map_or(Some(UNANSWERED_MS), |answer| answer.refused_for_ms);
+        if let Some(wait_ms) = refused_for_ms {
+            self.quotas.refused(now, target, wait_ms);
+        }
+        refused_for_ms.is_none()
+    }
+
+    /// Answers another instance that takes this one for the holder of a target's quota; `None` if it only
+    /// tells of a request.
+    pub fn grant(&mut self, now: MonoMs, ask: &PermitAsk) -> Option<PermitAnswer> {
+        let is_holder = self.holder(&ask.target) == Some(self.own.peer_address);
+        self.notices
+            .told_limit(now, &ask.target, Some(ask.limit_per_s));
+        let bucket = self.quotas.bucket(now, &ask.target);
+        if ask.reply_to.is_none() {
+            bucket.charge(now, ask.limit_per_s);
+            return None;
+        }
+        let taken = if is_holder {
+            bucket.take(now, ask.limit_per_s)
+        } else {
+            Err(UNANSWERED_MS)
+        };
+        Some(PermitAnswer {
+            number: ask.number,
+            refused_for_ms: taken.err(),
+        })
+    }
+
+    /// Notes a report or an order that is sent to a target. Returns what to tell whom, if the target names a
+    /// limit and another instance is its holder.
+    pub fn own_call_sent(&mut self, now: MonoMs, target: &TargetId) -> Option<(SocketAddr, Frame)> {
+        let limit_per_s = self.notices.limit_per_s(target)?;
+        match self.holder(target) {
+            Some(holder) if holder != self.own.peer_address => {
+                let frame = Frame {
+                    permit_ask: Some(self.permit_ask(target, limit_per_s, None)),
+                    ..Frame::default()
+                };
+                Some((holder, frame))
+            }
+            _ => {
+                let share_per_s = self.share_per_s(limit_per_s);
+                self.quotas.bucket(now, target).charge(now, share_per_s);
+                None
+            }
+        }
+    }
+
+    fn permit_ask(
+        &mut self,
+        target: &TargetId,
+        limit_per_s: f64,
+        reply_to: Option<SocketAddr>,
+    ) -> PermitAsk {
+        self.next_permit += 1;
+        PermitAsk {
+            number: self.next_permit,
+            reply_to,
+            target: target.clone(),
+            limit_per_s,
+        }
+    }
+
+    /// The instance that grants requests to a target for all: a hub of a large fleet, to which all link, else
+    /// any. `None` if each keeps a part of the limit for itself.
+    fn holder(&self, target: &TargetId) -> Option<SocketAddr> {
+        if !self.without.has(Mechanism::SharedQuotas) {
+            return None;
+        }
+        let salt = xxh3_64(target.as_bytes());
+        let ranks = self.members.ranks();
+        let candidates = if ranks.is_large() {
+            ranks.hubs()
+        } else {
+            ranks.serving()
+        };
+        let candidates = candidates.iter().copied();
+        candidates.max_by_key(|address| hash(salt, *address))
+    }
+
+    /// The part of a limit that this instance has where it asks nobody.
+    fn share_per_s(&self, limit_per_s: f64) -> f64 {
+        if self.without.has(Mechanism::SharedQuotas) {
+            return limit_per_s;
+        }
+        limit_per_s / self.members.most() as f64
+    }
+
+    /// Whether a target has named a limit.
+    pub(super) fn is_limited(&self, target: &str) -> bool {
+        self.notices.limit_per_s(target).is_some()
+    }
+
+    /// Until when nothing may be sent to a target, if that is so now.
+    pub(super) fn closed_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
+        if !self.is_limited(target) {
+            return None;
+        }
+        self.quotas.refused_until(now, target)
+    }
+
+    /// The targets of a service to which nothing may be sent now.
+    pub fn closed_targets(&self, now: MonoMs, service: &str) -> Vec<TargetId> {
+        let ready = self.targets.ready(service);
+        ready
+            .filter(|entry| self.closed_until(now, &entry.id).is_some())
+            .map(|entry| entry.id.clone())
+            .collect()
+    }
+
+    /// Why none of a service's targets takes a request now.
+    pub(super) fn none_open(&self, now: MonoMs, service: &str) -> Refusal {
+        let until = |entry: &TargetEntry| self.closed_until(now, &entry.id);
+        let opens_at = self.targets.ready(service).filter_map(until).min();
+        opens_at.map_or(Refusal::NoTarget, |at| Refusal::AtLimit {
+            retry_after_ms: at.since(now).max(LEAST_RETRY_MS),
+        })
+    }
+}
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -12,7 +12,7 @@
     address_holders::{AddressHolders, Claim},
     calls::CallLoads,
     failure_share::FailureShare,
-    notice_book::NoticeBook,
+    notice_book::{NoticeBook, TargetLimit},
     target_book::{Displaced, TargetBook, TargetChange},
     target_entry::{TargetEntry, TargetState},
     target_notice::TargetNotice,
--- a/crates/serving/src/targets/calls.rs
+++ b/crates/serving/src/targets/calls.rs
@@ -72,6 +72,13 @@
         self.by_target.entry(target.clone()).or_default().in_flight += 1;
     }
 
+    /// Notes that a request isn't sent after all.
+    pub fn withdrawn(&mut self, target: &str) {
+        if let Some(load) = self.by_target.get_mut(target) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+
     /// Notes the end of a request; `failed` if the target didn't serve it.
     pub fn ended(&mut self, now: MonoMs, target: &str, took_ms: f64, failed: bool) {
         let Some(load) = self.by_target.get_mut(target) else {
--- a/crates/serving/src/targets/notice_book.rs
+++ b/crates/serving/src/targets/notice_book.rs
@@ -1,13 +1,24 @@
 use {
-    super::TargetNotice, crate::names::TargetId, std::collections::HashMap, whinlatch_core::MonoMs,
+    super::TargetNotice,
+    crate::names::TargetId,
+    serde::{Deserialize, Serialize},
+    std::collections::HashMap,
+    whinlatch_core::MonoMs,
 };
 
+/// What is told of the limit that a target has named.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TargetLimit {
+    /// The target.
+    pub target: TargetId,
+    /// Requests a second that it takes from all instances together; `None` if it names no limit any more.
+    pub per_s: Option<f64>,
+}
+
 /// What the targets have said of themselves in their answers.
 #[derive(Debug, Default)]
 pub struct NoticeBook {
     limits: HashMap<TargetId, Limit>,
-    leaving: HashMap<TargetId, MonoMs>,
-    paused_until: HashMap<TargetId, MonoMs>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -17,7 +28,7 @@
 }
 
 impl NoticeBook {
-    /// Takes in what an answer to a request of `sent_at` says. Returns whether that is news.
+    /// Takes in the limit that an answer to a request of `sent_at` names, if any. Returns what is news.
     ///
     /// An answer to a request that was sent before a limit was heard of doesn't lift it: answers on
     /// different connections overtake each other.
@@ -27,49 +38,42 @@
         sent_at: MonoMs,
         target: &TargetId,
         notice: &TargetNotice,
-    ) -> bool {
-        let is_new_limit = self.note_limit(now, sent_at, target, notice.limit_per_s);
-        let is_new_leaving = notice.is_leaving && self.note_leaving(now, target);
-        if let Some(retry_after_ms) = notice.retry_after_ms {
-            self.pause(target, now + retry_after_ms);
+    ) -> Option<TargetLimit> {
+        let known = self.limits.get(target);
+        let is_older = known.is_some_and(|limit| sent_at <= limit.heard_at);
+        if notice.limit_per_s.is_none() && is_older {
+            return None;
         }
-        is_new_limit || is_new_leaving || notice.retry_after_ms.is_some()
+        let limit = TargetLimit {
+            target: target.clone(),
+            per_s: notice.limit_per_s,
+        };
+        self.told_limit(now, target, notice.limit_per_s)
+            .then_some(limit)
     }
 
-    fn note_limit(
-        &mut self,
-        now: MonoMs,
-        sent_at: MonoMs,
-        target: &TargetId,
-        limit_per_s: Option<f64>,
-    ) -> bool {
-        let known = self.limits.get(target).copied();
-        let Some(per_s) = limit_per_s else {
-            let is_lifted = known.is_some_and(|limit| sent_at > limit.heard_at);
-            if is_lifted {
-                self.limits.remove(target);
+    /// Takes in the limit of a target, which a peer tells. Returns whether that is news.
+    pub fn told_limit(&mut self, now: MonoMs, target: &TargetId, per_s: Option<f64>) -> bool {
+        let former = match per_s {
+            Some(per_s) => {
+                let limit = Limit {
+                    per_s,
+                    heard_at: now,
+                };
+                self.limits.insert(target.clone(), limit)
             }
-            return is_lifted;
+            None => self.limits.remove(target),
         };
-        let heard_at = now;
-        self.limits
-            .insert(target.clone(), Limit { per_s, heard_at });
-        known.is_none_or(|limit| limit.per_s.to_bits() != per_s.to_bits())
-    }
-
-    fn note_leaving(&mut self, now: MonoMs, target: &TargetId) -> bool {
-        self.leaving.insert(target.clone(), now).is_none()
+        former.map(|limit| limit.per_s) != per_s
     }
 
-    fn pause(&mut self, target: &TargetId, until: MonoMs) {
-        let paused_until = self.paused_until.entry(target.clone()).or_default();
-        *paused_until = until.max(*paused_until);
+    /// Requests a second that a target takes from all instances together, if it has named a limit.
+    pub fn limit_per_s(&self, target: &str) -> Option<f64> {
+        self.limits.get(target).map(|limit| limit.per_s)
     }
 
-    /// Forgets targets that aren't published any more, and pauses that are over.
-    pub fn forget_old(&mut self, now: MonoMs, is_published: impl Fn(&str) -> bool) {
+    /// Forgets targets that aren't published any more.
+    pub fn forget_old(&mut self, is_published: impl Fn(&str) -> bool) {
         self.limits.retain(|id, _| is_published(id));
-        self.leaving.retain(|id, _| is_published(id));
-        self.paused_until.retain(|_, until| *until > now);
     }
 }
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -18,6 +18,8 @@
 mod placement;
 #[path = "serving/properties.rs"]
 mod properties;
+#[path = "serving/quotas.rs"]
+mod quotas;
 #[path = "serving/relays.rs"]
 mod relays;
 #[path = "serving/retries.rs"]
--- a/crates/serving/tests/serving/pauses.rs
+++ b/crates/serving/tests/serving/pauses.rs
@@ -50,6 +50,7 @@
     let candidates: Vec<Candidate<'_>> = std::iter::once(0)
         .chain(READERS..READERS + 4)
         .map(|number| Candidate {
+            is_limited: false,
             liking: 0.5,
             load: loads.get(&engine_id(number)).unwrap(),
         })
@@ -111,6 +112,7 @@
     let candidates: Vec<Candidate<'_>> = engines
         .iter()
         .map(|id| Candidate {
+            is_limited: false,
             liking: 0.5,
             load: loads.get(id).unwrap(),
         })
--- a/crates/serving/tests/serving/placement.rs
+++ b/crates/serving/tests/serving/placement.rs
@@ -327,6 +327,7 @@
         without: Without::default(),
     };
     let candidates = ["e-2", "e-3"].map(|helping| Candidate {
+        is_limited: false,
         liking: 1.0,
         load: loads.get(helping).unwrap(),
     });
@@ -356,6 +357,7 @@
     let candidates: Vec<Candidate<'_>> = engines[8..]
         .iter()
         .map(|id| Candidate {
+            is_limited: false,
             liking: 0.5,
             load: loads.get(id).unwrap(),
         })
--- /dev/null
+++ b/crates/serving/tests/serving/quotas.rs
@@ -0,0 +1,223 @@
+//! Targets that name a limit, and the instances that share it.
+
+use {
+    super::{fixture::START, fleet_fixture::Fleet},
+    std::{collections::VecDeque, net::SocketAddr},
+    whinlatch_core::MonoMs,
+    whinlatch_serving::{
+        Serving,
+        names::TargetId,
+        quotas::{Permission, TokenBucket},
+        targets::TargetNotice,
+    },
+};
+
+/// Sizes of fleets, as the operators run them.
+const SIZES: [u64; 3] = [9, 85, 295];
+/// Requests a second that the target takes.
+const LIMIT_PER_S: f64 = 1.6;
+/// Time over which the operators count, in ms.
+const WINDOW_MS: u64 = 4_000;
+/// What they allow within that time at this limit.
+const MOST_IN_WINDOW: usize = 14;
+/// Time between two tries of all instances, in ms.
+const TRY_MS: u64 = 200;
+/// Tries between two looks of the instances: they take each other for alive all the while.
+const TRIES_TO_A_LOOK: u64 = 4;
+/// Looks until all instances of a fleet know each other.
+const LOOKS_TO_SETTLE: usize = 10;
+
+fn target() -> TargetId {
+    "e-00".into()
+}
+
+fn limited() -> TargetNotice {
+    TargetNotice {
+        limit_per_s: Some(LIMIT_PER_S),
+        ..TargetNotice::default()
+    }
+}
+
+/// A fleet of which each instance has been told the limit by the target itself.
+fn told_fleet(size: u64) -> Fleet {
+    let mut fleet = Fleet::start(size);
+    fleet.looks(LOOKS_TO_SETTLE);
+    let now = fleet.now;
+    for serving in fleet.alive.values_mut() {
+        serving.noticed(now, now, &target(), &limited());
+    }
+    fleet
+}
+
+/// Whether an instance may send to the target now, as it or the instance that grants finds.
+fn may_send(fleet: &mut Fleet, from: SocketAddr) -> bool {
+    let now = fleet.now;
+    let permission = serving(fleet, from).permission(now, &target());
+    match permission {
+        Permission::Given => true,
+        Permission::Refused => false,
+        Permission::Ask { holder, ask } => {
+            let holder = fleet.alive.get_mut(&holder);
+            let answer = holder.and_then(|holder| holder.grant(now, &ask));
+            serving(fleet, from).permit_answered(now, &target(), answer)
+        }
+    }
+}
+
+fn serving(fleet: &mut Fleet, address: SocketAddr) -> &mut Serving {
+    fleet.alive.get_mut(&address).unwrap()
+}
+
+/// Has all instances try to send for a while. Returns when requests were sent.
+fn press(fleet: &mut Fleet, for_ms: u64) -> Vec<MonoMs> {
+    let mut sent = Vec::new();
+    for number in 0..for_ms / TRY_MS {
+        fleet.now = fleet.now + TRY_MS;
+        if number % TRIES_TO_A_LOOK == 0 {
+            fleet.look();
+        }
+        let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+        for address in addresses {
+            if may_send(fleet, address) {
+                sent.push(fleet.now);
+            }
+        }
+    }
+    sent
+}
+
+fn most_in_window(sent: &[MonoMs]) -> usize {
+    let mut window: VecDeque<MonoMs> = VecDeque::new();
+    let mut most = 0;
+    for at in sent {
+        window.push_back(*at);
+        while at.since(window[0]) >= WINDOW_MS {
+            window.pop_front();
+        }
+        most = most.max(window.len());
+    }
+    most
+}
+
+/// Guards against a limit that is exceeded with the number of instances, or is left unused.
+#[test]
+fn a_limit_is_kept_and_used_by_fleets_of_any_size() {
+    for size in SIZES {
+        let mut fleet = told_fleet(size);
+
+        let sent = press(&mut fleet, 3 * WINDOW_MS);
+
+        assert!(most_in_window(&sent) <= MOST_IN_WINDOW, "{size}");
+        let used = sent.len() as f64 / (LIMIT_PER_S * 12.0);
+        assert!(used > 0.8, "{size}: {used}");
+    }
+}
+
+/// Guards against a limit that is granted twice, or not at all, after the instance that grants it has died.
+#[test]
+fn another_instance_grants_once_the_holder_is_gone() {
+    let mut fleet = told_fleet(SIZES[0]);
+    let mut sent = press(&mut fleet, WINDOW_MS);
+    let mut addresses = fleet.alive.keys().copied();
+    let first = addresses.next().unwrap();
+    let now = fleet.now;
+    let holder = addresses.find_map(|address| {
+        let serving = fleet.alive.get(&address)?;
+        (serving.peer_address() != first).then_some(address)
+    });
+    let asked = match serving(&mut fleet, first).permission(now + WINDOW_MS, &target()) {
+        Permission::Ask { holder, .. } => Some(holder),
+        Permission::Given | Permission::Refused => None,
+    };
+
+    fleet.kill(asked.or(holder).unwrap());
+    sent.extend(press(&mut fleet, 3 * WINDOW_MS));
+
+    assert!(most_in_window(&sent) <= MOST_IN_WINDOW);
+    let used = sent.len() as f64 / (LIMIT_PER_S * 16.0);
+    assert!(used > 0.6, "{used}");
+}
+
+/// Guards against two instances that both grant all of a limit while views of the fleet differ.
+#[test]
+fn an_instance_that_does_not_take_itself_for_the_holder_grants_nothing() {
+    let mut fleet = told_fleet(SIZES[0]);
+    let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+    let now = fleet.now + WINDOW_MS;
+    let asks: Vec<_> = addresses
+        .iter()
+        .filter_map(
+            |address| match serving(&mut fleet, *address).permission(now, &target()) {
+                Permission::Ask { holder, ask } => Some((holder, ask)),
+                Permission::Given | Permission::Refused => None,
+            },
+        )
+        .collect();
+    let (holder, ask) = asks.first().unwrap();
+
+    let others = addresses.iter().filter(|address| *address != holder);
+    for other in others {
+        let answer = serving(&mut fleet, *other).grant(now, ask).unwrap();
+        assert!(answer.refused_for_ms.is_some());
+    }
+}
+
+/// Guards against a limit that counts for good: an answer that was sent before it was heard of may come late.
+#[test]
+fn only_an_answer_to_a_later_request_lifts_a_limit() {
+    let mut fleet = told_fleet(1);
+    let address = *fleet.alive.keys().next().unwrap();
+    let heard_at = fleet.now;
+    let now = heard_at + 100;
+    let serving = serving(&mut fleet, address);
+    let unlimited = TargetNotice::default();
+
+    serving.noticed(now, heard_at, &target(), &unlimited);
+    assert_eq!(serving.permission(now, &target()), Permission::Refused);
+
+    serving.noticed(now, heard_at + 1, &target(), &unlimited);
+    assert_eq!(serving.permission(now, &target()), Permission::Given);
+}
+
+/// Guards against instances that go on sending until the target has told each of them.
+#[test]
+fn the_limit_that_one_instance_hears_is_told_to_all() {
+    for size in [SIZES[0], 20] {
+        let mut fleet = Fleet::start(size);
+        fleet.looks(LOOKS_TO_SETTLE);
+        let now = fleet.now;
+        let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+
+        serving(&mut fleet, addresses[0]).noticed(now, now, &target(), &limited());
+        fleet.tell_news();
+
+        for address in addresses {
+            let permission = serving(&mut fleet, address).permission(now, &target());
+            assert_ne!(permission, Permission::Given, "{size}");
+        }
+    }
+}
+
+/// Guards against a target that gets nothing for minutes, since memory at it was renewed many times.
+#[test]
+fn a_debt_is_paid_off_within_the_window() {
+    let mut bucket = TokenBucket::new(START);
+    for _ in 0..100 {
+        bucket.charge(START, LIMIT_PER_S);
+    }
+
+    let after_ms = WINDOW_MS + (1_000.0 / LIMIT_PER_S) as u64;
+
+    assert!(bucket.take(START + (WINDOW_MS - 1), LIMIT_PER_S).is_err());
+    assert_eq!(bucket.take(START + after_ms, LIMIT_PER_S), Ok(()));
+}
+
+/// Guards against a target that takes nothing at all and is asked all the time.
+#[test]
+fn a_limit_of_nothing_grants_nothing() {
+    let mut bucket = TokenBucket::new(START);
+
+    let wait_ms = bucket.take(START + 3_600_000, 0.0).unwrap_err();
+
+    assert!(wait_ms > 0);
+}
