--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -12,8 +12,12 @@
 mod fleet;
 #[path = "entry/frames.rs"]
 mod frames;
+#[path = "entry/leaving.rs"]
+mod leaving;
 #[path = "entry/limits.rs"]
 mod limits;
+#[path = "entry/paused_fleet.rs"]
+mod paused_fleet;
 #[path = "entry/published.rs"]
 mod published;
 #[path = "entry/streams.rs"]
--- /dev/null
+++ b/crates/daemon/tests/entry/leaving.rs
@@ -0,0 +1,95 @@
+//! Targets that say in their answers that they leave, or that they want nothing for a while.
+
+use {
+    super::{
+        fixture::target,
+        paused_fleet::{Fleet, INSTANCES, Published, STEP_MS},
+    },
+    whinlatch_platform_standins::{Ask, Behaviour, CALL_PREFIX, SAFE_PREFIX, STREAM_PREFIX},
+};
+
+/// Requests that callers send while the clock stands still.
+const REQUESTS: usize = 20;
+/// Time by which all instances know what one was told, in ms.
+const TOLD_MS: u64 = 200;
+/// Time for which a target wants nothing, as it says and in ms.
+const PAUSE: (&str, u64) = ("1.5", 1_500);
+
+fn safe_call() -> Ask {
+    Ask::new("GET", format!("{SAFE_PREFIX}listing"))
+}
+
+fn prompt() -> Ask {
+    Ask::prompt(format!("{STREAM_PREFIX}x"), 2_000)
+}
+
+/// Guards against requests to a target that has left while the store, which lists it as ready, was away.
+#[async_std::test]
+async fn a_target_that_says_that_it_leaves_gets_no_further_request() {
+    let plain = ["p-1", "p-2"].map(|id| target(id, Behaviour::Serve("listing")));
+    let fleet = Fleet::start(Published::Plain(&plain[0])).await;
+    plain[0].leave();
+    for instance in 0..INSTANCES {
+        assert_eq!(fleet.ask(instance, &safe_call()), 200);
+    }
+    fleet.add(Published::Plain(&plain[1])).await;
+
+    for request in 0..REQUESTS {
+        assert_eq!(fleet.ask(request % INSTANCES, &safe_call()), 200);
+    }
+
+    assert!(plain[0].arrivals().len() <= INSTANCES);
+}
+
+/// Guards against prompts that are begun at an engine which leaves before it has answered them.
+#[async_std::test]
+async fn an_engine_that_says_that_it_leaves_gets_no_further_prompt() {
+    let engines = ["e-1", "e-2"].map(|id| target(id, Behaviour::Stream(2)));
+    let fleet = Fleet::start(Published::Engine(&engines[0])).await;
+    engines[0].leave();
+    assert_eq!(fleet.ask(0, &prompt()), 200);
+    fleet.add(Published::Engine(&engines[1])).await;
+
+    for request in 0..REQUESTS {
+        assert_eq!(fleet.ask(request % INSTANCES, &prompt()), 200);
+    }
+
+    assert_eq!(engines[0].arrivals().len(), 1);
+}
+
+/// Guards against instances that go on sending until the leaving target has told each of them.
+#[async_std::test]
+async fn all_instances_know_that_a_target_leaves_once_one_was_told() {
+    let plain = target("p-1", Behaviour::Serve("listing"));
+    let fleet = Fleet::start(Published::Plain(&plain)).await;
+    plain.leave();
+
+    assert_eq!(fleet.ask(0, &safe_call()), 200);
+
+    fleet.advance(TOLD_MS).await;
+    let mut entries = fleet.entries.iter();
+    assert!(entries.all(|entry| entry.ready_targets().is_empty()));
+}
+
+/// Guards against a target that is full and gets the next request at once, from the instance that it turned away.
+#[async_std::test]
+async fn a_target_that_wants_nothing_for_a_while_gets_nothing() {
+    let plain = target("p-1", Behaviour::Serve("printed"));
+    let fleet = Fleet::start(Published::Plain(&plain)).await;
+    plain.script([Behaviour::Pause(PAUSE.0)]);
+    let call = || Ask::new("POST", format!("{CALL_PREFIX}print"));
+    assert_eq!(fleet.ask(0, &call()), 503);
+
+    for _ in 0..REQUESTS {
+        let answer = fleet.answer(0, &call());
+        assert_eq!(
+            (answer.status, answer.header("Retry-After")),
+            (503, Some("1.50"))
+        );
+    }
+
+    assert_eq!(plain.arrivals().len(), 1);
+    assert_eq!(fleet.ask(1, &call()), 200);
+    fleet.advance(PAUSE.1 + STEP_MS).await;
+    assert_eq!(fleet.ask(0, &call()), 200);
+}
--- /dev/null
+++ b/crates/daemon/tests/entry/paused_fleet.rs
@@ -0,0 +1,117 @@
+//! Linked instances on one clock that stands still unless a test advances it.
+
+use {
+    super::fixture::{is_ready, question, start_by_clock},
+    async_std::task,
+    std::sync::Arc,
+    whinlatch_daemon::{
+        clock::{Clock, PausedClock},
+        entry::Entry,
+    },
+    whinlatch_platform_standins::{Answer, Ask, Caller, Fixture, StoreStandin, TargetStandin},
+};
+
+/// Instances of a fleet.
+pub const INSTANCES: usize = 3;
+/// Time by which the clock is advanced at once, in ms: that between two looks for news.
+pub const STEP_MS: u64 = 20;
+/// Turns that other tasks are given after a step.
+const YIELDS: usize = 300;
+
+/// Instances on one clock that stands still unless a test advances it.
+pub struct Fleet {
+    clock: Arc<PausedClock>,
+    pub entries: Vec<Entry>,
+    pub store: StoreStandin,
+}
+
+impl Fleet {
+    /// Instances that serve by one target and are linked to each other.
+    pub async fn start(first: Published<'_>) -> Self {
+        let store = StoreStandin::start();
+        Fixture::default().publish(&store);
+        first.publish(&store);
+        let clock = Arc::new(PausedClock::default());
+        let mut entries: Vec<Entry> = Vec::new();
+        for _ in 0..INSTANCES {
+            let seeds = entries.iter().map(|entry| entry.settings().peer_address);
+            let seeds: Vec<_> = seeds.collect();
+            let by_clock = Arc::clone(&clock) as Arc<dyn Clock>;
+            entries.push(start_by_clock(store.address(), &seeds, by_clock).await);
+        }
+        let fleet = Self {
+            clock,
+            entries,
+            store,
+        };
+        fleet
+            .advance_until(|fleet| fleet.entries.iter().all(is_joined))
+            .await;
+        fleet
+    }
+
+    pub async fn advance(&self, ms: u64) {
+        for _ in 0..ms.div_ceil(STEP_MS) {
+            self.clock.advance(STEP_MS);
+            for _ in 0..YIELDS {
+                task::yield_now().await;
+            }
+        }
+    }
+
+    pub async fn advance_until(&self, holds: impl Fn(&Self) -> bool) {
+        while !holds(self) {
+            self.advance(STEP_MS).await;
+        }
+    }
+
+    /// Sends a request to an instance. Returns the status of its answer.
+    pub fn ask(&self, instance: usize, ask: &Ask) -> u16 {
+        self.answer(instance, ask).status
+    }
+
+    /// Sends a request to an instance.
+    pub fn answer(&self, instance: usize, ask: &Ask) -> Answer {
+        let address = self.entries[instance].settings().caller_address;
+        Caller::connect(address).ask(ask)
+    }
+
+    /// Publishes one more target, which comes to all instances.
+    pub async fn add(&self, target: Published<'_>) {
+        target.publish(&self.store);
+        let id = target.id().to_owned();
+        self.advance_until(|fleet| {
+            let mut entries = fleet.entries.iter();
+            entries.all(|entry| entry.ready_targets().contains(&id))
+        })
+        .await;
+    }
+}
+
+/// A target of one of the services.
+#[derive(Clone, Copy)]
+pub enum Published<'a> {
+    Engine(&'a TargetStandin),
+    Plain(&'a TargetStandin),
+}
+
+impl<'a> Published<'a> {
+    fn publish(self, store: &StoreStandin) {
+        match self {
+            Self::Engine(target) => store.publish_engine(target),
+            Self::Plain(target) => store.publish_plain(target),
+        }
+    }
+
+    fn id(self) -> &'a str {
+        match self {
+            Self::Engine(target) | Self::Plain(target) => target.id(),
+        }
+    }
+}
+
+fn is_joined(entry: &Entry) -> bool {
+    let counters = question(entry.settings().metrics_address, "/metrics").body;
+    let linked = format!("whinlatch_entry_linked_peers {}", INSTANCES - 1);
+    is_ready(entry) && counters.contains(&linked)
+}
