--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -261,6 +261,9 @@
     /// Targets that could not be reached.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub unreachable: Vec<TargetId>,
+    /// Runs of targets that have said that they leave.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<TargetId>,
     /// Targets that have named a limit, or name none any more.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<TargetLimit>,
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -101,6 +101,7 @@
             member: Some(self.own_member(now)),
             beat: Some(beat),
             peers: self.members.addresses_to_tell(now),
+            leaving: self.targets.leaving(),
             roster: Some(self.members.full_roster(now, self.own.peer_address)),
             ..Frame::default()
         }
--- a/crates/serving/src/serving/notices.rs
+++ b/crates/serving/src/serving/notices.rs
@@ -17,8 +17,11 @@
         notice: &TargetNotice,
     ) -> bool {
         let limit = self.notices.answered(now, sent_at, target, notice);
-        let is_news = limit.is_some() || notice.retry_after_ms.is_some();
-        self.news.for_all().limits.extend(limit);
+        let leaves = notice.is_leaving && self.targets.leaves(now, target);
+        let is_news = limit.is_some() || leaves || notice.retry_after_ms.is_some();
+        let news = self.news.for_all();
+        news.limits.extend(limit);
+        news.leaving.extend(leaves.then(|| target.clone()));
         is_news
     }
 }
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -34,6 +34,7 @@
     crashes: Vec<Crash>,
     served: Vec<Fingerprint>,
     unreachable: Vec<TargetId>,
+    leaving: Vec<TargetId>,
     limits: Vec<TargetLimit>,
     displaced: Vec<Displaced>,
 }
@@ -165,6 +166,7 @@
             crashes: frame.crashes,
             served: frame.served,
             unreachable: frame.unreachable,
+            leaving: frame.leaving,
             limits: frame.limits,
             displaced: frame.displaced,
         };
@@ -249,6 +251,7 @@
             crashes: keep(told.crashes, |crash| self.crashes.note(now, crash)),
             served: keep(told.served, |request| self.crashes.served(*request)),
             unreachable: keep(told.unreachable, |id| self.calls.unreachable(now, id)),
+            leaving: keep(told.leaving, |run| self.targets.leaves(now, run)),
             limits: keep(told.limits, |limit| {
                 self.notices.told_limit(now, &limit.target, limit.per_s)
             }),
@@ -259,6 +262,7 @@
             news.crashes.extend(new.crashes);
             news.served.extend(new.served);
             news.unreachable.extend(new.unreachable);
+            news.leaving.extend(new.leaving);
             news.limits.extend(new.limits);
             news.displaced.extend(new.displaced);
         }
--- a/crates/serving/src/targets/target_book.rs
+++ b/crates/serving/src/targets/target_book.rs
@@ -57,6 +57,8 @@
     runs: HashMap<TargetId, TargetName>,
     doubtful: HashMap<TargetName, u64>,
     displaced: HashMap<TargetName, u64>,
+    /// Runs that have said that they leave, and when this was heard.
+    leaving: HashMap<TargetId, MonoMs>,
     holders: AddressHolders,
     store_silent: bool,
     store_back_at: Option<MonoMs>,
@@ -175,6 +177,9 @@
         let former = self.by_name.insert(change.name.clone(), held);
         if let Some(former) = former.and_then(|held| held.entry) {
             self.runs.remove(&former.id);
+            if change.entry.is_none() {
+                self.leaving.remove(&former.id);
+            }
             self.holders.remove(former.address, &change.name);
             self.fit_holder(former.address);
         }
@@ -208,6 +213,19 @@
         })
     }
 
+    /// Notes that a run has said that it leaves, here or to a peer. Returns whether that is news.
+    ///
+    /// It gets no request any more, whatever is published: the store may be away, and what it holds is older
+    /// than the word of the target itself. That may come before the entry does.
+    pub fn leaves(&mut self, now: MonoMs, run: &TargetId) -> bool {
+        self.leaving.insert(run.clone(), now).is_none()
+    }
+
+    /// The runs that have said that they leave.
+    pub fn leaving(&self) -> Vec<TargetId> {
+        self.leaving.keys().cloned().collect()
+    }
+
     fn fit_holder_of(&mut self, name: &TargetName) {
         if let Some(address) = self.published_entry(name).map(|entry| entry.address) {
             self.fit_holder(address);
@@ -242,6 +260,10 @@
                 .store_back_at
                 .is_none_or(|back| now.since(back) >= LAPSE_GRACE_MS);
         self.forget_removals(now);
+        let runs = &self.runs;
+        self.leaving.retain(|run, heard_at| {
+            runs.contains_key(run) || now.since(*heard_at) < REMEMBER_REMOVED_MS
+        });
         let (by_name, newest) = (&self.by_name, self.newest);
         // The word of a displaced entry may come before the entry itself.
         self.displaced
@@ -298,7 +320,9 @@
     }
 
     fn takes_requests(&self, entry: &TargetEntry) -> bool {
-        entry.state == TargetState::Ready && self.holders.is_held_by(entry)
+        entry.state == TargetState::Ready
+            && self.holders.is_held_by(entry)
+            && !self.leaving.contains_key(&entry.id)
     }
 
     /// Names of all targets that take requests, in order.
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -12,6 +12,8 @@
 mod instances;
 #[path = "serving/large_fleet.rs"]
 mod large_fleet;
+#[path = "serving/notices.rs"]
+mod notices;
 #[path = "serving/pauses.rs"]
 mod pauses;
 #[path = "serving/placement.rs"]
--- /dev/null
+++ b/crates/serving/tests/serving/notices.rs
@@ -0,0 +1,103 @@
+//! What targets say of themselves in their answers, and what published entries say beside it.
+
+use {
+    super::{
+        fixture::{START, change, member, removal, rule, run_change},
+        fleet_fixture::Fleet,
+    },
+    std::net::SocketAddr,
+    whinlatch_serving::{
+        Serving,
+        names::TargetId,
+        targets::{TargetNotice, TargetState},
+    },
+};
+
+/// Looks until all instances of a fleet know each other.
+const LOOKS_TO_SETTLE: usize = 10;
+
+fn leaving() -> TargetNotice {
+    TargetNotice {
+        is_leaving: true,
+        ..TargetNotice::default()
+    }
+}
+
+fn serving() -> Serving {
+    Serving::new(member(1, 7_000), rule())
+}
+
+/// Guards against a target that is used again since the store, which is behind, still lists it as ready.
+#[test]
+fn an_entry_does_not_take_back_that_its_target_leaves() {
+    let mut serving = serving();
+    serving.target_published(START, change("e-1", 2, TargetState::Ready));
+
+    serving.noticed(START, START, &"e-1".into(), &leaving());
+    serving.target_published(START, change("e-1", 3, TargetState::Ready));
+
+    assert!(serving.ready_targets().is_empty());
+}
+
+/// Guards against the word of a peer that is lost since it comes before the entry it is about.
+#[test]
+fn a_target_that_leaves_may_be_told_of_before_its_entry() {
+    let mut serving = serving();
+
+    serving.noticed(START, START, &"e-1".into(), &leaving());
+    serving.target_published(START, change("e-1", 2, TargetState::Ready));
+
+    assert!(serving.ready_targets().is_empty());
+}
+
+/// Guards against a new run that gets nothing since the one before it has left.
+#[test]
+fn a_run_that_follows_one_that_left_is_used() {
+    let mut serving = serving();
+    serving.target_published(START, run_change("e-1", 2, 1_000));
+    serving.noticed(START, START, &"e-1#1000".into(), &leaving());
+    serving.target_published(START, change("e-2", 3, TargetState::Ready));
+    serving.noticed(START, START, &"e-2".into(), &leaving());
+
+    serving.target_published(START, run_change("e-1", 4, 2_000));
+    serving.target_published(START, removal("e-2", 5));
+    serving.target_published(START, change("e-2", 6, TargetState::Ready));
+
+    assert_eq!(serving.ready_targets(), ["e-1#2000", "e-2"]);
+}
+
+/// Guards against instances of a large fleet, not all linked to each other, that go on sending.
+#[test]
+fn hubs_pass_on_that_a_target_leaves() {
+    for size in [9, 85] {
+        let mut fleet = Fleet::start(size);
+        fleet.looks(LOOKS_TO_SETTLE);
+        let target: TargetId = "e-00".into();
+        let now = fleet.now;
+        let first = fleet.alive.values_mut().next().unwrap();
+
+        first.noticed(now, now, &target, &leaving());
+        fleet.tell_news();
+
+        let mut instances = fleet.alive.values();
+        let is_unused = |serving: &Serving| !serving.ready_targets().contains(&target.to_string());
+        assert!(instances.all(is_unused), "{size}");
+    }
+}
+
+/// Guards against an instance that starts, or was cut off, while a target leaves and the store is away.
+#[test]
+fn a_link_begins_with_the_targets_that_leave() {
+    let mut told = serving();
+    let mut other = Serving::new(member(2, 7_010), rule());
+    for serving in [&mut told, &mut other] {
+        serving.target_published(START, change("e-1", 2, TargetState::Ready));
+    }
+    told.noticed(START, START, &"e-1".into(), &leaving());
+    let to: SocketAddr = other.peer_address();
+
+    let greeting = told.greeting(START, to, false);
+    other.on_frame(START, 1, greeting, |_text| None);
+
+    assert!(other.ready_targets().is_empty());
+}
