--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -6,6 +6,7 @@
         decision_line::Decision,
         entry_state::EntryState,
         own_call::{OwnCall, own_call},
+        permits::may_send,
     },
     crate::clock::timeout,
     futures::future::join_all,
@@ -33,6 +34,9 @@
 }
 
 async fn read(state: &EntryState, engine: &TargetEntry) {
+    if !may_send(state, &engine.id).await {
+        return;
+    }
     // An engine that doesn't answer shows that to the prompts that are sent to it.
     let Some(body) = report(state, engine).await else {
         return;
--- a/crates/daemon/src/entry/own_call.rs
+++ b/crates/daemon/src/entry/own_call.rs
@@ -5,7 +5,6 @@
         attempt::{AttemptFault, connection},
         entry_state::EntryState,
         http::ResponseHead,
-        permits::note_own_call,
     },
     std::fmt::Write,
     whinlatch_platform::TargetAnswer,
@@ -55,7 +54,7 @@
     }
 }
 
-/// Makes a call. Returns the head and body of its answer, whatever the status.
+/// Makes a call, which the caller has counted towards a limit of the target. Returns the head and body of its answer, whatever the status.
 ///
 /// # Errors
 /// [`AttemptFault`].
@@ -65,7 +64,6 @@
     call: OwnCall<'_>,
 ) -> Result<(ResponseHead, Vec<u8>), AttemptFault> {
     let mut connection = connection(state, target).await?;
-    note_own_call(state, &target.id);
     let sent_at = state.now();
     let request = call.request(target);
     let (head, body) = connection.exchange(call.method(), &request).await?;
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -5,11 +5,19 @@
         engine_reports::report,
         entry_state::EntryState,
         own_call::{OwnCall, own_call},
+        permits::note_own_call,
     },
     crate::{clock::timeout, entropy::random_u64},
     async_std::task,
     futures::future::{join, join_all, pending},
-    std::{net::SocketAddr, sync::Arc},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
+    whinlatch_core::MonoMs,
     whinlatch_platform::{MemoryUse, ORDER_PATH, read_memory_use, release_body, reserve_body},
     whinlatch_serving::{PromptPlace, targets::TargetEntry},
 };
@@ -19,6 +27,11 @@
 const HOLD_MS: u64 = 3_000;
 /// Time between two renewals, in ms: two may fail before the memory lapses.
 const RENEW_MS: u64 = 1_000;
+/// Time between two looks whether a renewal is due, in ms: an engine that wants nothing from this instance for
+/// a while bears what comes within half a second.
+const LOOK_MS: u64 = 250;
+/// Time beyond an engine's pause for which memory is set aside before it, in ms.
+const PAUSE_MARGIN_MS: u64 = 1_000;
 /// Time after which it is looked up whether a prompt uses the memory, in ms: most prompts have
 /// begun by then.
 const LOOK_UP_AFTER_MS: u64 = 4_500;
@@ -34,10 +47,38 @@
 const DONE: u16 = 200;
 
 /// Memory at one engine.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Hold {
     engine: TargetEntry,
     tokens: u64,
+    /// When it was last ordered, and when it lapses, in ms of the clock.
+    ordered_at: AtomicU64,
+    lapses_at: AtomicU64,
+}
+
+impl Hold {
+    fn new(engine: &TargetEntry, tokens: u64) -> Self {
+        Self {
+            engine: engine.clone(),
+            tokens,
+            ordered_at: AtomicU64::new(0),
+            lapses_at: AtomicU64::new(0),
+        }
+    }
+
+    fn note_order(&self, now: MonoMs, hold_ms: u64) {
+        self.ordered_at.store(now.0, Ordering::Relaxed);
+        self.lapses_at.store(now.0 + hold_ms, Ordering::Relaxed);
+    }
+
+    /// Time since the last order, in ms.
+    fn age_ms(&self, now: MonoMs) -> u64 {
+        now.since(MonoMs(self.ordered_at.load(Ordering::Relaxed)))
+    }
+
+    fn lapses_at(&self) -> MonoMs {
+        MonoMs(self.lapses_at.load(Ordering::Relaxed))
+    }
 }
 
 /// Memory that is set aside at engines for one prompt: all that it needs or none. It is renewed
@@ -46,7 +87,6 @@
 pub struct Reservations<'a> {
     state: &'a Arc<EntryState>,
     id: String,
-    hold_ms: u64,
     helpers: Vec<Hold>,
     own: Option<Hold>,
 }
@@ -79,20 +119,13 @@
         let count = place.reserved.map_or(0, |reserved| reserved.engines);
         let tokens = place.reserved.map_or(0, |reserved| reserved.tokens);
         let helpers = place.helpers.iter().take(count);
-        let own = place.goes_first.then(|| Hold {
-            engine: place.engine.clone(),
-            tokens: OWN_TOKENS,
-        });
+        let own = place
+            .goes_first
+            .then(|| Hold::new(&place.engine, OWN_TOKENS));
         Self {
             state,
             id: format!("w{:016x}", random_u64()),
-            hold_ms: HOLD_MS.min(state.settings.reservation_most_ms),
-            helpers: helpers
-                .map(|engine| Hold {
-                    engine: engine.clone(),
-                    tokens,
-                })
-                .collect(),
+            helpers: helpers.map(|engine| Hold::new(engine, tokens)).collect(),
             own,
         }
     }
@@ -122,16 +155,21 @@
             return pending().await;
         }
         let began = self.state.now();
+        let mut looked_up_at = began;
         let mut was_used = false;
         loop {
-            self.state.clock.sleep(RENEW_MS).await;
-            if let Err(fault) = self.order_all(self.holds()).await {
+            self.state.clock.sleep(LOOK_MS).await;
+            let now = self.state.now();
+            let due = self.holds().filter(|hold| self.is_due(now, hold));
+            if let Err(fault) = self.order_all(due).await {
                 self.note_trouble("isn't renewed", &fault);
             }
             let kept_ms = self.state.now().since(began);
-            if kept_ms < LOOK_UP_AFTER_MS || was_used {
+            let is_look_up_due = now.since(looked_up_at) >= RENEW_MS;
+            if kept_ms < LOOK_UP_AFTER_MS || was_used || !is_look_up_due {
                 continue;
             }
+            looked_up_at = now;
             match self.memory_use().await {
                 Some(MemoryUse::Used) => was_used = true,
                 // Whoever doesn't know of the memory doesn't keep it either.
@@ -142,9 +180,29 @@
         }
     }
 
+    /// Whether an order is due that keeps memory. One that wants nothing for a while gets one before that only if
+    /// the memory would lapse meanwhile.
+    fn is_due(&self, now: MonoMs, hold: &Hold) -> bool {
+        match self.paused_until(now, hold) {
+            Some(until) => hold.lapses_at() <= until,
+            None => hold.age_ms(now) >= RENEW_MS,
+        }
+    }
+
+    fn paused_until(&self, now: MonoMs, hold: &Hold) -> Option<MonoMs> {
+        self.state.serving().paused_until(now, &hold.engine.id)
+    }
+
     /// What the first engine that sets memory aside says of it; `None` if it says nothing.
     async fn memory_use(&self) -> Option<MemoryUse> {
-        let hold = self.holds().next()?;
+        let now = self.state.now();
+        let mut holds = self.holds().peekable();
+        holds.peek()?;
+        let Some(hold) = holds.find(|hold| self.paused_until(now, hold).is_none()) else {
+            // They answer no question now, which doesn't tell that the memory isn't used.
+            return Some(MemoryUse::Unknown);
+        };
+        note_own_call(self.state, &hold.engine.id);
         let body = report(self.state, &hold.engine).await?;
         match read_memory_use(&body, &self.id) {
             Ok(memory_use) => Some(memory_use),
@@ -177,8 +235,15 @@
     }
 
     async fn order(&self, hold: &Hold) -> Result<(), String> {
+        let now = self.state.now();
+        let pause_ms = self
+            .paused_until(now, hold)
+            .map_or(0, |until| until.since(now) + PAUSE_MARGIN_MS);
+        let most_ms = self.state.settings.reservation_most_ms;
+        let hold_ms = HOLD_MS.max(pause_ms).min(most_ms);
+        hold.note_order(now, hold_ms);
         let body =
-            reserve_body(&self.id, hold.tokens, self.hold_ms).map_err(|fault| fault.to_string())?;
+            reserve_body(&self.id, hold.tokens, hold_ms).map_err(|fault| fault.to_string())?;
         match order(self.state, &hold.engine, &body).await? {
             DONE => Ok(()),
             status => Err(format!("{} answers {status}", hold.engine.id)),
@@ -186,7 +251,11 @@
     }
 
     fn give_back<'h>(&self, holds: impl Iterator<Item = &'h Hold>) {
-        let engines: Vec<TargetEntry> = holds.map(|hold| hold.engine.clone()).collect();
+        let now = self.state.now();
+        let engines: Vec<TargetEntry> = holds
+            .filter(|hold| !self.lapses_in_pause(now, hold))
+            .map(|hold| hold.engine.clone())
+            .collect();
         if !engines.is_empty() {
             let state = Arc::clone(self.state);
             task::spawn(release(state, engines, self.id.clone()));
@@ -194,6 +263,13 @@
     }
 }
 
+impl Reservations<'_> {
+    /// Whether memory lapses soon by itself at an engine that wants nothing from this instance now.
+    fn lapses_in_pause(&self, now: MonoMs, hold: &Hold) -> bool {
+        self.paused_until(now, hold).is_some() && hold.lapses_at().since(now) <= HOLD_MS
+    }
+}
+
 impl Drop for Reservations<'_> {
     fn drop(&mut self) {
         self.give_back(self.holds());
@@ -218,6 +294,7 @@
 
 /// Gives an order. Returns the status of the answer.
 async fn order(state: &EntryState, engine: &TargetEntry, body: &[u8]) -> Result<u16, String> {
+    note_own_call(state, &engine.id);
     let call = own_call(state, engine, OwnCall::Order(ORDER_PATH, body));
     let answered = timeout(state.clock.as_ref(), ORDER_MS, call);
     let (head, _body) = answered
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -179,7 +179,8 @@
         self.engines
             .forget_old(now, |id| targets.entry(id).is_some());
         self.calls.retain(|id| targets.entry(id).is_some());
-        self.notices.forget_old(|id| targets.entry(id).is_some());
+        self.notices
+            .forget_old(now, |id| targets.entry(id).is_some());
         let notices = &self.notices;
         self.quotas
             .forget_old(now, |id| notices.limit_per_s(id).is_some());
--- a/crates/serving/src/serving/notices.rs
+++ b/crates/serving/src/serving/notices.rs
@@ -7,6 +7,11 @@
 };
 
 impl Serving {
+    /// Until when a target wants nothing from this instance, if that isn't over.
+    pub fn paused_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
+        self.notices.paused_until(now, target)
+    }
+
     /// Takes in what a target says of itself in its answer to a request of `sent_at`. Returns whether
     /// that is news.
     pub fn noticed(
@@ -18,6 +23,9 @@
     ) -> bool {
         let limit = self.notices.answered(now, sent_at, target, notice);
         let leaves = notice.is_leaving && self.targets.leaves(now, target);
+        if let Some(for_ms) = notice.retry_after_ms {
+            self.notices.pause(now, target, for_ms);
+        }
         let is_news = limit.is_some() || leaves || notice.retry_after_ms.is_some();
         let news = self.news.for_all();
         news.limits.extend(limit);
--- a/crates/serving/src/serving/quotas.rs
+++ b/crates/serving/src/serving/quotas.rs
@@ -156,10 +156,9 @@
 
     /// Until when nothing may be sent to a target, if that is so now.
     pub(super) fn closed_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
-        if !self.is_limited(target) {
-            return None;
-        }
-        self.quotas.refused_until(now, target)
+        let refused = self.quotas.refused_until(now, target);
+        let refused = refused.filter(|_until| self.is_limited(target));
+        refused.max(self.notices.paused_until(now, target))
     }
 
     /// The targets of a service to which nothing may be sent now.
--- a/crates/serving/src/targets/notice_book.rs
+++ b/crates/serving/src/targets/notice_book.rs
@@ -6,6 +6,9 @@
     whinlatch_core::MonoMs,
 };
 
+/// Longest pause that a target may ask for, in ms; a longer one is cut down.
+const MOST_PAUSE_MS: u64 = 60_000;
+
 /// What is told of the limit that a target has named.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetLimit {
@@ -19,6 +22,7 @@
 #[derive(Debug, Default)]
 pub struct NoticeBook {
     limits: HashMap<TargetId, Limit>,
+    paused_until: HashMap<TargetId, MonoMs>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -72,8 +76,22 @@
         self.limits.get(target).map(|limit| limit.per_s)
     }
 
-    /// Forgets targets that aren't published any more.
-    pub fn forget_old(&mut self, is_published: impl Fn(&str) -> bool) {
+    /// Notes that a target wants nothing from this instance for a while.
+    pub fn pause(&mut self, now: MonoMs, target: &TargetId, for_ms: u64) {
+        let until = now + for_ms.min(MOST_PAUSE_MS);
+        let paused_until = self.paused_until.entry(target.clone()).or_default();
+        *paused_until = until.max(*paused_until);
+    }
+
+    /// Until when a target wants nothing from this instance, if that isn't over.
+    pub fn paused_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
+        let until = self.paused_until.get(target).copied();
+        until.filter(|until| *until > now)
+    }
+
+    /// Forgets targets that aren't published any more, and pauses that are over.
+    pub fn forget_old(&mut self, now: MonoMs, is_published: impl Fn(&str) -> bool) {
         self.limits.retain(|id, _| is_published(id));
+        self.paused_until.retain(|_, until| *until > now);
     }
 }
