--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -102,6 +102,7 @@
             beat: Some(beat),
             peers: self.members.addresses_to_tell(now),
             leaving: self.targets.leaving(),
+            limits: self.notices.limits(),
             roster: Some(self.members.full_roster(now, self.own.peer_address)),
             ..Frame::default()
         }
--- a/crates/serving/src/targets/notice_book.rs
+++ b/crates/serving/src/targets/notice_book.rs
@@ -71,6 +71,17 @@
         former.map(|limit| limit.per_s) != per_s
     }
 
+    /// The limits of all targets that have named one.
+    pub fn limits(&self) -> Vec<TargetLimit> {
+        let limits = self.limits.iter();
+        limits
+            .map(|(target, limit)| TargetLimit {
+                target: target.clone(),
+                per_s: Some(limit.per_s),
+            })
+            .collect()
+    }
+
     /// Requests a second that a target takes from all instances together, if it has named a limit.
     pub fn limit_per_s(&self, target: &str) -> Option<f64> {
         self.limits.get(target).map(|limit| limit.per_s)
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -73,6 +73,8 @@
     pub sent_at: Instant,
     /// When its answer had come.
     pub ended_at: Instant,
+    /// Whether the answer says that its target leaves.
+    pub names_leaving: bool,
     /// What the caller saw.
     pub outcome: Outcome,
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,4 +21,5 @@
     plan::{Plan, Size, Step, Trouble},
     play::{Played, play},
     promises::{Evidence, judge},
+    target::Limited,
 };
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -8,7 +8,8 @@
     },
     std::time::{Duration, Instant},
     whinlatch_platform_standins::{
-        Ask, CALL_PREFIX, Caller, SAFE_PREFIX, STREAM_PREFIX, names::SEAL_HEADER,
+        Ask, CALL_PREFIX, Caller, SAFE_PREFIX, STREAM_PREFIX,
+        names::{LEAVING_HEADER, SEAL_HEADER},
     },
 };
 
@@ -116,6 +117,7 @@
             was_kept,
             sent_at,
             ended_at: Instant::now(),
+            names_leaving: outcome.names_leaving,
             outcome: outcome.seen,
         })
     }
@@ -176,12 +178,14 @@
 
 struct Exchanged {
     seen: Outcome,
+    names_leaving: bool,
     keeps_open: bool,
 }
 
 fn exchange(caller: &mut Caller, ask: &Ask, leaves: bool) -> Exchanged {
     let over = |seen| Exchanged {
         seen,
+        names_leaving: false,
         keeps_open: false,
     };
     if caller.send(ask).is_err() {
@@ -207,6 +211,7 @@
             .is_none_or(|value| !value.eq_ignore_ascii_case("close"));
     Exchanged {
         keeps_open,
+        names_leaving: answer.header(LEAVING_HEADER).is_some(),
         seen: Outcome::Answered {
             status: answer.status,
             is_sealed: answer.header(SEAL_HEADER).is_some(),
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -20,6 +20,10 @@
     /// second; beside the other troubles of a seed, which stay as they are.
     #[bpaf(long, argument("N"), fallback(0.0), display_fallback)]
     pub restarts_per_s: f64,
+    /// Targets that name a limit, say in their answers that they leave, or want nothing for a while, in a second;
+    /// beside the other troubles of a seed, which stay as they are.
+    #[bpaf(long, argument("N"), fallback(0.0), display_fallback)]
+    pub notices_per_s: f64,
     /// Number of instances.
     #[bpaf(long, argument("N"), fallback(5), display_fallback)]
     pub instances: usize,
@@ -29,7 +33,7 @@
     /// Number of callers.
     #[bpaf(long, argument("N"), fallback(12), display_fallback)]
     pub callers: usize,
-    /// Judge by the clock, too: answers in time, leaving targets left alone in time. Not for a
+    /// Judge by the clock, too: answers in time, limits of targets kept. Not for a
     /// machine that is busy.
     #[bpaf(long)]
     pub timed: bool,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,11 @@
 /// Time for which a target that leaves serves what it has, in ms: over the two seconds for which
 /// instances may still send to it.
 const LEAVING_MS: u64 = 2_500;
+/// Time for which a target names a limit at least, in ms: the operators count from some seconds after its first
+/// word, over four.
+const LIMITED_MS: u64 = 6_000;
+/// Limits that targets name, in tenths of a request a second.
+const LIMIT_TENTHS: Range<u32> = 5..40;
 /// Every third seed has planned work only, during which nothing may be cut off.
 const PLANNED_EVERY: u64 = 3;
 
@@ -17,6 +22,8 @@
     pub troubles_per_s: f64,
     /// Targets that start again under their names, or whose entries are overwritten, in a second.
     pub restarts_per_s: f64,
+    /// Targets that name a limit, say that they leave or turn requests away for a while, in a second.
+    pub notices_per_s: f64,
     /// Number of instances.
     pub instances: usize,
     /// Number of targets, of both services.
@@ -55,6 +62,8 @@
     Doubling,
     /// Succeeds without a seal.
     Unsealed,
+    /// Says that it is full and wants nothing for a while.
+    Pausing,
 }
 
 /// What the store does wrong.
@@ -103,6 +112,10 @@
     Restart(usize),
     /// Somebody else overwrites a target's entry with bytes that name none.
     Overwrite(usize),
+    /// A target names how many requests it takes, in tenths of one a second.
+    Limit(usize, u32),
+    /// A target says in its answers alone that it leaves, goes, and another one takes its place.
+    LeaveUnpublished(usize),
 }
 
 /// A trouble and its time.
@@ -137,6 +150,7 @@
         if !is_planned {
             steps.extend(draw_restarts(seed, size));
         }
+        steps.extend(draw_notices(seed, size, is_planned));
         steps.sort_by_key(|step| step.at_ms);
         Self { is_planned, steps }
     }
@@ -162,6 +176,30 @@
     (0..count).map(|_| draw()).collect()
 }
 
+/// Draws what targets say of themselves, from a sequence of its own as well.
+///
+/// Memory at a target that wants nothing isn't given back but lapses, which isn't held against planned work.
+fn draw_notices(seed: u64, size: Size, is_planned: bool) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(1));
+    let count = (size.length_ms as f64 / 1_000.0 * size.notices_per_s).ceil() as usize;
+    let kinds = if is_planned { 2 } else { 3 };
+    let mut draw = || {
+        let target = rng.usize(..size.targets);
+        let drawn_ms = rng.u64(TROUBLE_MS);
+        let (trouble, least_ms) = match rng.u8(..kinds) {
+            0 => (Trouble::Limit(target, rng.u32(LIMIT_TENTHS)), LIMITED_MS),
+            1 => (Trouble::LeaveUnpublished(target), LEAVING_MS),
+            _ => (Trouble::Moody(target, Mood::Pausing), 0),
+        };
+        Step {
+            at_ms: rng.u64(..size.length_ms),
+            for_ms: least_ms + drawn_ms,
+            trouble,
+        }
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 fn draw_step(rng: &mut fastrand::Rng, size: Size, is_planned: bool) -> Step {
     let at_ms = rng.u64(..size.length_ms);
     let drawn_ms = rng.u64(TROUBLE_MS);
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -65,6 +65,7 @@
         length_ms: options.seconds * 1_000,
         troubles_per_s: options.troubles_per_s,
         restarts_per_s: options.restarts_per_s,
+        notices_per_s: options.notices_per_s,
         instances: options.instances,
         targets: 2 * options.targets,
     };
@@ -83,6 +84,11 @@
         asked: world.ledger.asked(),
         runs: world.ledger.runs(),
         orders: world.orders(),
+        limited: if options.timed {
+            world.limited()
+        } else {
+            Vec::new()
+        },
         due: options
             .timed
             .then_some(Duration::from_millis(TIMEOUT_MS) + LATE),
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -4,7 +4,7 @@
     crate::{
         finding::Finding,
         ledger::{Asked, InstanceRun, Kind, Outcome, Run},
-        target::{DOUBLED_BODY, events_of},
+        target::{DOUBLED_BODY, Limited, events_of},
     },
     std::{
         collections::{HashMap, HashSet},
@@ -17,6 +17,11 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Targets to which one request may go.
 const MOST_ATTEMPTS: usize = 2;
+/// Time over which the operators count what a target with a limit gets.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// What they allow beyond the limit: a factor, and a number of requests.
+const LIMIT_SLACK: f64 = 1.5;
+const LIMIT_FREE: f64 = 5.0;
 /// Findings of a kind that are told; the rest is counted.
 const TOLD_FINDINGS: usize = 5;
 
@@ -31,6 +36,8 @@
     pub runs: HashMap<String, Vec<Run>>,
     /// Bodies of the orders that each target got.
     pub orders: Vec<Vec<String>>,
+    /// What targets got while they named a limit, if the clock is to be held against it.
+    pub limited: Vec<Limited>,
     /// Time within which each answer is due, if the clock is to be held against it.
     pub due: Option<Duration>,
 }
@@ -54,6 +61,8 @@
     findings.extend(nothing_is_made_up(evidence));
     findings.extend(versions_only_go_up(&evidence.asked));
     findings.extend(memory_comes_back(evidence));
+    findings.extend(leaving_target_gets_nothing(evidence));
+    findings.extend(limits_are_kept(evidence));
     shorten(findings)
 }
 
@@ -227,6 +236,63 @@
     findings
 }
 
+/// An answer that says that its target leaves has passed through an instance; what is sent to the same run of the
+/// instance after that goes elsewhere.
+fn leaving_target_gets_nothing(evidence: &Evidence) -> Vec<Finding> {
+    let mut told: HashMap<(InstanceRun, &str), Instant> = HashMap::new();
+    for asked in evidence.asked.iter().filter(|asked| asked.names_leaving) {
+        let runs = evidence.runs.get(&asked.id).map_or(&[][..], Vec::as_slice);
+        if let (Some(run), [only]) = (asked.run, runs) {
+            let first = told.entry((run, &only.target)).or_insert(asked.ended_at);
+            *first = asked.ended_at.min(*first);
+        }
+    }
+    let mut findings = Vec::new();
+    for asked in &evidence.asked {
+        let Some(instance) = asked.run else { continue };
+        let runs = evidence.runs.get(&asked.id).into_iter().flatten();
+        let late = runs.filter(|run| {
+            let first = told.get(&(instance, run.target.as_str()));
+            first.is_some_and(|first| asked.sent_at > *first)
+        });
+        findings.extend(late.map(|run| {
+            let seen = format!("{} reached {} through {instance:?}", asked.id, run.target);
+            Finding::new("a leaving target gets nothing new", seen)
+        }));
+    }
+    findings
+}
+
+/// An instance that has just been told or started is excused, so that only planned work, after which each new
+/// one is told by the others, shows a limit that isn't kept.
+fn limits_are_kept(evidence: &Evidence) -> Vec<Finding> {
+    if !evidence.is_planned {
+        return Vec::new();
+    }
+    let most = |per_s: f64| LIMIT_SLACK * LIMIT_WINDOW.as_secs_f64() * per_s + LIMIT_FREE;
+    let kept = evidence.limited.iter().map(|limited| {
+        let arrived = most_within(&limited.arrived_at, LIMIT_WINDOW);
+        (limited, arrived)
+    });
+    kept.filter(|(limited, arrived)| *arrived as f64 > most(limited.per_s))
+        .map(|(limited, arrived)| {
+            let seen = format!("{arrived} in four seconds at {} a second", limited.per_s);
+            Finding::new("a limit is kept", seen)
+        })
+        .collect()
+}
+
+/// Most moments within any span of a length.
+fn most_within(moments: &[Instant], length: Duration) -> usize {
+    let ends = moments.iter().enumerate();
+    ends.map(|(end, at)| {
+        let first = moments.partition_point(|other| *other + length <= *at);
+        end + 1 - first
+    })
+    .max()
+    .unwrap_or(0)
+}
+
 /// Each memory that was set aside is given back, where nobody dies on the way.
 fn memory_comes_back(evidence: &Evidence) -> Vec<Finding> {
     if !evidence.is_planned {
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -10,7 +10,7 @@
         io,
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::Instant,
+        time::{Duration, Instant},
     },
     whinlatch_platform_standins::{
         Behaviour, ENGINES, EchoStream, PLAIN, Request, TargetStandin,
@@ -26,6 +26,11 @@
 const EVENTS: (u64, u64) = (3, 17);
 /// Body of the answer of a target that answers twice.
 pub const DOUBLED_BODY: &str = "the first of two";
+/// Time for which a target wants nothing, in s.
+const PAUSE_S: &str = "0.8";
+/// Time from a target's first word of a limit until it is held against instances: that which the operators give
+/// them, and half a second for the answers on their way.
+const LIMIT_GRACE: Duration = Duration::from_millis(3_500);
 /// Time between two events, in ms.
 const EVENT_PAUSE_MS: u64 = 15;
 
@@ -59,6 +64,15 @@
     }))
 }
 
+/// What a target got while it named a limit.
+#[derive(Debug, Clone)]
+pub struct Limited {
+    /// Requests a second that it takes.
+    pub per_s: f64,
+    /// When requests, orders and questions arrived, in order.
+    pub arrived_at: Vec<Instant>,
+}
+
 /// A target and the relay through which instances reach it.
 #[derive(Debug)]
 pub struct Target {
@@ -72,8 +86,11 @@
     pub started_at_ms: Option<u64>,
     /// Whether it has announced that it leaves.
     pub is_leaving: bool,
+    /// Whether it says in its answers that it leaves, which isn't published.
+    pub leaves_unpublished: bool,
     /// Whether it has crashed.
     pub is_down: bool,
+    limited: Option<(f64, Instant)>,
     mood: Arc<Mutex<Option<Mood>>>,
     standin: TargetStandin,
 }
@@ -95,6 +112,8 @@
             id,
             started_at_ms: None,
             is_leaving: false,
+            leaves_unpublished: false,
+            limited: None,
             is_down: false,
             mood,
             standin,
@@ -111,6 +130,29 @@
         *lock(&self.mood) = mood;
     }
 
+    /// Has it name a limit, unless it does.
+    pub fn limit(&mut self, per_s: f64) {
+        if self.limited.is_none() {
+            self.limited = Some((per_s, Instant::now()));
+            self.standin.set_limit(Some(per_s));
+        }
+    }
+
+    /// Ends its limit. Returns what it got meanwhile.
+    pub fn unlimit(&mut self) -> Option<Limited> {
+        let (per_s, since) = self.limited.take()?;
+        self.standin.set_limit(None);
+        let mut arrived_at = self.standin.arrived_at();
+        arrived_at.retain(|at| *at >= since + LIMIT_GRACE);
+        Some(Limited { per_s, arrived_at })
+    }
+
+    /// Has it say in its answers that it leaves.
+    pub fn leave(&mut self) {
+        self.leaves_unpublished = true;
+        self.standin.leave();
+    }
+
     /// Bodies of the orders that it got.
     pub fn orders(&self) -> Vec<String> {
         self.standin.orders()
@@ -130,6 +172,9 @@
     if mood == Some(Mood::Shedding) {
         return Behaviour::Shed;
     }
+    if mood == Some(Mood::Pausing) {
+        return Behaviour::Pause(PAUSE_S);
+    }
     let account = request.header(ACCOUNT_HEADER).unwrap_or_default();
     ledger.note_run(
         id,
@@ -156,8 +201,8 @@
         Some(Mood::Breaking) if is_engine => stream(Some(hash(id) % last)),
         Some(Mood::Breaking) => Behaviour::Short("half"),
         Some(Mood::Doubling) if !is_engine => Behaviour::AnswerTwice(DOUBLED_BODY),
-        Some(Mood::Doubling | Mood::Shedding) | None if is_engine => stream(None),
-        Some(Mood::Doubling | Mood::Shedding) | None => Behaviour::Echo,
+        Some(Mood::Doubling | Mood::Shedding | Mood::Pausing) | None if is_engine => stream(None),
+        Some(Mood::Doubling | Mood::Shedding | Mood::Pausing) | None => Behaviour::Echo,
     }
 }
 
