--- a/check.sh
+++ b/check.sh
@@ -39,12 +39,14 @@
 cargo build --workspace --bins --quiet
 cargo test --workspace --quiet -- --exact "${known_red[@]}"
 
-# Two short seeds, of planned work only and of faults of all kinds, one with targets that start again
-# under their names and entries of other writers, and those that ever showed a fault.
+# Short seeds, of planned work only and of faults of all kinds, one with targets that start again
+# under their names and entries of other writers, two with targets that name limits, leave without an entry
+# or want nothing for a while, and those that ever showed a fault.
 # Longer runs are made by hand.
 step "soak"
 target/debug/whinlatch-soak --seeds 3 --seeds 7 --seconds 4
 target/debug/whinlatch-soak --seeds 8 --seconds 4 --restarts-per-s 2
+target/debug/whinlatch-soak --seeds 9-10 --seconds 4 --notices-per-s 2
 grep -v '^#' crates/soak/regressions.txt | while IFS='|' read -r options _; do
   # shellcheck disable=SC2086
   target/debug/whinlatch-soak $options
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -100,6 +100,12 @@
     NotPermitted {
         /// Its run.
         target: String,
+        /// Requests a second that it takes from all instances together, if it names a limit.
+        limit_per_s: Option<f64>,
+        /// The instance that was asked for permission, if another one grants it.
+        holder: Option<String>,
+        /// Time until it may be sent to again, in ms.
+        opens_in_ms: Option<u64>,
     },
     /// The process goes by a relay's reading of the store.
     Relayed {
--- a/crates/daemon/src/entry/permits.rs
+++ b/crates/daemon/src/entry/permits.rs
@@ -18,21 +18,32 @@
 /// Whether a request may be sent to a target now.
 pub async fn may_send(state: &EntryState, target: &TargetId) -> bool {
     let permission = state.serving().permission(state.now(), target);
-    let is_given = match permission {
+    let asked = match permission {
         Permission::Given => return true,
-        Permission::Refused => false,
+        Permission::Refused => None,
         Permission::Ask { holder, ask } => {
             let answer = ask_holder(state, holder, &ask).await;
             let now = state.now();
-            state.serving().permit_answered(now, target, answer)
+            if state.serving().permit_answered(now, target, answer) {
+                return true;
+            }
+            Some(holder)
         }
     };
-    if !is_given {
-        state.log(&Decision::NotPermitted {
-            target: target.to_string(),
-        });
-    }
-    is_given
+    log_refusal(state, target, asked);
+    false
+}
+
+fn log_refusal(state: &EntryState, target: &TargetId, asked: Option<SocketAddr>) {
+    let now = state.now();
+    let serving = state.serving();
+    let opens_at = serving.closed_until(now, target);
+    state.log(&Decision::NotPermitted {
+        target: target.to_string(),
+        limit_per_s: serving.limit_per_s(target),
+        holder: asked.map(|holder| holder.to_string()),
+        opens_in_ms: opens_at.map(|at| at.since(now)),
+    });
 }
 
 async fn ask_holder(
--- a/crates/serving/src/quotas/quota_book.rs
+++ b/crates/serving/src/quotas/quota_book.rs
@@ -2,6 +2,9 @@
     super::TokenBucket, crate::names::TargetId, std::collections::HashMap, whinlatch_core::MonoMs,
 };
 
+/// Time for which a bucket is kept of which nobody takes, in ms.
+const KEPT_MS: u64 = 60_000;
+
 /// What this instance has granted for others and itself, and what it was refused.
 #[derive(Debug, Default)]
 pub struct QuotaBook {
@@ -28,10 +31,10 @@
         until.filter(|until| *until > now)
     }
 
-    /// Forgets what is over, and targets that name no limit any more.
-    pub fn forget_old(&mut self, now: MonoMs, is_limited: impl Fn(&str) -> bool) {
-        self.buckets.retain(|target, _| is_limited(target));
-        self.refused_until
-            .retain(|target, until| *until > now && is_limited(target));
+    /// Forgets what is over, and buckets that nobody takes from.
+    pub fn forget_old(&mut self, now: MonoMs) {
+        self.buckets
+            .retain(|_, bucket| bucket.rested_ms(now) < KEPT_MS);
+        self.refused_until.retain(|_, until| *until > now);
     }
 }
--- a/crates/serving/src/quotas/token_bucket.rs
+++ b/crates/serving/src/quotas/token_bucket.rs
@@ -47,6 +47,11 @@
         self.tokens = (self.tokens - 1.0).max(-DEBT_S * per_s);
     }
 
+    /// Time since a token was last taken or asked for, in ms.
+    pub fn rested_ms(&self, now: MonoMs) -> u64 {
+        now.since(self.filled_at)
+    }
+
     fn fill(&mut self, now: MonoMs, per_s: f64) {
         let passed_s = now.since(self.filled_at) as f64 / MS_PER_S;
         self.tokens = (self.tokens + passed_s * per_s).min(MOST_TOKENS);
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -181,9 +181,7 @@
         self.calls.retain(|id| targets.entry(id).is_some());
         self.notices
             .forget_old(now, |id| targets.entry(id).is_some());
-        let notices = &self.notices;
-        self.quotas
-            .forget_old(now, |id| notices.limit_per_s(id).is_some());
+        self.quotas.forget_old(now);
     }
 
     fn rank(&mut self, now: MonoMs) {
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -252,9 +252,7 @@
             served: keep(told.served, |request| self.crashes.served(*request)),
             unreachable: keep(told.unreachable, |id| self.calls.unreachable(now, id)),
             leaving: keep(told.leaving, |run| self.targets.leaves(now, run)),
-            limits: keep(told.limits, |limit| {
-                self.notices.told_limit(now, &limit.target, limit.per_s)
-            }),
+            limits: keep(told.limits, |limit| self.notices.told_limit(now, limit)),
             displaced: keep(told.displaced, |entry| self.targets.displaced(entry)),
         };
         if self.is_hub() {
--- a/crates/serving/src/serving/quotas.rs
+++ b/crates/serving/src/serving/quotas.rs
@@ -28,7 +28,7 @@
         if self.closed_until(now, target).is_some() {
             return Permission::Refused;
         }
-        let Some(limit_per_s) = self.notices.limit_per_s(target) else {
+        let Some(limit_per_s) = self.limit_per_s(target) else {
             return Permission::Given;
         };
         let own = self.own.peer_address;
@@ -37,14 +37,14 @@
                 holder,
                 ask: self.permit_ask(target, limit_per_s, Some(own)),
             },
-            _ => self.take_own(now, target, limit_per_s),
+            Some(_own) => self.take(now, target, limit_per_s),
+            None => self.take(now, target, self.share_per_s(limit_per_s)),
         }
     }
 
-    fn take_own(&mut self, now: MonoMs, target: &TargetId, limit_per_s: f64) -> Permission {
-        let share_per_s = self.share_per_s(limit_per_s);
+    fn take(&mut self, now: MonoMs, target: &TargetId, per_s: f64) -> Permission {
         let bucket = self.quotas.bucket(now, target);
-        match bucket.take(now, share_per_s) {
+        match bucket.take(now, per_s) {
             Ok(()) => Permission::Given,
             Err(wait_ms) => {
                 self.quotas.refused(now, target, wait_ms);
@@ -71,8 +71,6 @@
     /// tells of a request.
     pub fn grant(&mut self, now: MonoMs, ask: &PermitAsk) -> Option<PermitAnswer> {
         let is_holder = self.holder(&ask.target) == Some(self.own.peer_address);
-        self.notices
-            .told_limit(now, &ask.target, Some(ask.limit_per_s));
         let bucket = self.quotas.bucket(now, &ask.target);
         if ask.reply_to.is_none() {
             bucket.charge(now, ask.limit_per_s);
@@ -92,21 +90,20 @@
     /// Notes a report or an order that is sent to a target. Returns what to tell whom, if the target names a
     /// limit and another instance is its holder.
     pub fn own_call_sent(&mut self, now: MonoMs, target: &TargetId) -> Option<(SocketAddr, Frame)> {
-        let limit_per_s = self.notices.limit_per_s(target)?;
-        match self.holder(target) {
+        let limit_per_s = self.limit_per_s(target)?;
+        let per_s = match self.holder(target) {
             Some(holder) if holder != self.own.peer_address => {
                 let frame = Frame {
                     permit_ask: Some(self.permit_ask(target, limit_per_s, None)),
                     ..Frame::default()
                 };
-                Some((holder, frame))
-            }
-            _ => {
-                let share_per_s = self.share_per_s(limit_per_s);
-                self.quotas.bucket(now, target).charge(now, share_per_s);
-                None
+                return Some((holder, frame));
             }
-        }
+            Some(_own) => limit_per_s,
+            None => self.share_per_s(limit_per_s),
+        };
+        self.quotas.bucket(now, target).charge(now, per_s);
+        None
     }
 
     fn permit_ask(
@@ -125,7 +122,7 @@
     }
 
     /// The instance that grants requests to a target for all: a hub of a large fleet, to which all link, else
-    /// any. `None` if each keeps a part of the limit for itself.
+    /// any that serves. `None` if none is known: each has an equal part of the limit then.
     fn holder(&self, target: &TargetId) -> Option<SocketAddr> {
         if !self.without.has(Mechanism::SharedQuotas) {
             return None;
@@ -141,21 +138,22 @@
         candidates.max_by_key(|address| hash(salt, *address))
     }
 
-    /// The part of a limit that this instance has where it asks nobody.
+    /// The part of a limit that this instance has where there is no holder.
     fn share_per_s(&self, limit_per_s: f64) -> f64 {
-        if self.without.has(Mechanism::SharedQuotas) {
-            return limit_per_s;
-        }
         limit_per_s / self.members.most() as f64
     }
 
-    /// Whether a target has named a limit.
+    /// Requests a second that a target takes from all instances together, if it names a limit.
+    pub fn limit_per_s(&self, target: &str) -> Option<f64> {
+        self.notices.limit_per_s(target)
+    }
+
     pub(super) fn is_limited(&self, target: &str) -> bool {
-        self.notices.limit_per_s(target).is_some()
+        self.limit_per_s(target).is_some()
     }
 
     /// Until when nothing may be sent to a target, if that is so now.
-    pub(super) fn closed_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
+    pub fn closed_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
         let refused = self.quotas.refused_until(now, target);
         let refused = refused.filter(|_until| self.is_limited(target));
         refused.max(self.notices.paused_until(now, target))
--- a/crates/serving/src/targets/notice_book.rs
+++ b/crates/serving/src/targets/notice_book.rs
@@ -1,7 +1,6 @@
 use {
-    super::TargetNotice,
+    super::{TargetLimit, TargetNotice},
     crate::names::TargetId,
-    serde::{Deserialize, Serialize},
     std::collections::HashMap,
     whinlatch_core::MonoMs,
 };
@@ -9,26 +8,18 @@
 /// Longest pause that a target may ask for, in ms; a longer one is cut down.
 const MOST_PAUSE_MS: u64 = 60_000;
 
-/// What is told of the limit that a target has named.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TargetLimit {
-    /// The target.
-    pub target: TargetId,
-    /// Requests a second that it takes from all instances together; `None` if it names no limit any more.
-    pub per_s: Option<f64>,
-}
-
 /// What the targets have said of themselves in their answers.
 #[derive(Debug, Default)]
 pub struct NoticeBook {
-    limits: HashMap<TargetId, Limit>,
+    limits: HashMap<TargetId, Heard>,
     paused_until: HashMap<TargetId, MonoMs>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Limit {
-    per_s: f64,
-    heard_at: MonoMs,
+/// What was heard last of a target's limit, also that it names none any more.
+#[derive(Debug, Clone)]
+struct Heard {
+    limit: TargetLimit,
+    at: MonoMs,
 }
 
 impl NoticeBook {
@@ -43,48 +34,51 @@
         target: &TargetId,
         notice: &TargetNotice,
     ) -> Option<TargetLimit> {
-        let known = self.limits.get(target);
-        let is_older = known.is_some_and(|limit| sent_at <= limit.heard_at);
+        let known = self.limits.get_mut(target);
+        let per_s = known.as_ref().and_then(|heard| heard.limit.per_s);
+        if per_s == notice.limit_per_s {
+            if let Some(heard) = known {
+                heard.at = now;
+            }
+            return None;
+        }
+        let is_older = known.as_ref().is_some_and(|heard| sent_at <= heard.at);
         if notice.limit_per_s.is_none() && is_older {
             return None;
         }
         let limit = TargetLimit {
             target: target.clone(),
             per_s: notice.limit_per_s,
+            version: known.map_or(0, |heard| heard.limit.version) + 1,
         };
-        self.told_limit(now, target, notice.limit_per_s)
-            .then_some(limit)
+        self.hear(now, limit.clone());
+        Some(limit)
     }
 
     /// Takes in the limit of a target, which a peer tells. Returns whether that is news.
-    pub fn told_limit(&mut self, now: MonoMs, target: &TargetId, per_s: Option<f64>) -> bool {
-        let former = match per_s {
-            Some(per_s) => {
-                let limit = Limit {
-                    per_s,
-                    heard_at: now,
-                };
-                self.limits.insert(target.clone(), limit)
-            }
-            None => self.limits.remove(target),
-        };
-        former.map(|limit| limit.per_s) != per_s
+    pub fn told_limit(&mut self, now: MonoMs, limit: &TargetLimit) -> bool {
+        let known = self.limits.get(&limit.target);
+        let is_news = known.is_none_or(|heard| limit.is_after(&heard.limit));
+        if is_news {
+            self.hear(now, limit.clone());
+        }
+        is_news
+    }
+
+    fn hear(&mut self, now: MonoMs, limit: TargetLimit) {
+        let heard = Heard { limit, at: now };
+        self.limits.insert(heard.limit.target.clone(), heard);
     }
 
-    /// The limits of all targets that have named one.
+    /// What is known of the limits of all targets.
     pub fn limits(&self) -> Vec<TargetLimit> {
-        let limits = self.limits.iter();
-        limits
-            .map(|(target, limit)| TargetLimit {
-                target: target.clone(),
-                per_s: Some(limit.per_s),
-            })
-            .collect()
+        let limits = self.limits.values();
+        limits.map(|heard| heard.limit.clone()).collect()
     }
 
-    /// Requests a second that a target takes from all instances together, if it has named a limit.
+    /// Requests a second that a target takes from all instances together, if it names a limit.
     pub fn limit_per_s(&self, target: &str) -> Option<f64> {
-        self.limits.get(target).map(|limit| limit.per_s)
+        self.limits.get(target)?.limit.per_s
     }
 
     /// Notes that a target wants nothing from this instance for a while.
--- a/crates/serving/tests/serving/quotas.rs
+++ b/crates/serving/tests/serving/quotas.rs
@@ -199,6 +199,28 @@
     }
 }
 
+/// Guards against two instances that tell each other what they heard at the same time, and swap it for ever.
+#[test]
+fn statements_of_a_limit_that_cross_settle() {
+    let mut fleet = told_fleet(SIZES[0]);
+    fleet.tell_news();
+    let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+    let now = fleet.now + 1;
+
+    serving(&mut fleet, addresses[0]).noticed(now, now, &target(), &TargetNotice::default());
+    let other = TargetNotice {
+        limit_per_s: Some(2.0),
+        ..TargetNotice::default()
+    };
+    serving(&mut fleet, addresses[1]).noticed(now, now, &target(), &other);
+    fleet.tell_news();
+
+    for address in addresses {
+        let permission = serving(&mut fleet, address).permission(now, &target());
+        assert_ne!(permission, Permission::Given);
+    }
+}
+
 /// Guards against a target that gets nothing for minutes, since memory at it was renewed many times.
 #[test]
 fn a_debt_is_paid_off_within_the_window() {
