--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -16,6 +16,7 @@
 mod http;
 mod job_guard;
 mod links;
+mod memory_hold;
 mod own_call;
 mod permits;
 mod placing;
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -4,19 +4,14 @@
         decision_line::Decision,
         engine_reports::report,
         entry_state::EntryState,
+        memory_hold::MemoryHold,
         own_call::{OwnCall, own_call},
         permits::note_own_call,
     },
     crate::{clock::timeout, entropy::random_u64},
     async_std::task,
     futures::future::{join, join_all, pending},
-    std::{
-        net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
-    },
+    std::{net::SocketAddr, sync::Arc},
     whinlatch_core::MonoMs,
     whinlatch_platform::{MemoryUse, ORDER_PATH, read_memory_use, release_body, reserve_body},
     whinlatch_serving::{PromptPlace, targets::TargetEntry},
@@ -46,49 +41,14 @@
 /// Status of an order that was carried out.
 const DONE: u16 = 200;
 
-/// Memory at one engine.
-#[derive(Debug)]
-struct Hold {
-    engine: TargetEntry,
-    tokens: u64,
-    /// When it was last ordered, and when it lapses, in ms of the clock.
-    ordered_at: AtomicU64,
-    lapses_at: AtomicU64,
-}
-
-impl Hold {
-    fn new(engine: &TargetEntry, tokens: u64) -> Self {
-        Self {
-            engine: engine.clone(),
-            tokens,
-            ordered_at: AtomicU64::new(0),
-            lapses_at: AtomicU64::new(0),
-        }
-    }
-
-    fn note_order(&self, now: MonoMs, hold_ms: u64) {
-        self.ordered_at.store(now.0, Ordering::Relaxed);
-        self.lapses_at.store(now.0 + hold_ms, Ordering::Relaxed);
-    }
-
-    /// Time since the last order, in ms.
-    fn age_ms(&self, now: MonoMs) -> u64 {
-        now.since(MonoMs(self.ordered_at.load(Ordering::Relaxed)))
-    }
-
-    fn lapses_at(&self) -> MonoMs {
-        MonoMs(self.lapses_at.load(Ordering::Relaxed))
-    }
-}
-
 /// Memory that is set aside at engines for one prompt: all that it needs or none. It is renewed
 /// while [`Self::keep`] runs and given back when this is dropped, however that comes about.
 #[derive(Debug)]
 pub struct Reservations<'a> {
     state: &'a Arc<EntryState>,
     id: String,
-    helpers: Vec<Hold>,
-    own: Option<Hold>,
+    helpers: Vec<MemoryHold>,
+    own: Option<MemoryHold>,
 }
 
 impl<'a> Reservations<'a> {
@@ -121,11 +81,13 @@
         let helpers = place.helpers.iter().take(count);
         let own = place
             .goes_first
-            .then(|| Hold::new(&place.engine, OWN_TOKENS));
+            .then(|| MemoryHold::new(&place.engine, OWN_TOKENS));
         Self {
             state,
             id: format!("w{:016x}", random_u64()),
-            helpers: helpers.map(|engine| Hold::new(engine, tokens)).collect(),
+            helpers: helpers
+                .map(|engine| MemoryHold::new(engine, tokens))
+                .collect(),
             own,
         }
     }
@@ -182,14 +144,14 @@
 
     /// Whether an order is due that keeps memory. One that wants nothing for a while gets one before that only if
     /// the memory would lapse meanwhile.
-    fn is_due(&self, now: MonoMs, hold: &Hold) -> bool {
+    fn is_due(&self, now: MonoMs, hold: &MemoryHold) -> bool {
         match self.paused_until(now, hold) {
             Some(until) => hold.lapses_at() <= until,
             None => hold.age_ms(now) >= RENEW_MS,
         }
     }
 
-    fn paused_until(&self, now: MonoMs, hold: &Hold) -> Option<MonoMs> {
+    fn paused_until(&self, now: MonoMs, hold: &MemoryHold) -> Option<MonoMs> {
         self.state.serving().paused_until(now, &hold.engine.id)
     }
 
@@ -215,7 +177,7 @@
 
     /// Where memory is set aside. An engine that has started again since holds none of it, and would
     /// set it aside anew for a prompt that it knows nothing of.
-    fn holds(&self) -> impl Iterator<Item = &Hold> {
+    fn holds(&self) -> impl Iterator<Item = &MemoryHold> {
         let all = self.own.iter().chain(&self.helpers);
         all.filter(|hold| !self.state.serving().has_restarted(&hold.engine))
     }
@@ -228,13 +190,13 @@
     }
 
     /// Gives the order to set memory aside, or to keep it longer, at some engines.
-    async fn order_all(&self, holds: impl Iterator<Item = &Hold>) -> Result<(), String> {
+    async fn order_all(&self, holds: impl Iterator<Item = &MemoryHold>) -> Result<(), String> {
         let orders = holds.map(|hold| self.order(hold));
         let answers: Result<Vec<()>, String> = join_all(orders).await.into_iter().collect();
         answers.map(|_done| ())
     }
 
-    async fn order(&self, hold: &Hold) -> Result<(), String> {
+    async fn order(&self, hold: &MemoryHold) -> Result<(), String> {
         let now = self.state.now();
         let pause_ms = self
             .paused_until(now, hold)
@@ -250,7 +212,7 @@
         }
     }
 
-    fn give_back<'h>(&self, holds: impl Iterator<Item = &'h Hold>) {
+    fn give_back<'h>(&self, holds: impl Iterator<Item = &'h MemoryHold>) {
         let now = self.state.now();
         let engines: Vec<TargetEntry> = holds
             .filter(|hold| !self.lapses_in_pause(now, hold))
@@ -261,11 +223,9 @@
             task::spawn(release(state, engines, self.id.clone()));
         }
     }
-}
 
-impl Reservations<'_> {
     /// Whether memory lapses soon by itself at an engine that wants nothing from this instance now.
-    fn lapses_in_pause(&self, now: MonoMs, hold: &Hold) -> bool {
+    fn lapses_in_pause(&self, now: MonoMs, hold: &MemoryHold) -> bool {
         self.paused_until(now, hold).is_some() && hold.lapses_at().since(now) <= HOLD_MS
     }
 }
--- a/crates/serving/src/serving/quotas.rs
+++ b/crates/serving/src/serving/quotas.rs
@@ -22,6 +22,15 @@
 /// agree on the holder again within some seconds.
 const UNANSWERED_MS: u64 = 200;
 
+/// Where requests to a target with a limit are granted.
+#[derive(Debug, Clone, Copy)]
+enum Quota {
+    /// At the instance that links there.
+    Peer(SocketAddr),
+    /// Here, at a rate.
+    Own { per_s: f64 },
+}
+
 impl Serving {
     /// Whether a request may be sent to a target now.
     pub fn permission(&mut self, now: MonoMs, target: &TargetId) -> Permission {
@@ -31,14 +40,13 @@
         let Some(limit_per_s) = self.limit_per_s(target) else {
             return Permission::Given;
         };
-        let own = self.own.peer_address;
-        match self.holder(target) {
-            Some(holder) if holder != own => Permission::Ask {
-                holder,
-                ask: self.permit_ask(target, limit_per_s, Some(own)),
-            },
-            Some(_own) => self.take(now, target, limit_per_s),
-            None => self.take(now, target, self.share_per_s(limit_per_s)),
+        match self.quota(target, limit_per_s) {
+            Quota::Peer(holder) => {
+                let reply_to = Some(self.own.peer_address);
+                let ask = self.permit_ask(target, limit_per_s, reply_to);
+                Permission::Ask { holder, ask }
+            }
+            Quota::Own { per_s } => self.take(now, target, per_s),
         }
     }
 
@@ -91,19 +99,19 @@
     /// limit and another instance is its holder.
     pub fn own_call_sent(&mut self, now: MonoMs, target: &TargetId) -> Option<(SocketAddr, Frame)> {
         let limit_per_s = self.limit_per_s(target)?;
-        let per_s = match self.holder(target) {
-            Some(holder) if holder != self.own.peer_address => {
+        match self.quota(target, limit_per_s) {
+            Quota::Peer(holder) => {
                 let frame = Frame {
                     permit_ask: Some(self.permit_ask(target, limit_per_s, None)),
                     ..Frame::default()
                 };
-                return Some((holder, frame));
+                Some((holder, frame))
             }
-            Some(_own) => limit_per_s,
-            None => self.share_per_s(limit_per_s),
-        };
-        self.quotas.bucket(now, target).charge(now, per_s);
-        None
+            Quota::Own { per_s } => {
+                self.quotas.bucket(now, target).charge(now, per_s);
+                None
+            }
+        }
     }
 
     fn permit_ask(
@@ -121,6 +129,17 @@
         }
     }
 
+    /// What this instance goes by that sends to a target with a limit.
+    fn quota(&self, target: &TargetId, limit_per_s: f64) -> Quota {
+        match self.holder(target) {
+            Some(holder) if holder != self.own.peer_address => Quota::Peer(holder),
+            Some(_own) => Quota::Own { per_s: limit_per_s },
+            None => Quota::Own {
+                per_s: limit_per_s / self.members.most() as f64,
+            },
+        }
+    }
+
     /// The instance that grants requests to a target for all: a hub of a large fleet, to which all link, else
     /// any that serves. `None` if none is known: each has an equal part of the limit then.
     fn holder(&self, target: &TargetId) -> Option<SocketAddr> {
@@ -138,11 +157,6 @@
         candidates.max_by_key(|address| hash(salt, *address))
     }
 
-    /// The part of a limit that this instance has where there is no holder.
-    fn share_per_s(&self, limit_per_s: f64) -> f64 {
-        limit_per_s / self.members.most() as f64
-    }
-
     /// Requests a second that a target takes from all instances together, if it names a limit.
     pub fn limit_per_s(&self, target: &str) -> Option<f64> {
         self.notices.limit_per_s(target)
