--- a/crates/soak/src/flag.rs
+++ b/crates/soak/src/flag.rs
@@ -17,6 +17,11 @@
         self.changed.notify_all();
     }
 
+    /// Whether the word was given.
+    pub fn is_set(&self) -> bool {
+        *self.is_set.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits for the word, for so long at most. Returns whether it was given.
     pub fn wait(&self, most: Duration) -> bool {
         let is_set = self.is_set.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub use {
     finding::Finding,
+    flag::Flag,
     ledger::{Asked, InstanceRun, Kind, Outcome, Run},
     options::{Options, options, parse_seeds},
     plan::{Plan, Size, Step, Trouble},
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,16 +1,12 @@
 //! The program of the soak: a line of JSON a run, and exit code 1 if a promise wasn't kept.
 
 use {
-    signal_hook::consts::{SIGINT, SIGTERM},
-    std::{
-        io,
-        process::ExitCode,
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
     },
-    whinlatch_soak::{options, play},
+    std::{io, process::ExitCode, sync::Arc, thread},
+    whinlatch_soak::{Flag, options, play},
 };
 
 fn main() -> ExitCode {
@@ -24,7 +20,7 @@
     };
     let mut is_clean = true;
     for seed in options.seeds.iter().cloned().flatten() {
-        if is_stopped.load(Ordering::SeqCst) {
+        if is_stopped.is_set() {
             eprintln!("stopped before seed {seed}");
             return ExitCode::FAILURE;
         }
@@ -48,10 +44,14 @@
 }
 
 /// Set by a signal to stop: the run ends early then, and with it the processes that it started.
-fn stop_flag() -> io::Result<Arc<AtomicBool>> {
-    let flag = Arc::new(AtomicBool::new(false));
-    for signal in [SIGINT, SIGTERM] {
-        signal_hook::flag::register(signal, Arc::clone(&flag))?;
-    }
+fn stop_flag() -> io::Result<Arc<Flag>> {
+    let flag = Arc::new(Flag::default());
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let set = Arc::clone(&flag);
+    thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            set.set();
+        }
+    });
     Ok(flag)
 }
