--- a/crates/daemon/src/entry/answers_whole.rs
+++ b/crates/daemon/src/entry/answers_whole.rs
@@ -8,7 +8,7 @@
         entry_state::EntryState,
         exchange::Ended,
         http::ResponseHead,
-        permits::may_send,
+        permits::is_permitted,
         request_context::RequestContext,
         target_connection::TargetConnection,
     },
@@ -101,7 +101,7 @@
 async fn place(state: &EntryState, mut ask: CallAsk<'_>) -> Result<TargetEntry, Refusal> {
     loop {
         let target = state.serving().place_call(state.now(), &ask)?.target;
-        if may_send(state, &target.id).await {
+        if is_permitted(state, &target.id).await {
             return Ok(target);
         }
         state.serving().call_withdrawn(&target.id);
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -21,6 +21,9 @@
     /// No connection could be had, so nothing was sent.
     #[error("no connection to the target: {0}")]
     NotSent(io::Error),
+    /// The target takes nothing now, so nothing was sent.
+    #[error("the target takes no more requests now")]
+    NotPermitted,
     /// The target says that it hasn't run the request and won't.
     #[error("the target didn't take it, status {}", .0.status)]
     NotRun(NotRun),
@@ -61,7 +64,10 @@
 impl AttemptFault {
     /// Whether the target may have run the request.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NotRun(_) | Self::NoMemory(_))
+        !matches!(
+            self,
+            Self::NotSent(_) | Self::NotPermitted | Self::NotRun(_) | Self::NoMemory(_)
+        )
     }
 
     /// Whether the target can't be reached: no connection could be had, or nothing of what was sent
--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -5,8 +5,7 @@
         attempt::AttemptFault,
         decision_line::Decision,
         entry_state::EntryState,
-        own_call::{OwnCall, own_call},
-        permits::may_send,
+        own_call::{Need, OwnCall, own_call},
     },
     crate::clock::timeout,
     futures::future::join_all,
@@ -34,11 +33,8 @@
 }
 
 async fn read(state: &EntryState, engine: &TargetEntry) {
-    if !may_send(state, &engine.id).await {
-        return;
-    }
     // An engine that doesn't answer shows that to the prompts that are sent to it.
-    let Some(body) = report(state, engine).await else {
+    let Some(body) = report(state, engine, Need::Wanted).await else {
         return;
     };
     match read_pace(&body) {
@@ -53,13 +49,17 @@
 }
 
 /// An engine's report; `None` if it gives none in time.
-pub async fn report(state: &EntryState, engine: &TargetEntry) -> Option<Vec<u8>> {
-    let report = timeout(state.clock.as_ref(), REPORT_MS, ask(state, engine)).await;
+pub async fn report(state: &EntryState, engine: &TargetEntry, need: Need) -> Option<Vec<u8>> {
+    let report = timeout(state.clock.as_ref(), REPORT_MS, ask(state, engine, need)).await;
     report?.ok()
 }
 
-async fn ask(state: &EntryState, engine: &TargetEntry) -> Result<Vec<u8>, AttemptFault> {
-    let (head, body) = own_call(state, engine, OwnCall::Ask(REPORT_PATH)).await?;
+async fn ask(
+    state: &EntryState,
+    engine: &TargetEntry,
+    need: Need,
+) -> Result<Vec<u8>, AttemptFault> {
+    let (head, body) = own_call(state, engine, OwnCall::Ask(REPORT_PATH), need).await?;
     if head.is_success() {
         Ok(body)
     } else {
--- a/crates/daemon/src/entry/own_call.rs
+++ b/crates/daemon/src/entry/own_call.rs
@@ -5,6 +5,7 @@
         attempt::{AttemptFault, connection},
         entry_state::EntryState,
         http::ResponseHead,
+        permits::{is_permitted, note_sent_anyway},
     },
     std::fmt::Write,
     whinlatch_platform::TargetAnswer,
@@ -20,6 +21,15 @@
     Order(&'a str, &'a [u8]),
 }
 
+/// What becomes of a call where its target has a limit and takes nothing now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    /// It isn't made.
+    Wanted,
+    /// It is made, and counts towards the limit.
+    Due,
+}
+
 impl<'a> OwnCall<'a> {
     fn method(self) -> &'static str {
         match self {
@@ -54,7 +64,8 @@
     }
 }
 
-/// Makes a call, which the caller has counted towards a limit of the target. Returns the head and body of its answer, whatever the status.
+/// Makes a call, which counts towards a limit of its target. Returns the head and body of the answer, whatever
+/// the status.
 ///
 /// # Errors
 /// [`AttemptFault`].
@@ -62,7 +73,13 @@
     state: &EntryState,
     target: &TargetEntry,
     call: OwnCall<'_>,
+    need: Need,
 ) -> Result<(ResponseHead, Vec<u8>), AttemptFault> {
+    match need {
+        Need::Due => note_sent_anyway(state, &target.id),
+        Need::Wanted if is_permitted(state, &target.id).await => {}
+        Need::Wanted => return Err(AttemptFault::NotPermitted),
+    }
     let mut connection = connection(state, target).await?;
     let sent_at = state.now();
     let request = call.request(target);
--- a/crates/daemon/src/entry/permits.rs
+++ b/crates/daemon/src/entry/permits.rs
@@ -16,7 +16,7 @@
 const PERMIT_MS: u64 = 40;
 
 /// Whether a request may be sent to a target now.
-pub async fn may_send(state: &EntryState, target: &TargetId) -> bool {
+pub async fn is_permitted(state: &EntryState, target: &TargetId) -> bool {
     let permission = state.serving().permission(state.now(), target);
     let asked = match permission {
         Permission::Given => return true,
@@ -61,9 +61,9 @@
     answered.await?.ok()
 }
 
-/// Has a report or an order count towards the limit of its target.
-pub fn note_own_call(state: &EntryState, target: &TargetId) {
-    let told = state.serving().own_call_sent(state.now(), target);
+/// Has a call that is made in any case count towards the limit of its target.
+pub fn note_sent_anyway(state: &EntryState, target: &TargetId) {
+    let told = state.serving().sent_anyway(state.now(), target);
     if let Some((holder, frame)) = told {
         state.send(&[holder], &frame);
     }
--- a/crates/daemon/src/entry/placing.rs
+++ b/crates/daemon/src/entry/placing.rs
@@ -1,7 +1,7 @@
 //! Where the engines for a prompt are chosen: here, or by a peer that is told of all prompts.
 
 use {
-    super::{entry_state::EntryState, job_guard::JobGuard, permits::may_send},
+    super::{entry_state::EntryState, job_guard::JobGuard, permits::is_permitted},
     crate::clock::timeout,
     std::net::SocketAddr,
     whinlatch_serving::{
@@ -16,10 +16,7 @@
 /// Peers that are asked, one after the other, before this instance chooses by what it knows.
 const ASKED: usize = 2;
 
-/// Finds engines for a prompt and counts it as sent there until the guard is dropped.
-///
-/// The guard exists before a peer is asked: a caller that leaves meanwhile would leave a prompt
-/// behind at the peer that nobody ever tells the end of.
+/// Finds engines for a prompt that it may be sent to, and counts it as sent there until the guard is dropped.
 ///
 /// # Errors
 /// A [`Refusal`]; the prompt has not been sent.
@@ -28,8 +25,10 @@
     mut ask: PromptAsk,
 ) -> Result<(PromptPlace, JobGuard<'_>), Refusal> {
     loop {
+        let closed = state.serving().closed_targets(state.now());
+        ask.excluded.extend(closed);
         let (place, guard) = choose(state, &ask).await?;
-        if may_send(state, &place.engine.id).await {
+        if is_permitted(state, &place.engine.id).await {
             return Ok((place, guard));
         }
         // The budget has let this repeat through.
@@ -37,7 +36,10 @@
     }
 }
 
-/// Finds engines for a prompt, which may be closed to this instance.
+/// Finds engines for a prompt and counts it as sent there until the guard is dropped.
+///
+/// The guard exists before a peer is asked: a caller that leaves meanwhile would leave a prompt
+/// behind at the peer that nobody ever tells the end of.
 async fn choose<'a>(
     state: &'a EntryState,
     ask: &PromptAsk,
@@ -50,12 +52,9 @@
         )
     };
     let guard = JobGuard::new(state, job);
-    let closed = state.serving().closed_targets(state.now(), &ask.service);
-    let mut ask = ask.clone();
-    ask.excluded.extend(closed);
     let mut refusal = Refusal::NoTarget;
     for group in groups {
-        match find(state, job, group, &ask).await {
+        match find(state, job, group, ask).await {
             Ok(place) => return Ok((place, guard)),
             Err(fault) => refusal = fault,
         }
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -5,8 +5,7 @@
         engine_reports::report,
         entry_state::EntryState,
         memory_hold::MemoryHold,
-        own_call::{OwnCall, own_call},
-        permits::note_own_call,
+        own_call::{Need, OwnCall, own_call},
     },
     crate::{clock::timeout, entropy::random_u64},
     async_std::task,
@@ -164,8 +163,7 @@
             // They answer no question now, which doesn't tell that the memory isn't used.
             return Some(MemoryUse::Unknown);
         };
-        note_own_call(self.state, &hold.engine.id);
-        let body = report(self.state, &hold.engine).await?;
+        let body = report(self.state, &hold.engine, Need::Due).await?;
         match read_memory_use(&body, &self.id) {
             Ok(memory_use) => Some(memory_use),
             Err(fault) => {
@@ -254,8 +252,7 @@
 
 /// Gives an order. Returns the status of the answer.
 async fn order(state: &EntryState, engine: &TargetEntry, body: &[u8]) -> Result<u16, String> {
-    note_own_call(state, &engine.id);
-    let call = own_call(state, engine, OwnCall::Order(ORDER_PATH, body));
+    let call = own_call(state, engine, OwnCall::Order(ORDER_PATH, body), Need::Due);
     let answered = timeout(state.clock.as_ref(), ORDER_MS, call);
     let (head, _body) = answered
         .await
--- a/crates/serving/src/placement/prompt_shape.rs
+++ b/crates/serving/src/placement/prompt_shape.rs
@@ -28,8 +28,8 @@
 pub struct Candidate<'a> {
     /// How much this instance likes it, from 0 to 1; decides between equals.
     pub liking: f64,
-    /// Whether it has named a limit of requests. Prompts that several engines read make orders at them, which
-    /// count towards it.
+    /// Whether it has named a limit of requests. It reads only what it reads alone, since orders for memory at those
+    /// that read together would count towards the limit.
     pub is_limited: bool,
     /// What it is expected to be doing.
     pub load: &'a EngineLoad,
--- a/crates/serving/src/quotas/quota_book.rs
+++ b/crates/serving/src/quotas/quota_book.rs
@@ -21,7 +21,7 @@
     }
 
     /// Notes that nothing may be sent to a target for a while.
-    pub fn refused(&mut self, now: MonoMs, target: &TargetId, wait_ms: u64) {
+    pub fn refuse(&mut self, now: MonoMs, target: &TargetId, wait_ms: u64) {
         self.refused_until.insert(target.clone(), now + wait_ms);
     }
 
@@ -31,6 +31,11 @@
         until.filter(|until| *until > now)
     }
 
+    /// The targets to which something was refused of late.
+    pub fn refused(&self) -> impl Iterator<Item = &TargetId> {
+        self.refused_until.keys()
+    }
+
     /// Forgets what is over, and buckets that nobody takes from.
     pub fn forget_old(&mut self, now: MonoMs) {
         self.buckets
--- a/crates/serving/src/serving/quotas.rs
+++ b/crates/serving/src/serving/quotas.rs
@@ -55,7 +55,7 @@
         match bucket.take(now, per_s) {
             Ok(()) => Permission::Given,
             Err(wait_ms) => {
-                self.quotas.refused(now, target, wait_ms);
+                self.quotas.refuse(now, target, wait_ms);
                 Permission::Refused
             }
         }
@@ -70,7 +70,7 @@
     ) -> bool {
         let refused_for_ms = answer.map_or(Some(UNANSWERED_MS), |answer| answer.refused_for_ms);
         if let Some(wait_ms) = refused_for_ms {
-            self.quotas.refused(now, target, wait_ms);
+            self.quotas.refuse(now, target, wait_ms);
         }
         refused_for_ms.is_none()
     }
@@ -95,9 +95,9 @@
         })
     }
 
-    /// Notes a report or an order that is sent to a target. Returns what to tell whom, if the target names a
-    /// limit and another instance is its holder.
-    pub fn own_call_sent(&mut self, now: MonoMs, target: &TargetId) -> Option<(SocketAddr, Frame)> {
+    /// Notes a call that is sent to a target in any case. Returns what to tell whom, if the target names a limit and
+    /// another instance is its holder.
+    pub fn sent_anyway(&mut self, now: MonoMs, target: &TargetId) -> Option<(SocketAddr, Frame)> {
         let limit_per_s = self.limit_per_s(target)?;
         match self.quota(target, limit_per_s) {
             Quota::Peer(holder) => {
@@ -173,12 +173,12 @@
         refused.max(self.notices.paused_until(now, target))
     }
 
-    /// The targets of a service to which nothing may be sent now.
-    pub fn closed_targets(&self, now: MonoMs, service: &str) -> Vec<TargetId> {
-        let ready = self.targets.ready(service);
-        ready
-            .filter(|entry| self.closed_until(now, &entry.id).is_some())
-            .map(|entry| entry.id.clone())
+    /// The targets to which nothing may be sent now.
+    pub fn closed_targets(&self, now: MonoMs) -> Vec<TargetId> {
+        let may_be_closed = self.quotas.refused().chain(self.notices.paused());
+        may_be_closed
+            .filter(|target| self.closed_until(now, target).is_some())
+            .cloned()
             .collect()
     }
 
--- a/crates/serving/src/targets/notice_book.rs
+++ b/crates/serving/src/targets/notice_book.rs
@@ -94,6 +94,11 @@
         until.filter(|until| *until > now)
     }
 
+    /// The targets that have asked this instance for a pause of late.
+    pub fn paused(&self) -> impl Iterator<Item = &TargetId> {
+        self.paused_until.keys()
+    }
+
     /// Forgets targets that aren't published any more, and pauses that are over.
     pub fn forget_old(&mut self, now: MonoMs, is_published: impl Fn(&str) -> bool) {
         self.limits.retain(|id, _| is_published(id));
