--- a/crates/serving/src/targets/notice_book.rs
+++ b/crates/serving/src/targets/notice_book.rs
@@ -8,6 +8,9 @@
 /// Longest pause that a target may ask for, in ms; a longer one is cut down.
 const MOST_PAUSE_MS: u64 = 60_000;
 
+/// Time for which the word of a peer may come before the entry that it is about, in ms.
+const AHEAD_OF_ENTRY_MS: u64 = 10_000;
+
 /// What the targets have said of themselves in their answers.
 #[derive(Debug, Default)]
 pub struct NoticeBook {
@@ -99,9 +102,10 @@
         self.paused_until.keys()
     }
 
-    /// Forgets targets that aren't published any more, and pauses that are over.
+    /// Forgets targets that aren't published, unless they may be soon, and pauses that are over.
     pub fn forget_old(&mut self, now: MonoMs, is_published: impl Fn(&str) -> bool) {
-        self.limits.retain(|id, _| is_published(id));
+        self.limits
+            .retain(|id, heard| is_published(id) || now.since(heard.at) < AHEAD_OF_ENTRY_MS);
         self.paused_until.retain(|_, until| *until > now);
     }
 }
