--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -27,7 +27,7 @@
 pub async fn read_reports(state: Arc<EntryState>) {
     loop {
         state.clock.sleep(REPORT_EVERY_MS).await;
-        let engines = state.serving().reported_engines();
+        let engines = state.serving().reported_engines(state.now());
         join_all(engines.iter().map(|engine| read(&state, engine))).await;
     }
 }
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -74,7 +74,10 @@
 
     /// The engines whose reports this instance is to read for all: those of the groups for which it
     /// is the first that chooses.
-    pub fn reported_engines(&self) -> Vec<TargetEntry> {
+    ///
+    /// A report counts towards the limit of an engine in need, which is better left to callers. It is read only if
+    /// nothing else has told for a while whether the limit still holds.
+    pub fn reported_engines(&self, now: MonoMs) -> Vec<TargetEntry> {
         let groups: Vec<_> = (0..self.groups.count())
             .map(|number| self.groups.group(number))
             .filter(|group| {
@@ -86,6 +89,7 @@
             .all_ready()
             .filter(|entry| groups.iter().any(|group| group.has(&entry.id)))
             .filter(|entry| self.spec_of_service(&entry.service).is_some())
+            .filter(|entry| !self.notices.is_limit_confirmed(now, &entry.id))
             .cloned()
             .collect()
     }
--- a/crates/serving/src/targets/notice_book.rs
+++ b/crates/serving/src/targets/notice_book.rs
@@ -8,6 +8,8 @@
 /// Longest pause that a target may ask for, in ms; a longer one is cut down.
 const MOST_PAUSE_MS: u64 = 60_000;
 
+/// Time for which a limit is taken to hold before the target is asked whether it does, in ms.
+const CONFIRMED_MS: u64 = 5_000;
 /// Time for which the word of a peer may come before the entry that it is about, in ms.
 const AHEAD_OF_ENTRY_MS: u64 = 10_000;
 
@@ -84,6 +86,13 @@
         self.limits.get(target)?.limit.per_s
     }
 
+    /// Whether an answer or a peer told of late that a target names a limit.
+    pub fn is_limit_confirmed(&self, now: MonoMs, target: &str) -> bool {
+        self.limits
+            .get(target)
+            .is_some_and(|heard| heard.limit.per_s.is_some() && now.since(heard.at) < CONFIRMED_MS)
+    }
+
     /// Notes that a target wants nothing from this instance for a while.
     pub fn pause(&mut self, now: MonoMs, target: &TargetId, for_ms: u64) {
         let until = now + for_ms.min(MOST_PAUSE_MS);
--- a/crates/serving/tests/serving/quotas.rs
+++ b/crates/serving/tests/serving/quotas.rs
@@ -176,6 +176,27 @@
     assert_eq!(serving.permission(now, &target()), Permission::Given);
 }
 
+/// Guards against reports that use up the limit of an engine in need, and against a limit that nobody looks up.
+#[test]
+fn the_report_of_a_limited_engine_is_read_once_its_limit_was_not_heard_of_for_a_while() {
+    let mut fleet = told_fleet(1);
+    let address = *fleet.alive.keys().next().unwrap();
+    let now = fleet.now;
+    let serving = serving(&mut fleet, address);
+    let is_read = |serving: &Serving, now| {
+        let engines = serving.reported_engines(now);
+        (
+            engines.len(),
+            engines.iter().any(|engine| engine.id == target()),
+        )
+    };
+
+    assert_eq!(is_read(serving, now + 4_999), (3, false));
+    assert_eq!(is_read(serving, now + 5_000), (4, true));
+    serving.noticed(now + 5_100, now + 5_050, &target(), &limited());
+    assert_eq!(is_read(serving, now + 5_200), (3, false));
+}
+
 /// Guards against the word of a peer that is lost since it comes before the entry it is about.
 #[test]
 fn a_limit_may_be_told_of_before_the_entry_of_its_target() {
