--- a/crates/daemon/src/entry/placing.rs
+++ b/crates/daemon/src/entry/placing.rs
@@ -27,7 +27,14 @@
     loop {
         let closed = state.serving().closed_targets(state.now());
         ask.excluded.extend(closed);
-        let (place, guard) = choose(state, &ask).await?;
+        let (place, guard) = match choose(state, &ask).await {
+            Ok(chosen) => chosen,
+            // Whoever chose was told to leave out what is closed to this instance.
+            Err(Refusal::NoTarget) => {
+                return Err(state.serving().none_open(state.now(), &ask.service));
+            }
+            Err(refusal) => return Err(refusal),
+        };
         if is_permitted(state, &place.engine.id).await {
             return Ok((place, guard));
         }
--- a/crates/daemon/tests/entry/leaving.rs
+++ b/crates/daemon/tests/entry/leaving.rs
@@ -121,6 +121,21 @@
     assert_eq!(fleet.ask(0, &call()), 200);
 }
 
+/// Guards against callers of prompts who aren't told when an engine takes something again.
+#[async_std::test]
+async fn a_prompt_whose_engines_want_nothing_is_refused_with_the_time_that_is_left() {
+    let engine = target("e-1", Behaviour::Stream(2));
+    let fleet = Fleet::start(Published::Engine(&engine)).await;
+    engine.script([Behaviour::Pause(PAUSE.0)]);
+    assert_eq!(fleet.ask(0, &prompt()), 503);
+
+    let answer = fleet.answer(0, &prompt());
+
+    let told = (answer.status, answer.header("Retry-After"));
+    assert_eq!(told, (503, Some("1.50")));
+    assert_eq!(engine.arrivals().len(), 1);
+}
+
 /// Guards against orders that an engine gets while it wants nothing, and against memory that lapses meanwhile
 /// and cuts a stream off.
 #[async_std::test]
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -65,7 +65,7 @@
             .ok_or(Refusal::NoTarget)?;
         let entries = self.usable_engines(now, group, ask);
         if entries.is_empty() {
-            return Err(self.none_open(now, &ask.service));
+            return Err(Refusal::NoTarget);
         }
         self.engines.advance(now, &spec, &entries);
         let shape = self.shape_of(now, &spec, group, ask, entries.len());
--- a/crates/serving/src/serving/quotas.rs
+++ b/crates/serving/src/serving/quotas.rs
@@ -183,7 +183,7 @@
     }
 
     /// Why none of a service's targets takes a request now.
-    pub(super) fn none_open(&self, now: MonoMs, service: &str) -> Refusal {
+    pub fn none_open(&self, now: MonoMs, service: &str) -> Refusal {
         let until = |entry: &TargetEntry| self.closed_until(now, &entry.id);
         let opens_at = self.targets.ready(service).filter_map(until).min();
         opens_at.map_or(Refusal::NoTarget, |at| Refusal::AtLimit {
