--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -88,6 +88,19 @@
         /// `store` or `peer`.
         source: &'static str,
     },
+    /// Operators requested that the targets of a failure domain get nothing new, or ended that.
+    Evacuation {
+        /// The failure domain.
+        failure_domain: String,
+        /// Whether it is evacuated now.
+        is_evacuated: bool,
+        /// Number of published targets in it; 0 also for a failure domain that doesn't exist.
+        targets: usize,
+        /// Revision of the store at which it changed.
+        revision: u64,
+        /// `store` or `peer`.
+        source: &'static str,
+    },
     /// A target reported a new limit, pause or leaving in an answer.
     Noticed {
         /// Id of the target's run.
--- a/crates/daemon/src/entry/directory.rs
+++ b/crates/daemon/src/entry/directory.rs
@@ -96,6 +96,7 @@
 }
 
 async fn metrics(state: &EntryState, answer: &CallerAnswer<'_>) -> std::io::Result<()> {
+    state.update_target_metrics();
     match state.metrics.text() {
         Ok(text) => answer.write_full(&success("text/plain"), &text).await,
         Err(fault) => answer.write_error(500, &fault.to_string(), None).await,
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -13,7 +13,12 @@
     },
     whinlatch_core::MonoMs,
     whinlatch_platform::InstanceSettings,
-    whinlatch_serving::{Serving, fleet::Frame, names::TargetId, targets::TargetNotice},
+    whinlatch_serving::{
+        Serving,
+        fleet::Frame,
+        names::TargetId,
+        targets::{EvacuationChange, TargetNotice},
+    },
 };
 
 /// Time for which an instance counts as starting, in ms: as long as callers take to reconnect after
@@ -128,7 +133,7 @@
             self.log(&Decision::Fault {
                 part: "links",
                 fault: fault.to_string(),
-            });
+            }),
         }
     }
 
--- a/crates/daemon/src/entry/links/incoming.rs
+++ b/crates/daemon/src/entry/links/incoming.rs
@@ -116,10 +116,13 @@
         permit_request.and_then(|request| answer_permit_request(&mut serving, now, &request));
     drop(serving);
     state.notify_if_ready();
-    state.metrics.record_peer_changes(changes.len());
-    for change in &changes {
+    state.metrics.record_peer_changes(changes.targets.len());
+    for change in &changes.targets {
         state.log(&Decision::target(change, "peer"));
     }
+    for change in &changes.evacuations {
+        state.log_evacuation(change, "peer");
+    }
     for (to, frame) in catch_up_response
         .into_iter()
         .chain(placement_response)
--- a/crates/daemon/src/entry/store/intake.rs
+++ b/crates/daemon/src/entry/store/intake.rs
@@ -3,7 +3,7 @@
     crate::entry::{decision_line::Decision, entry_state::EntryState},
     std::sync::Arc,
     whinlatch_platform::{Change, StoreFault},
-    whinlatch_serving::targets::TargetChange,
+    whinlatch_serving::targets::{EvacuationChange, PublishedChanges, TargetChange},
 };
 
 /// Limit for the error in a log line on an unreadable entry, in characters: other writers may store
@@ -29,7 +29,7 @@
     /// Applies changes one by one, in order.
     pub fn apply(&mut self, changes: Vec<Result<Change, StoreFault>>) {
         let now = self.state.now();
-        for change in self.apply_configurations(changes) {
+        for change in self.apply_operators_changes(changes).targets {
             let line = Decision::target(&change, "store");
             if self.state.serving().apply_store_change(now, change) {
                 self.state.log(&line);
@@ -38,21 +38,26 @@
         self.state.notify_if_ready();
     }
 
-    /// Applies the configurations among the changes, and returns the changes of targets unapplied.
-    pub fn apply_configurations(
+    /// Applies the configurations and evacuations among the changes. Returns the evacuations, and the changes of
+    /// targets unapplied.
+    pub fn apply_operators_changes(
         &mut self,
         changes: Vec<Result<Change, StoreFault>>,
-    ) -> Vec<TargetChange> {
-        let mut targets = Vec::new();
+    ) -> PublishedChanges {
+        let mut published = PublishedChanges::default();
         for change in changes {
             match change {
                 Ok(Change::Target(change)) => {
                     self.log_unknown_service(&change);
-                    targets.push(change);
+                    published.targets.push(change);
                 }
                 Ok(Change::UnreadableTarget(change, fault)) => {
                     self.log_unreadable(&fault.to_string());
-                    targets.push(change);
+                    published.targets.push(change);
+                }
+                Ok(Change::Evacuation(change)) => {
+                    self.apply_evacuation(&change);
+                    published.evacuations.push(change);
                 }
                 Ok(Change::Configuration(configuration, text)) => {
                     let version = configuration.version;
@@ -68,7 +73,14 @@
                 Err(fault) => self.log_unreadable(&fault.to_string()),
             }
         }
-        targets
+        published
+    }
+
+    fn apply_evacuation(&self, change: &EvacuationChange) {
+        let now = self.state.now();
+        if self.state.serving().apply_evacuation(now, change) {
+            self.state.log_evacuation(change, "store");
+        }
     }
 
     /// Logs a target whose service isn't published: it gets no requests.
--- a/crates/daemon/src/entry/store/store_calls.rs
+++ b/crates/daemon/src/entry/store/store_calls.rs
@@ -46,7 +46,7 @@
 /// Kind of a call to the store.
 #[derive(Debug, Clone, Copy)]
 pub enum CallKind {
-    /// Read of the configuration.
+    /// Read of the configuration and the evacuations.
     Configuration,
     /// Read of a page of the targets.
     Page,
--- a/crates/daemon/src/entry/store/store_pace.rs
+++ b/crates/daemon/src/entry/store/store_pace.rs
@@ -129,6 +129,7 @@
 
     /// Waits before the next watch, so that one call returns all changes in quick succession.
     pub async fn wait_between_watches(&self) {
+        let now = self.state.now();
         let gap_ms = if self.stands_in {
             STAND_IN_WATCH_GAP_MS
         } else {
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -11,10 +11,10 @@
     std::{convert::Infallible, sync::Arc},
     whinlatch_core::MonoMs,
     whinlatch_platform::{
-        RangePage, WatchEvents, configuration_request, range_request, read_range, read_watch,
+        RangePage, WatchEvents, operators_request, read_range, read_watch, targets_request,
         watch_request,
     },
-    whinlatch_serving::targets::TargetChange,
+    whinlatch_serving::targets::{PublishedChanges, TargetChange},
 };
 
 /// Time after which the store answers a watch without changes, in ms. A connection that has gone silent is
@@ -80,11 +80,53 @@
 /// Pages of a full read so far. They are read at different revisions, so they aren't a consistent snapshot. A target
 /// that is missing from them is taken as missing at the first answer's revision, from which a watch continues.
 struct FullRead {
-    revision: u64,
-    targets: Vec<TargetChange>,
+    /// Revision of the first page; `None` before it was read.
+    revision: Option<u64>,
+    published: PublishedChanges,
+    section: Section,
     after: Option<String>,
 }
 
+/// What the next page of a full read contains. What operators publish comes first: while it is lacking,
+/// targets that may get nothing could be used.
+#[derive(Debug, Clone, Copy)]
+enum Section {
+    Operators,
+    Targets,
+}
+
+impl FullRead {
+    fn new() -> Self {
+        Self {
+            revision: None,
+            published: PublishedChanges::default(),
+            section: Section::Operators,
+            after: None,
+        }
+    }
+
+    fn next_request(&self) -> (CallKind, String) {
+        let after = self.after.as_deref();
+        match self.section {
+            Section::Operators => (CallKind::Configuration, operators_request(after)),
+            Section::Targets => (CallKind::Page, targets_request(after)),
+        }
+    }
+
+    /// Moves on after a page. Returns whether it was the last one.
+    fn advance(&mut self, next_after: Option<String>) -> bool {
+        self.after = next_after;
+        match self.section {
+            _ if self.after.is_some() => false,
+            Section::Operators => {
+                self.section = Section::Targets;
+                false
+            }
+            Section::Targets => true,
+        }
+    }
+}
+
 struct StoreReader<'a> {
     state: &'a EntryState,
     calls: StoreCalls<'a>,
@@ -136,8 +178,7 @@
                 self.mark_complete(revision);
                 self.pace.wait_between_watches().await;
             } else {
-                let revision = self.read_all().await?;
-                self.mark_complete(revision);
+                self.read_all().await?;
             }
         }
     }
@@ -147,36 +188,34 @@
         self.state.serving().mark_complete_at(now, revision);
     }
 
-    /// Reads the configuration and all targets. Returns the revision from which a watch continues.
-    async fn read_all(&mut self) -> Result<u64, ReadFault> {
-        let mut full_read = match self.full_read.take() {
-            Some(full_read) => full_read,
-            None => self.begin_full_read().await?,
-        };
-        loop {
-            let request = range_request(full_read.after.as_deref());
-            let page = match self.range(CallKind::Page, &request).await {
+    /// Reads all that operators and targets publish, unless relays send it first.
+    async fn read_all(&mut self) -> Result<(), ReadFault> {
+        let mut full_read = self.full_read.take().unwrap_or_else(FullRead::new);
+        let revision = loop {
+            let (kind, request) = full_read.next_request();
+            let page = match self.range(kind, &request).await {
                 Ok(page) => page,
                 Err(fault) => {
                     self.full_read = Some(full_read);
                     return Err(fault);
                 }
             };
-            full_read
-                .targets
-                .extend(self.intake.apply_configurations(page.changes));
-            full_read.after = page.next_after;
-            if full_read.after.is_none() {
-                break;
+            let read = self.intake.apply_operators_changes(page.changes);
+            full_read.published.targets.extend(read.targets);
+            full_read.published.evacuations.extend(read.evacuations);
+            let revision = *full_read.revision.get_or_insert(page.revision);
+            if full_read.advance(page.next_after) {
+                break revision;
             }
         }
         self.needs_full_read = false;
         let now = self.state.now();
         self.state
             .serving()
-            .apply_store_snapshot(now, full_read.revision, full_read.targets);
+            .apply_store_snapshot(now, revision, full_read.published);
         self.state.notify_if_ready();
-        Ok(full_read.revision)
+        self.mark_complete(revision);
+        Ok(())
     }
 
     async fn begin_full_read(&mut self) -> Result<FullRead, ReadFault> {
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -4,6 +4,8 @@
 mod bad_input;
 #[path = "entry/calls.rs"]
 mod calls;
+#[path = "entry/evacuation.rs"]
+mod evacuation;
 #[path = "entry/failing_engines.rs"]
 mod failing_engines;
 #[path = "entry/fixture.rs"]
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -6,7 +6,7 @@
         quotas::{PermitRequest, PermitResponse},
         relays::{FollowRequest, KnownState, RelayStatus},
         retries::Fingerprint,
-        targets::{AddressTakeover, TargetChange, TargetLimit},
+        targets::{AddressTakeover, EvacuationChange, TargetChange, TargetLimit},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -251,6 +251,9 @@
     /// Changes of targets that the receiver lacks.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub targets: Vec<TargetChange>,
+    /// Begins and ends of evacuations that the receiver lacks.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<EvacuationChange>,
     /// Prompts that were sent to engines.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub placed: Vec<PlacedPrompt>,
--- a/crates/serving/src/serving/configured.rs
+++ b/crates/serving/src/serving/configured.rs
@@ -2,7 +2,12 @@
 
 use {
     super::Serving,
-    crate::{catalog::Configuration, fleet::PublishedText, targets::TargetChange},
+    crate::{
+        catalog::Configuration,
+        fleet::PublishedText,
+        names::FailureDomain,
+        targets::{EvacuationChange, PublishedChanges, TargetChange},
+    },
     std::sync::Arc,
     whinlatch_core::MonoMs,
 };
@@ -65,8 +70,23 @@
         self.targets.apply_store_change(now, change).is_some()
     }
 
-    /// Applies the complete list of targets that the store had at a revision.
-    pub fn apply_store_snapshot(&mut self, now: MonoMs, revision: u64, all: Vec<TargetChange>) {
+    /// Applies the begin or end of an evacuation that was read from the store. Returns whether it is new.
+    pub fn apply_evacuation(&mut self, now: MonoMs, change: &EvacuationChange) -> bool {
+        self.targets.apply_evacuation(now, change)
+    }
+
+    /// Applies all targets and evacuations that the store had at a revision.
+    pub fn apply_store_snapshot(&mut self, now: MonoMs, revision: u64, all: PublishedChanges) {
         self.targets.apply_store_snapshot(now, revision, all);
     }
+
+    /// Returns the failure domains whose targets must get nothing new, sorted.
+    pub fn evacuated_domains(&self) -> Vec<FailureDomain> {
+        self.targets.evacuated_domains().cloned().collect()
+    }
+
+    /// Returns the number of published targets in a failure domain.
+    pub fn count_targets_in(&self, domain: &str) -> usize {
+        self.targets.count_in_domain(domain)
+    }
 }
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -12,7 +12,7 @@
         names::TargetId,
         relays::KnownState,
         retries::Fingerprint,
-        targets::{AddressTakeover, TargetChange, TargetEntry, TargetLimit},
+        targets::{AddressTakeover, PublishedChanges, TargetEntry, TargetLimit},
     },
     std::{cmp::Reverse, net::SocketAddr},
     whinlatch_core::MonoMs,
@@ -146,14 +146,14 @@
     }
 
     /// Applies a frame from the peer whose run is `from`. `decode` parses a published configuration.
-    /// Returns the changes of targets that take effect.
+    /// Returns the published changes that take effect.
     pub fn on_frame(
         &mut self,
         now: MonoMs,
         from: u64,
         frame: Frame,
         decode: impl Fn(&str) -> Option<Configuration>,
-    ) -> Vec<TargetChange> {
+    ) -> PublishedChanges {
         if let Some(member) = frame.member {
             self.apply_member(now, member);
         }
@@ -169,12 +169,14 @@
         {
             self.activate_configuration(configuration, published.text);
         }
+        let published = PublishedChanges {
+            targets: frame.targets,
+            evacuations: frame.evacuations,
+        };
         let changes = match (frame.relay_status, address) {
-            (Some(status), Some(relay)) => {
-                self.apply_relay_status(now, relay, &status, frame.targets)
-            }
-            (Some(_), None) => Vec::new(),
-            (None, _) => self.apply_changes(now, frame.targets),
+            (Some(status), Some(relay)) => self.apply_relay_status(now, relay, &status, published),
+            (Some(_), None) => PublishedChanges::default(),
+            (None, _) => self.apply_changes(now, published),
         };
         let notices = FleetNotices {
             crashes: frame.crashes,
@@ -215,15 +217,20 @@
         changes
     }
 
-    /// Applies changes of targets from a peer. Returns those that take effect.
+    /// Applies published changes from a peer. Returns those that take effect.
     pub(super) fn apply_changes(
         &mut self,
         now: MonoMs,
-        changes: Vec<TargetChange>,
-    ) -> Vec<TargetChange> {
-        retain_new(changes, |change| {
-            self.targets.apply_peer_change(now, change)
-        })
+        changes: PublishedChanges,
+    ) -> PublishedChanges {
+        PublishedChanges {
+            targets: retain_new(changes.targets, |change| {
+                self.targets.apply_peer_change(now, change)
+            }),
+            evacuations: retain_new(changes.evacuations, |change| {
+                self.targets.apply_evacuation(now, change)
+            }),
+        }
     }
 
     fn apply_member(&mut self, now: MonoMs, member: Member) {
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -173,14 +173,14 @@
         now: MonoMs,
         from: SocketAddr,
         status: &RelayStatus,
-        targets: Vec<TargetChange>,
-    ) -> Vec<TargetChange> {
+        changes: PublishedChanges,
+    ) -> PublishedChanges {
         let applied = match status.since {
-            _ if !self.followed_relays.is_contiguous(status) => Vec::new(),
+            _ if !self.followed_relays.is_contiguous(status) => PublishedChanges::default(),
             None => self
                 .targets
-                .apply_peer_snapshot(now, status.known.revision, targets),
-            Some(_) => self.apply_changes(now, targets),
+                .apply_peer_snapshot(now, status.known.revision, changes),
+            Some(_) => self.apply_changes(now, changes),
         };
         let version = self.version();
         self.followed_relays
@@ -244,13 +244,15 @@
         // A list of all targets implies removals by what it omits, which is valid only with a status.
         let since = (has_removals || status.is_none()).then_some(known.revision);
         let published = self.published.clone();
+        let changes = match since {
+            Some(since) => self.targets.changes_after(since),
+            None => self.targets.all(),
+        };
         Frame {
             relay_status: status.map(|status| RelayStatus { since, ..status }),
             configuration: published.filter(|published| published.version > known.version),
-            targets: match since {
-                Some(since) => self.targets.changes_after(since),
-                None => self.targets.all(),
-            },
+            targets: changes.targets,
+            evacuations: changes.evacuations,
             ..Frame::default()
         }
     }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -3,6 +3,7 @@
 
 mod address_owners;
 mod call_loads;
+mod evacuations;
 mod failure_share;
 mod target_entry;
 mod target_limit;
@@ -13,10 +14,11 @@
 pub use {
     address_owners::{AddressClaim, AddressOwners},
     call_loads::CallLoads,
+    evacuations::{EvacuationChange, Evacuations},
     failure_share::FailureShare,
     target_entry::{TargetEntry, TargetState},
     target_limit::TargetLimit,
     target_notice::TargetNotice,
     target_notices::TargetNotices,
-    target_registry::{AddressTakeover, TargetChange, TargetRegistry},
+    target_registry::{AddressTakeover, PublishedChanges, TargetChange, TargetRegistry},
 };
--- a/crates/serving/src/targets/target_registry.rs
+++ b/crates/serving/src/targets/target_registry.rs
@@ -1,6 +1,6 @@
 use {
-    super::{AddressClaim, AddressOwners, TargetEntry, TargetState},
-    crate::names::{TargetId, TargetName},
+    super::{AddressClaim, AddressOwners, EvacuationChange, Evacuations, TargetEntry, TargetState},
+    crate::names::{FailureDomain, TargetId, TargetName},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -33,6 +33,15 @@
     pub is_unreadable: bool,
 }
 
+/// Changes of the published state other than the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PublishedChanges {
+    /// Changes of targets.
+    pub targets: Vec<TargetChange>,
+    /// Begins and ends of evacuations.
+    pub evacuations: Vec<EvacuationChange>,
+}
+
 /// A report that another target answers at the address of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AddressTakeover {
@@ -46,7 +55,8 @@
 struct KnownEntry {
     revision: u64,
     entry: Option<TargetEntry>,
-    removed_at: MonoMs,
+    /// When this instance learned of this revision.
+    changed_at: MonoMs,
 }
 
 /// The published targets that this instance knows from the store and from peers.
@@ -62,6 +72,7 @@
     takeovers: HashMap<TargetName, u64>,
     /// Runs that announced that they leave, and when this was received.
     leaving: HashMap<TargetId, MonoMs>,
+    evacuations: Evacuations,
     owners: AddressOwners,
     store_lost: bool,
     store_regained_at: Option<MonoMs>,
@@ -119,13 +130,15 @@
         self.merge(now, &change).then_some(change)
     }
 
-    /// Applies all entries of the store at `revision`. Known entries that are missing from it are removed.
-    pub fn apply_store_snapshot(&mut self, now: MonoMs, revision: u64, changes: Vec<TargetChange>) {
-        let missing = self.missing_from(&changes, revision);
+    /// Applies all entries and evacuations of the store at `revision`. Known ones that are missing from it are
+    /// removed.
+    pub fn apply_store_snapshot(&mut self, now: MonoMs, revision: u64, all: PublishedChanges) {
+        let missing = self.missing_from(&all.targets, revision);
         self.mark_complete_at(revision);
-        for change in changes.into_iter().chain(missing) {
+        for change in all.targets.into_iter().chain(missing) {
             self.apply_store_change(now, change);
         }
+        self.apply_all_evacuations(now, revision, all.evacuations);
     }
 
     /// Applies a change from a peer, removals immediately. Returns whether it is new.
@@ -134,19 +147,46 @@
         self.merge(now, change)
     }
 
-    /// Applies all entries that a peer had at `revision`. Returns the changes that are new.
+    /// Applies all entries and evacuations that a peer had at `revision`. Returns the changes that are new.
     pub fn apply_peer_snapshot(
         &mut self,
         now: MonoMs,
         revision: u64,
-        changes: Vec<TargetChange>,
-    ) -> Vec<TargetChange> {
-        let missing = self.missing_from(&changes, revision);
+        all: PublishedChanges,
+    ) -> PublishedChanges {
+        let missing = self.missing_from(&all.targets, revision);
         self.mark_complete_at(revision);
-        changes
-            .into_iter()
+        let targets = all.targets.into_iter().chain(missing);
+        PublishedChanges {
+            targets: targets.filter(|change| self.merge(now, change)).collect(),
+            evacuations: self.apply_all_evacuations(now, revision, all.evacuations),
+        }
+    }
+
+    /// Applies the begin or end of an evacuation, from the store or a peer. Returns whether it is new.
+    ///
+    /// Unlike a target's entry, an operator's request never expires, so its removal takes effect immediately
+    /// even after an outage of the store.
+    pub fn apply_evacuation(&mut self, now: MonoMs, change: &EvacuationChange) -> bool {
+        let is_new = self.evacuations.apply(now, change);
+        if is_new {
+            self.newest_revision = self.newest_revision.max(change.revision);
+        }
+        is_new
+    }
+
+    /// Applies all evacuations at `revision`. Known ones that are missing have ended. Returns the changes that
+    /// are new.
+    fn apply_all_evacuations(
+        &mut self,
+        now: MonoMs,
+        revision: u64,
+        all: Vec<EvacuationChange>,
+    ) -> Vec<EvacuationChange> {
+        let missing = self.evacuations.missing_from(&all, revision);
+        all.into_iter()
             .chain(missing)
-            .filter(|change| self.merge(now, change))
+            .filter(|change| self.apply_evacuation(now, change))
             .collect()
     }
 
@@ -181,7 +221,7 @@
         let known = KnownEntry {
             revision: change.revision,
             entry: change.entry.clone(),
-            removed_at: now,
+            changed_at: now,
         };
         let former = self.by_name.insert(change.name.clone(), known);
         if let Some(former) = former.and_then(|known| known.entry) {
@@ -295,7 +335,7 @@
         let complete_since = &mut self.complete_since;
         self.by_name.retain(|_, known| {
             let is_kept =
-                known.entry.is_some() || now.since(known.removed_at) < REMOVAL_RETENTION_MS;
+                known.entry.is_some() || now.since(known.changed_at) < REMOVAL_RETENTION_MS;
             if !is_kept {
                 *complete_since = known.revision.max(*complete_since);
             }
@@ -369,13 +409,19 @@
     }
 
     /// Returns the known changes after a revision.
-    pub fn changes_after(&self, revision: u64) -> Vec<TargetChange> {
-        self.changes(|known| known.revision > revision)
+    pub fn changes_after(&self, revision: u64) -> PublishedChanges {
+        PublishedChanges {
+            targets: self.changes(|known| known.revision > revision),
+            evacuations: self.evacuations.changes_after(revision),
+        }
     }
 
-    /// Returns all published entries, as changes.
-    pub fn all(&self) -> Vec<TargetChange> {
-        self.changes(|known| known.entry.is_some())
+    /// Returns all published entries and evacuations, as changes.
+    pub fn all(&self) -> PublishedChanges {
+        PublishedChanges {
+            targets: self.changes(|known| known.entry.is_some()),
+            evacuations: self.evacuations.changes_after(0),
+        }
     }
 
     fn changes(&self, is_included: impl Fn(&KnownEntry) -> bool) -> Vec<TargetChange> {
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -2,6 +2,8 @@
 
 #[path = "serving/engine_load.rs"]
 mod engine_load;
+#[path = "serving/evacuation.rs"]
+mod evacuation;
 #[path = "serving/failing_engines.rs"]
 mod failing_engines;
 #[path = "serving/fixture.rs"]
