--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -94,6 +94,14 @@
             )?,
             knowledge_age: Histogram::with_opts(knowledge_age.buckets(AGE_BUCKETS_S.to_vec()))?,
             linked_peers: IntGauge::new("whinlatch_entry_linked_peers", "Links to peers.")?,
+            evacuated_domains: IntGauge::new(
+                "whinlatch_entry_evacuated_domains",
+                "Failure domains whose targets get nothing new.",
+            )?,
+            cold_targets: IntGauge::new(
+                "whinlatch_entry_cold_targets",
+                "Targets that take requests and may be cold.",
+            )?,
             dropped_log_lines: IntCounter::new(
                 "whinlatch_entry_dropped_log_lines_total",
                 "Log lines that found the queue full.",
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -154,6 +154,29 @@
         }
     }
 
+    /// Logs the begin or end of an evacuation; `source` is `store` or `peer`.
+    pub fn log_evacuation(&self, change: &EvacuationChange, source: &'static str) {
+        let targets = self.serving().count_targets_in(&change.failure_domain);
+        self.log(&Decision::Evacuation {
+            failure_domain: change.failure_domain.to_string(),
+            is_evacuated: change.is_evacuated,
+            targets,
+            revision: change.revision,
+            source,
+        });
+    }
+
+    /// Updates the metrics of what this instance knows of targets. Called when metrics are read, since it takes a
+    /// look at each target.
+    pub fn update_target_metrics(&self) {
+        let now = self.now();
+        let serving = self.serving();
+        let evacuated_domains = serving.evacuated_domains().len();
+        let cold_targets = serving.cold_target_count(now);
+        drop(serving);
+        self.metrics.record_targets(evacuated_domains, cold_targets);
+    }
+
     /// Queues a line for the log.
     pub fn log(&self, decision: &Decision) {
         self.log.write(decision);
--- a/crates/daemon/src/entry/permits.rs
+++ b/crates/daemon/src/entry/permits.rs
@@ -41,7 +41,7 @@
     let opens_at = serving.closed_until(now, target);
     state.log(&Decision::NotPermitted {
         target: target.to_string(),
-        limit_per_s: serving.limit_per_s(target),
+        limit_per_s: serving.limit_per_s(now, target),
         holder: asked_holder.map(|holder| holder.to_string()),
         opens_in_ms: opens_at.map(|at| at.since(now)),
     });
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -81,7 +81,8 @@
             instance: settings.instance.clone(),
             run: own.run,
         });
-        let serving = Serving::new(own, settings.budget);
+        let mut serving = Serving::new(own, settings.budget);
+        serving.set_cold_rule(settings.cold_limit);
         let state = Arc::new(EntryState::new(settings, clock, serving, metrics, log));
         let shared = || Arc::clone(&state);
         let tasks = vec![
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -13,5 +13,5 @@
     engine_spec::EngineSpec,
     limits::Limits,
     route::{RetryPolicy, Route, ServiceShare},
-    service::Service,
+    service::{ColdStart, Service},
 };
--- a/crates/serving/src/quotas/token_bucket.rs
+++ b/crates/serving/src/quotas/token_bucket.rs
@@ -1,7 +1,5 @@
 use whinlatch_core::MonoMs;
 
-/// Capacity of a bucket, in tokens: the largest burst after a time without requests.
-const MAX_TOKENS: f64 = 2.0;
 /// Time after which any debt is paid off, in s: a target counts its requests over this time.
 const MAX_DEBT_S: f64 = 4.0;
 /// Maximum time until the next permit request, in ms: the limit may be raised or lifted meanwhile.
@@ -19,6 +17,9 @@
 }
 
 impl TokenBucket {
+    /// Capacity of a bucket, in tokens: the largest burst after a time without requests.
+    pub const MAX_TOKENS: f64 = 2.0;
+
     /// Returns an empty bucket.
     pub fn new(now: MonoMs) -> Self {
         Self {
@@ -54,7 +55,7 @@
 
     fn refill(&mut self, now: MonoMs, rate_per_s: f64) {
         let elapsed_s = now.since(self.refilled_at) as f64 / MS_PER_S;
-        self.tokens = (self.tokens + elapsed_s * rate_per_s).min(MAX_TOKENS);
+        self.tokens = (self.tokens + elapsed_s * rate_per_s).min(Self::MAX_TOKENS);
         self.refilled_at = now;
     }
 }
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -26,7 +26,7 @@
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, Membership, PublishedText, hash},
         mechanism::DisabledMechanisms,
-        quotas::QuotaTable,
+        quotas::{ColdLimitRule, QuotaTable},
         relays::{FollowedRelays, Followers},
         retries::{CrashTracker, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetNotices, TargetRegistry},
@@ -57,6 +57,7 @@
     calls: CallLoads,
     notices: TargetNotices,
     quotas: QuotaTable,
+    cold_rule: ColdLimitRule,
     last_permit_number: u64,
     members: Membership,
     budget: FleetBudget,
@@ -102,6 +103,7 @@
             calls: CallLoads::default(),
             notices: TargetNotices::default(),
             quotas: QuotaTable::default(),
+            cold_rule: ColdLimitRule::default(),
             last_permit_number: 0,
             members: Membership::default(),
             budget: FleetBudget::new(rule),
@@ -123,6 +125,11 @@
         }
     }
 
+    /// Replaces the rule for requests to cold targets.
+    pub fn set_cold_rule(&mut self, rule: ColdLimitRule) {
+        self.cold_rule = rule;
+    }
+
     /// Replaces the set of mechanisms that are switched off, none by default.
     pub fn disable_mechanisms(&mut self, mechanisms: DisabledMechanisms) {
         self.mechanisms = mechanisms;
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -87,7 +87,7 @@
             .zip(&loads)
             .map(|(id, load)| Candidate {
                 affinity: affinity(self.own.run, id),
-                is_limited: self.is_limited(id),
+                is_limited: self.is_limited(now, id),
                 load,
             })
             .collect();
--- a/crates/serving/src/serving/quotas.rs
+++ b/crates/serving/src/serving/quotas.rs
@@ -21,6 +21,9 @@
 /// Time for which nothing is sent to a target whose holder doesn't answer or has changed, in ms. Instances
 /// agree on the holder again within some seconds.
 const NO_HOLDER_PAUSE_MS: u64 = 200;
+/// Time within which the targets of a failure domain publish that they are cold after its evacuation has ended,
+/// in ms: they write their entries every 1.2 s, and a write may take another 0.8 s to be seen.
+const COLD_NOTICE_MS: u64 = 2_000;
 
 /// Where permits for a target with a limit come from.
 #[derive(Debug, Clone, Copy)]
@@ -38,7 +41,7 @@
         if self.closed_until(now, target).is_some() {
             return Permission::Refused;
         }
-        let Some(limit_per_s) = self.limit_per_s(target) else {
+        let Some(limit_per_s) = self.limit_per_s(now, target) else {
             return Permission::Granted;
         };
         match self.permit_source(target, limit_per_s) {
@@ -110,7 +113,7 @@
         now: MonoMs,
         target: &TargetId,
     ) -> Option<(SocketAddr, Frame)> {
-        let limit_per_s = self.limit_per_s(target)?;
+        let limit_per_s = self.limit_per_s(now, target)?;
         match self.permit_source(target, limit_per_s) {
             PermitSource::Holder(holder) => {
                 let frame = Frame {
@@ -171,21 +174,41 @@
         candidates.max_by_key(|address| hash(salt, *address))
     }
 
-    /// Returns the requests per second that a target takes from all instances together; `None` if it has no
-    /// limit.
-    pub fn limit_per_s(&self, target: &str) -> Option<f64> {
-        self.notices.limit_per_s(target)
+    /// Returns the requests per second that a target takes from all instances together: the lower one of the
+    /// limit that it announced and the one while it is cold. `None` if it has none.
+    pub fn limit_per_s(&self, now: MonoMs, target: &str) -> Option<f64> {
+        let announced = self.notices.limit_per_s(target);
+        let cold = self.cold_limit_per_s(now, target);
+        announced.into_iter().chain(cold).reduce(f64::min)
     }
 
-    pub(super) fn is_limited(&self, target: &str) -> bool {
-        self.limit_per_s(target).is_some()
+    /// Returns the requests per second that a cold target may get; `None` if it isn't cold.
+    ///
+    /// Guards against targets that come back cold all at once, as after the loss or the evacuation of their
+    /// failure domain: they are idle, so every instance prefers them, and together they would crash them.
+    fn cold_limit_per_s(&self, now: MonoMs, target: &str) -> Option<f64> {
+        let service = &self.targets.entry(target)?.service;
+        let cold_start = self.configuration.as_ref()?.service(service)?.cold_start?;
+        let after_evacuation_ms = cold_start.duration_ms + COLD_NOTICE_MS;
+        let may_be_cold = self.targets.may_be_cold(now, target, after_evacuation_ms);
+        may_be_cold.then(|| self.cold_rule.rate_per_s(&cold_start))
+    }
+
+    /// Returns the number of targets that may be cold.
+    pub fn cold_target_count(&self, now: MonoMs) -> usize {
+        let is_cold = |entry: &&TargetEntry| self.cold_limit_per_s(now, &entry.id).is_some();
+        self.targets.all_ready().filter(is_cold).count()
+    }
+
+    pub(super) fn is_limited(&self, now: MonoMs, target: &str) -> bool {
+        self.limit_per_s(now, target).is_some()
     }
 
     /// Returns until when nothing may be sent to a target, because its holder refused a permit or it asked
     /// for a pause; `None` if it is open.
     pub fn closed_until(&self, now: MonoMs, target: &str) -> Option<MonoMs> {
         let refused = self.quotas.refused_until(now, target);
-        let refused = refused.filter(|_until| self.is_limited(target));
+        let refused = refused.filter(|_until| self.is_limited(now, target));
         refused.max(self.notices.paused_until(now, target))
     }
 
--- a/crates/serving/src/targets/target_entry.rs
+++ b/crates/serving/src/targets/target_entry.rs
@@ -34,6 +34,9 @@
     pub slots: u32,
     /// Whether the target takes requests.
     pub state: TargetState,
+    /// Time for which the target stays cold, in ms, counted from when the entry was written; 0 if it is warm.
+    #[serde(default)]
+    pub cold_remaining_ms: u64,
 }
 
 impl TargetEntry {
--- a/crates/serving/src/targets/target_registry.rs
+++ b/crates/serving/src/targets/target_registry.rs
@@ -377,6 +377,40 @@
         entry.state == TargetState::Ready
             && self.owners.is_owner(entry)
             && !self.leaving.contains_key(&entry.id)
+            && !self.evacuations.is_evacuated(&entry.failure_domain)
+    }
+
+    /// Returns the failure domains whose targets must get nothing new, sorted.
+    pub fn evacuated_domains(&self) -> impl Iterator<Item = &FailureDomain> {
+        self.evacuations.evacuated()
+    }
+
+    /// Returns the number of published targets in a failure domain.
+    pub fn count_in_domain(&self, domain: &str) -> usize {
+        let entries = self
+            .by_name
+            .values()
+            .filter_map(|known| known.entry.as_ref());
+        entries
+            .filter(|entry| &*entry.failure_domain == domain)
+            .count()
+    }
+
+    /// Returns whether a run may be cold now: its entry says so, or the evacuation of its failure domain ended
+    /// within `after_evacuation_ms`, and its entry, which tells how long it is cold, may not have arrived.
+    ///
+    /// The time that an entry states is counted from when it arrived, so it ends too late rather than too
+    /// early.
+    pub fn may_be_cold(&self, now: MonoMs, run: &str, after_evacuation_ms: u64) -> bool {
+        let known = self.runs.get(run).and_then(|name| self.by_name.get(name));
+        let Some((known, entry)) = known.and_then(|known| Some((known, known.entry.as_ref()?)))
+        else {
+            return false;
+        };
+        let is_stated = now.since(known.changed_at) < entry.cold_remaining_ms;
+        let evacuation_ended_at = self.evacuations.ended_at(&entry.failure_domain);
+        is_stated
+            || evacuation_ended_at.is_some_and(|ended_at| now.since(ended_at) < after_evacuation_ms)
     }
 
     /// Returns the run ids of all targets that take requests, sorted.
--- a/crates/serving/tests/serving/fixture.rs
+++ b/crates/serving/tests/serving/fixture.rs
@@ -50,6 +50,7 @@
         name: "engines".into(),
         max_connections: 300,
         engine: Some(spec()),
+        cold_start: None,
     }
 }
 
@@ -99,6 +100,7 @@
         failure_domain: "east".into(),
         slots: 16,
         state,
+        cold_remaining_ms: 0,
     }
 }
 
