--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -7,6 +7,7 @@
 mod caller_connection;
 mod decision_line;
 mod directory;
+mod engine_life;
 mod engine_reports;
 mod entry_metrics;
 mod entry_state;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -42,6 +42,9 @@
     /// The engine accepted the prompt, but its reports don't show that it uses the memory reserved for it.
     #[error("the target doesn't begin to work on it")]
     Idle,
+    /// The engine restarted, or doesn't even answer for its report.
+    #[error("the target shows no sign of life")]
+    Lost,
     /// The answer is a success without a seal, so it doesn't come from the target.
     #[error("the target's answer carries no seal")]
     Unsealed,
@@ -70,11 +73,11 @@
         )
     }
 
-    /// Returns whether the target is unreachable: no connection could be opened, or sent bytes weren't
-    /// acknowledged.
+    /// Returns whether the target is unreachable: no connection could be opened, sent bytes weren't
+    /// acknowledged, or it answers nothing any more.
     pub fn is_unreachable(&self) -> bool {
         match self {
-            Self::NotSent(_) => true,
+            Self::NotSent(_) | Self::Lost => true,
             Self::Broken(TargetFault::Io(fault)) => fault.kind() == io::ErrorKind::TimedOut,
             _ => false,
         }
--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -18,7 +18,7 @@
 /// the latest; each report is charged like a health check.
 const REPORT_INTERVAL_MS: u64 = 2_000;
 /// Timeout for a report, in ms.
-const REPORT_TIMEOUT_MS: u64 = 300;
+pub const REPORT_TIMEOUT_MS: u64 = 300;
 
 /// Reads the engines' reports forever, as long as this instance is the one that reads them.
 ///
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Returns whether memory is reserved at any engine that hasn't restarted since.
+    pub fn holds_memory(&self) -> bool {
+        self.live_holds().next().is_some()
+    }
+
     /// Returns the helpers for the request's header, in the order in which they are filled: `ADDRESS/ID`
     /// where memory is reserved, the bare address elsewhere. The answering engine comes first if it has a
     /// reservation.
@@ -115,7 +120,7 @@
     /// Guards against an engine that accepts requests and executes orders but works on no request: the
     /// memory would stay reserved for as long as the caller waits.
     pub async fn renew_while_used(&self) -> AttemptFault {
-        if self.live_holds().next().is_none() {
+        if !self.holds_memory() {
             return pending().await;
         }
         let began = self.state.now();
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -5,6 +5,7 @@
         answers::{CallerAnswer, NOT_RUN_STATUSES},
         attempt::{AttemptFault, connection, record_crash, send_request},
         decision_line::Decision,
+        engine_life::until_engine_is_lost,
         entry_state::EntryState,
         event_splitter::EventSplitter,
         exchange::RequestEnd,
@@ -17,10 +18,7 @@
         target_connection::TargetConnection,
     },
     crate::clock::timeout,
-    futures::{
-        future::{Either, select},
-        pin_mut,
-    },
+    futures::{FutureExt, future::pending, pin_mut, select},
     std::sync::Arc,
     whinlatch_core::MonoMs,
     whinlatch_platform::TargetHead,
@@ -194,12 +192,15 @@
         self.log_sent(placement);
         self.answer.set_may_have_run(true);
         let end = {
-            let served = self.serve(placement, connection, &request);
-            let unused = reservations.renew_while_used();
-            pin_mut!(served, unused);
-            match select(served, unused).await {
-                Either::Left((end, _)) => end,
-                Either::Right((fault, _)) => Err(fault),
+            let watches_life = self.has_another_attempt() || reservations.holds_memory();
+            let served = self.serve(placement, connection, &request).fuse();
+            let unused = reservations.renew_while_used().fuse();
+            let lost = until_lost(state, placement, &reservations, watches_life).fuse();
+            pin_mut!(served, unused, lost);
+            select! {
+                end = served => end,
+                fault = unused => Err(fault),
+                () = lost => Err(AttemptFault::Lost),
             }
         };
         if let Err(fault) = &end {
@@ -282,6 +283,20 @@
     }
 }
 
+/// Completes when the answering engine is lost; never unless `watches_life`. Without another attempt and without
+/// reserved memory nothing is gained by giving up a late answer.
+async fn until_lost(
+    state: &EntryState,
+    placement: &PromptPlacement,
+    reservations: &Reservations<'_>,
+    watches_life: bool,
+) {
+    if !watches_life {
+        return pending().await;
+    }
+    until_engine_is_lost(state, &placement.engine, reservations.holds_memory()).await;
+}
+
 async fn read_failure(
     mut connection: TargetConnection,
     head: ResponseHead,
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -18,6 +18,8 @@
 mod leaving;
 #[path = "entry/limits.rs"]
 mod limits;
+#[path = "entry/lost_engines.rs"]
+mod lost_engines;
 #[path = "entry/paused_fleet.rs"]
 mod paused_fleet;
 #[path = "entry/published.rs"]
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -82,6 +82,12 @@
         self.calls.is_unreachable(now, target)
     }
 
+    /// Returns whether a run may be gone: its entry is, or a connection to it failed recently, here or at a
+    /// peer. A target that leaves may go on serving without an entry.
+    pub fn is_doubtful(&self, now: MonoMs, target: &str) -> bool {
+        self.is_unreachable(now, target) || self.targets.entry(target).is_none()
+    }
+
     /// Records that a connection to a target failed, and queues a notice for all peers.
     pub fn record_unreachable(&mut self, now: MonoMs, target: &TargetId) {
         self.calls.record_unreachable(now, target);
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -120,7 +120,10 @@
     /// the store serves other instances: targets that leave would still get requests, and revoked keys
     /// would still be accepted.
     pub fn catch_up_request(&self, now: MonoMs) -> Option<(Vec<SocketAddr>, Frame)> {
-        if !self.is_store_lost() && self.version() != 0 && !self.is_lagging(now) {
+        // The first read goes on by itself, or the relays send the rest to all that wait for it at once.
+        let is_reading = self.version() != 0 && self.complete_revision().is_none();
+        let is_lagging = self.is_lagging(now) && !is_reading;
+        if !self.is_store_lost() && self.version() != 0 && !is_lagging {
             return None;
         }
         // Peers of the own failure domain first: traffic between domains is charged and takes longer.
