--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -32,6 +32,10 @@
     changes_from_peers: IntCounter,
     knowledge_age: Histogram,
     linked_peers: IntGauge,
+    frames: IntCounterVec,
+    frame_bytes: IntCounterVec,
+    evacuated_domains: IntGauge,
+    cold_targets: IntGauge,
     dropped_log_lines: IntCounter,
 }
 
@@ -93,6 +97,20 @@
                 "Changes of targets that were first received from peers.",
             )?,
             knowledge_age: Histogram::with_opts(knowledge_age.buckets(AGE_BUCKETS_S.to_vec()))?,
+            frames: IntCounterVec::new(
+                Opts::new(
+                    "whinlatch_entry_peer_frames_total",
+                    "Frames that were queued for peers, by their main content.",
+                ),
+                &["kind"],
+            )?,
+            frame_bytes: IntCounterVec::new(
+                Opts::new(
+                    "whinlatch_entry_peer_frame_bytes_total",
+                    "Encoded size of the frames that were queued for peers, by their main content.",
+                ),
+                &["kind"],
+            )?,
             linked_peers: IntGauge::new("whinlatch_entry_linked_peers", "Links to peers.")?,
             evacuated_domains: IntGauge::new(
                 "whinlatch_entry_evacuated_domains",
@@ -132,6 +150,12 @@
             .register(Box::new(self.knowledge_age.clone()))?;
         self.registry
             .register(Box::new(self.linked_peers.clone()))?;
+        self.registry.register(Box::new(self.frames.clone()))?;
+        self.registry.register(Box::new(self.frame_bytes.clone()))?;
+        self.registry
+            .register(Box::new(self.evacuated_domains.clone()))?;
+        self.registry
+            .register(Box::new(self.cold_targets.clone()))?;
         self.registry
             .register(Box::new(self.dropped_log_lines.clone()))
     }
@@ -216,6 +240,20 @@
         self.knowledge_age.observe(age_ms as f64 / MS_PER_S);
     }
 
+    /// Records the number of evacuated failure domains and of targets that may be cold.
+    pub fn record_targets(&self, evacuated_domains: usize, cold_targets: usize) {
+        self.evacuated_domains
+            .set(i64::try_from(evacuated_domains).unwrap_or(i64::MAX));
+        self.cold_targets
+            .set(i64::try_from(cold_targets).unwrap_or(i64::MAX));
+    }
+
+    /// Counts frames that were queued for peers, and their size in all, by kind.
+    pub fn record_frames(&self, kind: &str, frames: u64, bytes: u64) {
+        self.frames.with_label_values(&[kind]).inc_by(frames);
+        self.frame_bytes.with_label_values(&[kind]).inc_by(bytes);
+    }
+
     /// Counts a link that opened.
     pub fn record_link_opened(&self) {
         self.linked_peers.inc();
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -2,7 +2,7 @@
     super::{
         decision_line::{Decision, DecisionLines},
         entry_metrics::EntryMetrics,
-        links::{EncodeFault, PeerLinks},
+        links::{EncodeFault, PeerLinks, Queued},
         target_pool::TargetPool,
     },
     crate::clock::Clock,
@@ -120,17 +120,21 @@
 
     /// Queues a frame on the links to the given peers; logs a frame that can't be encoded.
     pub fn send(&self, to: &[SocketAddr], frame: &Frame) {
-        self.log_encode_fault(self.links.send(to, frame));
+        self.record_queued(frame, self.links.send(to, frame));
     }
 
     /// Queues a frame on all links; logs a frame that can't be encoded.
     pub fn send_to_all(&self, frame: &Frame) {
-        self.log_encode_fault(self.links.send_to_all(frame));
+        self.record_queued(frame, self.links.send_to_all(frame));
     }
 
-    fn log_encode_fault(&self, sent: Result<(), EncodeFault>) {
-        if let Err(fault) = sent {
-            self.log(&Decision::Fault {
+    fn record_queued(&self, frame: &Frame, queued: Result<Queued, EncodeFault>) {
+        match queued {
+            Ok(Queued { frames, bytes }) => {
+                let kind = frame.kind().name();
+                self.metrics.record_frames(kind, frames, bytes);
+            }
+            Err(fault) => self.log(&Decision::Fault {
                 part: "links",
                 fault: fault.to_string(),
             }),
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -13,5 +13,5 @@
     frame_codec::{DecodeFault, EncodeFault, decode_frame, encode_frame},
     incoming::accept_links,
     keeper::keep_links,
-    peer_links::PeerLinks,
+    peer_links::{PeerLinks, Queued},
 };
--- a/crates/daemon/src/entry/links/outgoing.rs
+++ b/crates/daemon/src/entry/links/outgoing.rs
@@ -114,7 +114,11 @@
     queue: &Receiver<Bytes>,
 ) -> Option<String> {
     let mut next = match encode_frame(&first) {
-        Ok(bytes) => Some(bytes),
+        Ok(bytes) => {
+            let kind = first.kind().name();
+            state.metrics.record_frames(kind, 1, bytes.len() as u64);
+            Some(bytes)
+        }
         Err(fault) => return Some(fault.to_string()),
     };
     while let Some(bytes) = next {
--- a/crates/daemon/src/entry/links/peer_links.rs
+++ b/crates/daemon/src/entry/links/peer_links.rs
@@ -19,6 +19,25 @@
 /// Limit for the frames queued for a slow peer. A link whose queue is full is closed and opened again.
 const MAX_QUEUED_FRAMES: usize = 256;
 
+/// Frames that were queued, for the metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Queued {
+    /// Number of frames.
+    pub frames: u64,
+    /// Size of all of them, in bytes.
+    pub bytes: u64,
+}
+
+impl Queued {
+    fn of(frames: usize, frame_bytes: usize) -> Self {
+        let frames = frames as u64;
+        Self {
+            frames,
+            bytes: frames * frame_bytes as u64,
+        }
+    }
+}
+
 /// Outgoing links to peers, and the requests that wait for their responses.
 #[derive(Debug, Default)]
 pub struct PeerLinks {
@@ -53,33 +72,37 @@
         lock(&self.links).contains_key(&address)
     }
 
-    /// Queues a frame on the links to the given peers; peers without a link are skipped.
+    /// Queues a frame on the links to the given peers; peers without a link are skipped. Returns what was queued.
     ///
     /// # Errors
     /// [`EncodeFault`].
-    pub fn send(&self, to: &[SocketAddr], frame: &Frame) -> Result<(), EncodeFault> {
+    pub fn send(&self, to: &[SocketAddr], frame: &Frame) -> Result<Queued, EncodeFault> {
         let bytes = encode_frame(frame)?;
         let mut links = lock(&self.links);
+        let mut queued = 0;
         for address in to {
-            let overflows = links
-                .get(address)
-                .is_some_and(|frames| enqueue_overflows(frames, &bytes));
-            if overflows {
+            let Some(frames) = links.get(address) else {
+                continue;
+            };
+            if enqueue_overflows(frames, &bytes) {
                 // It is opened again, and begins with the state that the peer needs.
                 links.remove(address);
+            } else {
+                queued += 1;
             }
         }
-        Ok(())
+        Ok(Queued::of(queued, bytes.len()))
     }
 
-    /// Queues a frame on all links.
+    /// Queues a frame on all links. Returns what was queued.
     ///
     /// # Errors
     /// [`EncodeFault`].
-    pub fn send_to_all(&self, frame: &Frame) -> Result<(), EncodeFault> {
+    pub fn send_to_all(&self, frame: &Frame) -> Result<Queued, EncodeFault> {
         let bytes = encode_frame(frame)?;
-        lock(&self.links).retain(|_, frames| !enqueue_overflows(frames, &bytes));
-        Ok(())
+        let mut links = lock(&self.links);
+        links.retain(|_, frames| !enqueue_overflows(frames, &bytes));
+        Ok(Queued::of(links.len(), bytes.len()))
     }
 }
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -11,8 +11,9 @@
 pub use {
     engine_groups::{EngineGroup, EngineGroups},
     frame::{
-        CatchUpRequest, Crash, EnginePace, Frame, HeartbeatFrame, JobId, Member, PlacedPrompt,
-        Placement, PlacementRequest, PlacementResponse, PublishedText, ReservedMemory,
+        CatchUpRequest, Crash, EnginePace, Frame, FrameKind, HeartbeatFrame, JobId, Member,
+        PlacedPrompt, Placement, PlacementRequest, PlacementResponse, PublishedText,
+        ReservedMemory,
     },
     known_member::KnownMember,
     membership::{Membership, hash},
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -289,7 +289,92 @@
     pub served: Vec<Fingerprint>,
 }
 
+/// Main content of a [`Frame`], a label in metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FrameKind {
+    /// First frame of a link, or another one with the state of the sender.
+    Greeting,
+    /// Who is alive.
+    Roster,
+    /// Published state and a relay's status.
+    Published,
+    /// A request to choose engines, or the response.
+    Placement,
+    /// A request for a permit, or the response.
+    Permit,
+    /// Prompts that were placed, began or ended, and the pace of engines.
+    Prompts,
+    /// Notices of targets and requests for all instances.
+    Notices,
+    /// A heartbeat.
+    Heartbeat,
+}
+
+impl FrameKind {
+    /// Returns the label in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Greeting => "greeting",
+            Self::Roster => "roster",
+            Self::Published => "published",
+            Self::Placement => "placement",
+            Self::Permit => "permit",
+            Self::Prompts => "prompts",
+            Self::Notices => "notices",
+            Self::Heartbeat => "heartbeat",
+        }
+    }
+}
+
 impl Frame {
+    /// Returns the main content of the frame.
+    pub fn kind(&self) -> FrameKind {
+        if self.heartbeat.is_some() {
+            return if self.has_roster() {
+                FrameKind::Greeting
+            } else {
+                FrameKind::Heartbeat
+            };
+        }
+        if self.has_roster() {
+            return FrameKind::Roster;
+        }
+        if self.has_published_state() {
+            return FrameKind::Published;
+        }
+        if self.placement_request.is_some() || self.placement_response.is_some() {
+            return FrameKind::Placement;
+        }
+        if self.permit_request.is_some() || self.permit_response.is_some() {
+            return FrameKind::Permit;
+        }
+        if self.has_prompts() {
+            return FrameKind::Prompts;
+        }
+        FrameKind::Notices
+    }
+
+    fn has_roster(&self) -> bool {
+        self.roster.is_some() || self.roster_rows.is_some()
+    }
+
+    fn has_published_state(&self) -> bool {
+        self.configuration.is_some()
+            || !self.targets.is_empty()
+            || !self.evacuations.is_empty()
+            || self.relay_status.is_some()
+            || self.catch_up_request.is_some()
+    }
+
+    fn has_prompts(&self) -> bool {
+        self.is_snapshot
+            || !self.placed.is_empty()
+            || !self.started.is_empty()
+            || !self.failed.is_empty()
+            || !self.ended.is_empty()
+            || !self.paces.is_empty()
+    }
+
     /// Returns whether the frame makes no statement.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
