--- a/crates/daemon/src/entry/links/keeper.rs
+++ b/crates/daemon/src/entry/links/keeper.rs
@@ -104,7 +104,7 @@
         }
         state.pool.evict_expired(now);
         self.log_store_role(role);
-        self.broadcast_roster(roster);
+        self.send_all(roster);
         self.update_links(now);
         self.request_missing_state(now);
     }
@@ -153,24 +153,22 @@
     }
 
     fn send_due_roster(&self, now: MonoMs) {
-        let roster = {
+        let news = {
             let mut serving = self.state.serving();
-            serving
-                .is_roster_due()
-                .then(|| serving.roster_news(now))
-                .flatten()
+            if !serving.is_roster_due() {
+                return;
+            }
+            serving.roster_news(now)
         };
-        self.broadcast_roster(roster);
-    }
-
-    fn broadcast_roster(&self, roster: Option<Frame>) {
-        if let Some(roster) = roster {
-            self.state.send_to_all(&roster);
-        }
+        self.send_all(news);
     }
 
     fn send_news(&self) {
         let news = self.state.serving().take_news();
+        self.send_all(news);
+    }
+
+    fn send_all(&self, news: Vec<(Recipients, Frame)>) {
         for (recipients, frame) in news {
             match recipients {
                 Recipients::All => self.state.send_to_all(&frame),
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -209,6 +209,7 @@
         ready: false,
         leaving: false,
         stated_at_ms: 0,
+        reads_rows: true,
     }
 }
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod ranks;
 mod roster;
+mod roster_rows;
 
 pub use {
     engine_groups::{EngineGroup, EngineGroups},
@@ -19,4 +20,5 @@
     membership::{Membership, hash},
     ranks::Ranks,
     roster::Roster,
+    roster_rows::RosterRows,
 };
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineGroup, Roster},
+    super::{EngineGroup, Roster, RosterRows},
     crate::{
         DecisionInputs, PromptRequest, Refusal,
         names::{FailureDomain, TargetId},
@@ -49,6 +49,9 @@
     /// one wins, in whichever order they arrive.
     #[serde(rename = "said_at_ms")]
     pub stated_at_ms: u64,
+    /// Whether it reads [`RosterRows`]; false for instances of former builds, which read a [`Roster`] only.
+    #[serde(rename = "rows", default)]
+    pub reads_rows: bool,
 }
 
 /// Heartbeat of an instance whose state is unchanged except for what it knows of the store.
@@ -223,6 +226,9 @@
     /// The instances from which the sender receives frames, sent by hubs.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub roster: Option<Roster>,
+    /// The same in compact form, for receivers that read it.
+    #[serde(rename = "rows", skip_serializing_if = "Option::is_none")]
+    pub roster_rows: Option<RosterRows>,
     /// Whether `placed` lists all prompts that the sender has in flight and the receiver is to know. The
     /// receiver removes the sender's other prompts.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
--- a/crates/serving/src/fleet/membership.rs
+++ b/crates/serving/src/fleet/membership.rs
@@ -286,6 +286,21 @@
         (roster != Roster::default()).then_some(roster)
     }
 
+    /// Returns whether an instance reads [`RosterRows`](super::RosterRows), as far as it is known.
+    pub fn reads_rows(&self, address: SocketAddr) -> bool {
+        let known = self.known.get(&address);
+        known.is_some_and(|known| known.member.reads_rows)
+    }
+
+    /// Returns the instances that read a [`Roster`] only.
+    pub fn former_readers(&self) -> Vec<SocketAddr> {
+        let known = self.known.iter();
+        known
+            .filter(|(_, known)| !known.member.reads_rows)
+            .map(|(address, _)| *address)
+            .collect()
+    }
+
     /// Returns the roles of the instances as of the last [`Self::rank`].
     pub fn ranks(&self) -> &Ranks {
         &self.ranks
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -1,9 +1,9 @@
 //! The other instances, the links to them and the heartbeats.
 
 use {
-    super::Serving,
+    super::{Recipients, Serving},
     crate::{
-        fleet::{Frame, HeartbeatFrame, Member},
+        fleet::{Frame, HeartbeatFrame, Member, Roster, RosterRows},
         targets::TargetEntry,
     },
     std::{collections::HashSet, net::SocketAddr},
@@ -112,14 +112,14 @@
             follow_request: requests.find_map(|(relay, follow)| (relay == to).then_some(follow)),
             ..self.heartbeat_fields(requests_link)
         };
+        let roster = self.members.full_roster(now, self.own.peer_address);
         Frame {
             member: Some(self.own_member(now)),
             heartbeat: Some(heartbeat),
             peers: self.members.addresses_to_report(now),
             leaving: self.targets.leaving(),
             limits: self.notices.limits(),
-            roster: Some(self.members.full_roster(now, self.own.peer_address)),
-            ..Frame::default()
+            ..roster_frame(roster, self.members.reads_rows(to))
         }
     }
 
@@ -176,15 +176,21 @@
         }
     }
 
-    /// Returns a hub's roster changes since the last call, for all peers; `None` if there are none.
-    pub fn roster_news(&mut self, now: MonoMs) -> Option<Frame> {
+    /// Returns a hub's roster changes since the last call, in the forms that its peers read, and the receivers of
+    /// each; empty if nothing has changed.
+    pub fn roster_news(&mut self, now: MonoMs) -> Vec<(Recipients, Frame)> {
         self.is_roster_due = false;
         let own = self.own.peer_address;
-        let roster = self.members.roster_changes(now, own)?;
-        Some(Frame {
-            roster: Some(roster),
-            ..Frame::default()
-        })
+        let Some(roster) = self.members.roster_changes(now, own) else {
+            return Vec::new();
+        };
+        let mut news = vec![(Recipients::All, roster_frame(roster.clone(), true))];
+        let former_readers = self.members.former_readers();
+        if !former_readers.is_empty() {
+            let frame = roster_frame(roster, false);
+            news.push((Recipients::Peers(former_readers), frame));
+        }
+        news
     }
 
     /// Records that the link to a peer broke, which makes the peer suspect.
@@ -192,3 +198,12 @@
         self.members.suspect(now, address);
     }
 }
+
+/// Returns a frame with a roster, in the compact form if the receiver reads it.
+fn roster_frame(roster: Roster, reads_rows: bool) -> Frame {
+    Frame {
+        roster_rows: reads_rows.then(|| RosterRows::from(&roster)),
+        roster: (!reads_rows).then_some(roster),
+        ..Frame::default()
+    }
+}
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -162,7 +162,8 @@
         }
         let address = self.members.record_frame(now, from);
         if let Some(address) = address {
-            self.apply_heartbeat(now, address, frame.heartbeat, frame.roster);
+            let roster = frame.roster_rows.map(Roster::from).or(frame.roster);
+            self.apply_heartbeat(now, address, frame.heartbeat, roster);
         }
         let own = self.own.peer_address;
         self.members.add_learned_addresses(now, own, &frame.peers);
--- a/crates/serving/tests/serving/fixture.rs
+++ b/crates/serving/tests/serving/fixture.rs
@@ -80,6 +80,7 @@
         ready: true,
         leaving: false,
         stated_at_ms: 0,
+        reads_rows: true,
     }
 }
 
