--- a/crates/daemon/src/entry/store/store_pace.rs
+++ b/crates/daemon/src/entry/store/store_pace.rs
@@ -3,6 +3,9 @@
 /// Pause between two watches, in ms: targets that start or are replaced write in quick succession, and each
 /// change would cost a call of its own.
 const WATCH_GAP_MS: u64 = 50;
+/// The same for a relay that only takes over if the first one of its failure domain fails, in ms. With it and the
+/// time that a watch waits, its status stays fresh.
+const STANDBY_WATCH_GAP_MS: u64 = 250;
 /// The same for an instance that stands in while its relays are silent, in ms. It stays well below the two
 /// seconds within which a leaving target must get no more requests.
 const STAND_IN_WATCH_GAP_MS: u64 = 250;
@@ -23,6 +26,11 @@
 /// Shortest delay of an instance that stands in after its first failure, in ms; it doubles with each further
 /// one. Hundreds of instances that retry as often as a relay would use up most calls of a store that is back.
 const STAND_IN_RETRY_INTERVAL_MS: u64 = 500;
+/// Shortest time for which an instance that serves with a part of the targets waits for its relays, in ms. Most have
+/// found them by then.
+const FIRST_READ_MIN_PAUSE_MS: u64 = 1_000;
+/// Time over which the instances that weren't told by then spread the rest of their reads, in ms.
+const FIRST_READ_PAUSE_SPREAD_MS: u64 = 500;
 /// Limit for the number of times that [`STAND_IN_RETRY_INTERVAL_MS`] doubles.
 const MAX_DOUBLINGS: u32 = 3;
 
@@ -121,10 +129,29 @@
     pub async fn wait_for_peers(&self) {
         let is_first_start = self.state.settings.is_first_start;
         let patience_ms = self.state.serving().start_patience_ms(is_first_start);
-        let until = self.state.now() + patience_ms;
-        while self.state.now() < until && self.state.serving().complete_revision().is_none() {
+        let began = self.state.now();
+        let should_wait = || {
+            let now = self.state.now();
+            let serving = self.state.serving();
+            serving.should_wait_for_peers(now, now.since(began), patience_ms)
+        };
+        while should_wait() {
+            self.state.clock.sleep(START_CHECK_INTERVAL_MS).await;
+        }
+    }
+
+    /// Waits while this instance serves with a part of the targets, until its relays have sent the rest or it is
+    /// time to read that. Returns whether they have.
+    pub async fn wait_for_rest(&self) -> bool {
+        let pause_ms = FIRST_READ_MIN_PAUSE_MS + fastrand::u64(..FIRST_READ_PAUSE_SPREAD_MS);
+        let until = self.state.now() + pause_ms;
+        while self.state.serving().complete_revision().is_none() {
+            if self.state.now() >= until {
+                return false;
+            }
             self.state.clock.sleep(START_CHECK_INTERVAL_MS).await;
         }
+        true
     }
 
     /// Waits before the next watch, so that one call returns all changes in quick succession.
@@ -132,6 +159,8 @@
         let now = self.state.now();
         let gap_ms = if self.stands_in {
             STAND_IN_WATCH_GAP_MS
+        } else if self.state.serving().is_standby_relay(now) {
+            STANDBY_WATCH_GAP_MS
         } else {
             WATCH_GAP_MS
         };
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -207,7 +207,10 @@
             if full_read.advance(page.next_after) {
                 break revision;
             }
-        }
+            if self.receives_rest(&full_read.published.targets).await {
+                return Ok(());
+            }
+        };
         self.needs_full_read = false;
         let now = self.state.now();
         self.state
@@ -218,16 +221,21 @@
         Ok(())
     }
 
-    async fn begin_full_read(&mut self) -> Result<FullRead, ReadFault> {
-        let page = self
-            .range(CallKind::Configuration, &configuration_request())
-            .await?;
-        self.intake.apply(page.changes);
-        Ok(FullRead {
-            revision: page.revision,
-            targets: Vec::new(),
-            after: None,
-        })
+    /// Serves with the targets that were read so far, if they suffice, and gives the relays time to send the rest.
+    /// Returns whether they have.
+    async fn receives_rest(&mut self, targets: &[TargetChange]) -> bool {
+        if self.state.was_ready() || !self.state.serving().may_interrupt_first_read(targets) {
+            return false;
+        }
+        let now = self.state.now();
+        {
+            let mut serving = self.state.serving();
+            for target in targets {
+                serving.apply_store_change(now, target.clone());
+            }
+        }
+        self.state.notify_if_ready();
+        self.pace.wait_for_rest().await
     }
 
     async fn range(&mut self, kind: CallKind, target: &str) -> Result<RangePage, ReadFault> {
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -4,8 +4,9 @@
     super::Serving,
     crate::{
         fleet::{CatchUpRequest, Frame},
+        names::ServiceName,
         relays::{FollowRequest, KnownState, Relay, RelayStatus},
-        targets::TargetChange,
+        targets::{PublishedChanges, TargetChange, TargetState},
     },
     std::net::SocketAddr,
     whinlatch_core::MonoMs,
@@ -28,6 +29,12 @@
 const FIRST_START_MIN_WAIT_MS: u64 = 1_000;
 /// Time over which the instances that have received nothing by then spread their reads of the store, in ms.
 const FIRST_START_SPREAD_MS: u64 = 500;
+/// Maximum time for which a weaker instance waits at the first start while it knows relays of its failure domain,
+/// in ms. Hundreds of instances that link to the same hubs at once take seconds to be told.
+const FIRST_START_MAX_WAIT_MS: u64 = 5_000;
+/// Minimum number of targets with which a weaker instance begins to serve before it knows all: enough to share the
+/// load of a second among all callers, who meet the same ones at each instance.
+const MIN_TARGETS_TO_SERVE: usize = 100;
 
 /// Role of an instance towards the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,6 +146,45 @@
         FIRST_START_MIN_WAIT_MS + self.rng.u64(..FIRST_START_SPREAD_MS)
     }
 
+    /// Returns whether an instance that has waited for `waited_ms` since its start should wait on for its peers
+    /// before it reads the store. `patience_ms` is from [`Self::start_patience_ms`].
+    pub fn should_wait_for_peers(&self, now: MonoMs, waited_ms: u64, patience_ms: u64) -> bool {
+        if self.complete_revision().is_some() || patience_ms == 0 {
+            return false;
+        }
+        let has_relays = self.readers(now).next().is_some() && !self.is_reader(now);
+        waited_ms < patience_ms || has_relays && waited_ms < FIRST_START_MAX_WAIT_MS
+    }
+
+    /// Returns whether an instance that reads all targets for the first time may serve with those `read` so far and
+    /// wait for its relays to send the rest: it is a weaker one, and has some of each service.
+    ///
+    /// Guards against calls to the store that grow with the product of instances and targets when many instances
+    /// start at the same time. Each of them needs few targets in the second until it has found its relays.
+    pub fn may_interrupt_first_read(&self, read: &[TargetChange]) -> bool {
+        let entries = read.iter().filter_map(|change| change.entry.as_ref());
+        let ready: Vec<&ServiceName> = entries
+            .filter(|entry| entry.state == TargetState::Ready)
+            .map(|entry| &entry.service)
+            .collect();
+        let Some(configuration) = &self.configuration else {
+            return false;
+        };
+        let is_weaker = self.own.cpu_millis < IMMEDIATE_READ_CPU_MILLIS;
+        let is_enough = ready.len() >= MIN_TARGETS_TO_SERVE;
+        is_weaker
+            && is_enough
+            && configuration
+                .service_names()
+                .all(|name| ready.contains(&name))
+    }
+
+    /// Returns whether this instance reads the store only in case that the first relay of its failure domain fails.
+    pub fn is_standby_relay(&self, now: MonoMs) -> bool {
+        let first = self.readers(now).next();
+        self.members.is_large() && self.is_reader(now) && first != Some(self.own.peer_address)
+    }
+
     /// Records that this instance has read all published changes up to a revision of the store.
     pub fn mark_complete_at(&mut self, now: MonoMs, revision: u64) {
         self.followed_relays.mark_complete_at(revision);
