--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -228,12 +228,7 @@
             return false;
         }
         let now = self.state.now();
-        {
-            let mut serving = self.state.serving();
-            for target in targets {
-                serving.apply_store_change(now, target.clone());
-            }
-        }
+        self.state.serving().begin_with_targets(now, targets);
         self.state.notify_if_ready();
         self.pace.wait_for_rest().await
     }
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -79,6 +79,8 @@
     followed_relays: FollowedRelays,
     /// The instances that follow this one.
     followers: Followers,
+    /// Whether this instance began to serve before it had read all targets.
+    has_begun_with_part: bool,
     /// When this instance last completed a read of the store.
     read_at: Option<MonoMs>,
     /// Time of the first call that the store didn't answer since its last answer; `None` while it answers.
@@ -118,6 +120,7 @@
             lag: None,
             followed_relays: FollowedRelays::default(),
             followers: Followers::default(),
+            has_begun_with_part: false,
             read_at: None,
             store_lost_since: None,
             mechanisms: DisabledMechanisms::default(),
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -120,9 +120,8 @@
     /// the store serves other instances: targets that leave would still get requests, and revoked keys
     /// would still be accepted.
     pub fn catch_up_request(&self, now: MonoMs) -> Option<(Vec<SocketAddr>, Frame)> {
-        // The first read goes on by itself, or the relays send the rest to all that wait for it at once.
-        let is_reading = self.version() != 0 && self.complete_revision().is_none();
-        let is_lagging = self.is_lagging(now) && !is_reading;
+        // The relays send the rest to all that wait for it at once.
+        let is_lagging = self.is_lagging(now) && !self.awaits_rest();
         if !self.is_store_lost() && self.version() != 0 && !is_lagging {
             return None;
         }
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -179,6 +179,19 @@
                 .all(|name| ready.contains(&name))
     }
 
+    /// Begins to serve with a part of the targets, read from the store at its first read.
+    pub fn begin_with_targets(&mut self, now: MonoMs, read: &[TargetChange]) {
+        self.has_begun_with_part = true;
+        for change in read {
+            self.apply_store_change(now, change.clone());
+        }
+    }
+
+    /// Returns whether this instance serves with a part of the targets and lacks the rest.
+    pub(super) fn awaits_rest(&self) -> bool {
+        self.has_begun_with_part && self.complete_revision().is_none()
+    }
+
     /// Returns whether this instance reads the store only in case that the first relay of its failure domain fails.
     pub fn is_standby_relay(&self, now: MonoMs) -> bool {
         let first = self.readers(now).next();
