--- a/crates/daemon/src/entry/links/keeper.rs
+++ b/crates/daemon/src/entry/links/keeper.rs
@@ -216,17 +216,29 @@
         }
     }
 
-    /// Sends a heartbeat over all links. Peers whose link this instance needs itself get `requests_link` set,
-    /// and its relays also a follow request with the revision that it knows.
+    /// Sends a heartbeat over the links that are due. Peers whose link this instance needs itself get `requests_link`
+    /// set, and its relays, which always get one, also a follow request with the revision that it knows.
     fn send_heartbeat(&self, now: MonoMs) {
-        let mut heartbeat = self.state.serving().heartbeat(now);
-        let requested: Vec<SocketAddr> = self.wanted.requested.iter().copied().collect();
+        // Instances that start together find each other by the addresses in heartbeats.
+        let is_starting = self.state.is_starting();
+        let mut serving = self.state.serving();
+        let is_full = is_starting || serving.is_full_heartbeat_due();
+        let is_due = |peer: &&SocketAddr| is_full || serving.is_hub_link(**peer);
+        let requested: Vec<SocketAddr> = self
+            .wanted
+            .requested
+            .iter()
+            .filter(is_due)
+            .copied()
+            .collect();
+        let mut own: Vec<SocketAddr> = self.wanted.own.iter().filter(is_due).copied().collect();
+        let follows = serving.follow_requests(now);
+        let mut heartbeat = serving.heartbeat(now);
+        drop(serving);
         self.state.send(&requested, &heartbeat);
         let Some(fields) = heartbeat.heartbeat else {
             return;
         };
-        let follows = self.state.serving().follow_requests(now);
-        let mut own: Vec<SocketAddr> = self.wanted.own.iter().copied().collect();
         own.retain(|address| follows.iter().all(|(relay, _)| relay != address));
         let fields = HeartbeatFrame {
             requests_link: true,
--- a/crates/serving/src/fleet/known_member.rs
+++ b/crates/serving/src/fleet/known_member.rs
@@ -7,8 +7,8 @@
 const MIN_SILENCE_TIMEOUT_MS: u64 = 1_250;
 /// Time within which an instance must send a frame after a link to it broke, in ms.
 const BROKEN_LINK_TIMEOUT_MS: u64 = 400;
-/// Time for which a request to link back counts, in ms: several heartbeat intervals of a large fleet.
-const LINK_REQUEST_TTL_MS: u64 = 3_000;
+/// Time for which a request to link back counts, in ms: two heartbeats over all links of a large fleet, and some.
+const LINK_REQUEST_TTL_MS: u64 = 5_000;
 
 /// State of another instance as this one knows it.
 #[derive(Debug, Clone)]
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -67,6 +67,8 @@
     requested_groups: HashMap<JobId, Vec<EngineGroup>>,
     news: News,
     last_job_number: u64,
+    /// Number of heartbeats so far.
+    heartbeat_number: u64,
     /// Own state as of the last heartbeat; `None` before the first.
     last_stated: Option<Member>,
     /// Whether this instance, as a hub, knows a change of a member that isn't in its last roster.
@@ -114,6 +116,7 @@
             requested_groups: HashMap::new(),
             news: News::default(),
             last_job_number: 0,
+            heartbeat_number: 0,
             last_stated: None,
             is_roster_due: false,
             settled_at: MonoMs(0),
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -15,6 +15,10 @@
 /// Time between heartbeats in a large fleet, in ms. Three missing heartbeats are noticed within two
 /// seconds, and a hub sends and receives half as many as at the rate of a small fleet.
 const LARGE_FLEET_HEARTBEAT_INTERVAL_MS: u64 = 500;
+/// In a large fleet, every how many heartbeats one goes over all links; the others only over those from and to hubs. Who
+/// is alive is known through hubs, so that the links to deciders need heartbeats only to stay open, and they are most
+/// of an instance's links.
+const FULL_HEARTBEAT_PERIOD: u64 = 4;
 /// Maximum number of peer addresses in a heartbeat. The greeting of each link has them without this limit, so
 /// heartbeats only fill gaps that lost links left.
 const MAX_HEARTBEAT_ADDRESSES: usize = 4;
@@ -137,8 +141,18 @@
         self.is_roster_due
     }
 
-    /// Returns a heartbeat: the versions that this instance knows, its own state if it changed, and the
-    /// addresses of a few random peers.
+    /// Returns whether the next heartbeat goes over all links, or only over those from and to hubs.
+    pub fn is_full_heartbeat_due(&self) -> bool {
+        !self.members.is_large() || self.heartbeat_number % FULL_HEARTBEAT_PERIOD == 0
+    }
+
+    /// Returns whether this instance or a peer is a hub.
+    pub fn is_hub_link(&self, peer: SocketAddr) -> bool {
+        self.is_hub() || self.members.ranks().hubs().contains(&peer)
+    }
+
+    /// Returns a heartbeat: the versions that this instance knows, its own state if it changed, and, if it goes over
+    /// all links, the addresses of a few random peers.
     pub fn heartbeat(&mut self, now: MonoMs) -> Frame {
         let own = self.own_member(now);
         let has_changed = !self
@@ -146,7 +160,12 @@
             .as_ref()
             .is_some_and(|stated| stated.is_same_state(&own));
         self.last_stated = Some(own.clone());
-        let mut peers = self.members.addresses_to_report(now);
+        let mut peers = if self.is_full_heartbeat_due() {
+            self.members.addresses_to_report(now)
+        } else {
+            Vec::new()
+        };
+        self.heartbeat_number += 1;
         self.rng.shuffle(&mut peers);
         peers.truncate(MAX_HEARTBEAT_ADDRESSES);
         Frame {
--- a/crates/serving/tests/serving/large_fleet.rs
+++ b/crates/serving/tests/serving/large_fleet.rs
@@ -351,3 +351,41 @@
     assert!(compact.roster_rows.is_some() && compact.roster.is_none());
     assert!(plain.roster.is_some() && plain.roster_rows.is_none());
 }
+
+/// Guards against heartbeats that take most of what instances exchange at rest: an instance has a dozen links to deciders
+/// and one to each hub.
+#[test]
+fn most_heartbeats_of_a_large_fleet_go_to_and_from_hubs_only() {
+    let mut fleet = Fleet::start(40);
+    fleet.steps(12);
+    let hubs = fleet.hubs();
+    let now = fleet.now;
+    let is_no_hub = |address: &&SocketAddr| !hubs.contains(address);
+    let others: Vec<SocketAddr> = fleet.alive.keys().filter(is_no_hub).copied().collect();
+    let serving = fleet.alive.get_mut(&others[0]).unwrap();
+
+    let full: Vec<bool> = (0..8)
+        .map(|_number| {
+            let is_full = serving.is_full_heartbeat_due();
+            let names_peers = !serving.heartbeat(now).peers.is_empty();
+            assert_eq!(is_full, names_peers);
+            is_full
+        })
+        .collect();
+
+    assert_eq!(full.iter().filter(|is_full| **is_full).count(), 2);
+    assert!(serving.is_hub_link(hubs[0]) && !serving.is_hub_link(others[1]));
+}
+
+/// Guards against a small fleet in which instances that link to all others are taken for dead.
+#[test]
+fn each_heartbeat_of_a_small_fleet_goes_over_all_links() {
+    let mut fleet = Fleet::start(9);
+    fleet.steps(4);
+    let serving = fleet.alive.values_mut().next().unwrap();
+
+    for _ in 0..8 {
+        assert!(serving.is_full_heartbeat_due());
+        serving.heartbeat(fleet.now);
+    }
+}
