--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -1,4 +1,5 @@
-//! Reads the engines' reports of their pace. One instance does it for the whole fleet.
+//! Reads the engines' reports: their pace, which one instance does for the whole fleet, and their work, which an
+//! instance does that has just started.
 
 use {
     super::{
@@ -10,13 +11,15 @@
     crate::clock::timeout,
     futures::future::join_all,
     std::sync::Arc,
-    whinlatch_platform::{REPORT_PATH, read_pace},
+    whinlatch_platform::{REPORT_PATH, read_occupancy, read_pace},
     whinlatch_serving::targets::TargetEntry,
 };
 
 /// Time between two reports of an engine, in ms. An engine that has become slow is avoided after this time at
 /// the latest; each report is charged like a health check.
 const REPORT_INTERVAL_MS: u64 = 2_000;
+/// Time between two checks whether a starting instance is the one that reads reports, in ms.
+const STARTING_CHECK_INTERVAL_MS: u64 = 100;
 /// Timeout for a report, in ms.
 pub const REPORT_TIMEOUT_MS: u64 = 300;
 
@@ -26,21 +29,35 @@
 /// slowest of them, and an engine that writes no streams shows its pace nowhere else.
 pub async fn read_reports(state: Arc<EntryState>) {
     loop {
-        state.clock.sleep(REPORT_INTERVAL_MS).await;
         let engines = state.serving().reported_engines(state.now());
         join_all(engines.iter().map(|engine| read(&state, engine))).await;
+        let is_new = state.is_starting() && engines.is_empty();
+        let interval_ms = if is_new {
+            STARTING_CHECK_INTERVAL_MS
+        } else {
+            REPORT_INTERVAL_MS
+        };
+        state.clock.sleep(interval_ms).await;
     }
 }
 
+/// Reads the reports of engines before a choice, so that it takes account of work that this instance doesn't know.
+pub async fn read_occupancies(state: &EntryState, engines: &[TargetEntry]) {
+    join_all(engines.iter().map(|engine| read(state, engine))).await;
+}
+
 async fn read(state: &EntryState, engine: &TargetEntry) {
     // Not recorded here: prompts sent to an engine that doesn't answer detect that.
     let Some(body) = fetch_report(state, engine, Need::Optional).await else {
         return;
     };
-    match read_pace(&body) {
-        Ok(pace) => {
+    let read = read_pace(&body).and_then(|pace| Ok((pace, read_occupancy(&body)?)));
+    match read {
+        Ok((pace, occupancy)) => {
             let now = state.now();
-            state.serving().apply_reported_pace(now, engine, pace);
+            let mut serving = state.serving();
+            serving.apply_reported_pace(now, engine, pace);
+            serving.apply_occupancy(now, engine, occupancy);
         }
         Err(fault) => state.log(&Decision::Unreadable {
             fault: format!("the report of {}: {fault}", engine.id),
--- a/crates/daemon/src/entry/placing.rs
+++ b/crates/daemon/src/entry/placing.rs
@@ -1,7 +1,10 @@
 //! Chooses the engines for a prompt: by a decider, a peer that knows of all prompts, or locally.
 
 use {
-    super::{entry_state::EntryState, job_guard::JobGuard, permits::is_permitted},
+    super::{
+        engine_reports::read_occupancies, entry_state::EntryState, job_guard::JobGuard,
+        permits::is_permitted,
+    },
     crate::clock::timeout,
     std::net::SocketAddr,
     whinlatch_serving::{
@@ -13,6 +16,8 @@
 /// Timeout for a peer's decision, in ms: two network crossings, and the time that a small instance
 /// takes to process it. After two timeouts the prompt still has most of its time.
 const PLACEMENT_TIMEOUT_MS: u64 = 40;
+/// Timeout for the reports of engines before a choice, in ms: some network crossings, and the time of new connections.
+const ASK_TIMEOUT_MS: u64 = 30;
 /// Deciders that are asked one after the other before this instance chooses from its own knowledge.
 const MAX_ASKED_DECIDERS: usize = 2;
 
@@ -89,6 +94,7 @@
         // The peer hasn't learned yet that one of its engines isn't ready, so this instance chooses itself.
         break;
     }
+    ask_engines(state, group, request).await;
     let now = state.now();
     let mut serving = state.serving();
     let decision = serving.choose_engines(now, job, group, request)?;
@@ -97,6 +103,18 @@
         .ok_or(Refusal::NoTarget)
 }
 
+/// Reads the reports of the engines that this instance would choose, if it knows little of their work.
+async fn ask_engines(state: &EntryState, group: EngineGroup, request: &PromptRequest) {
+    let now = state.now();
+    let engines = state.serving().engines_to_ask(now, group, request);
+    if engines.is_empty() {
+        return;
+    }
+    let asked = read_occupancies(state, &engines);
+    // An engine that doesn't answer in time is chosen by what is known.
+    let _in_time = timeout(state.clock.as_ref(), ASK_TIMEOUT_MS, asked).await;
+}
+
 /// Asks a peer to choose. `None` if it doesn't respond in time, which means that it is gone or overloaded.
 async fn request_placement(
     state: &EntryState,
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Returns whether the next page is the first one of targets.
+    fn is_at_first_targets(&self) -> bool {
+        matches!(self.section, Section::Targets) && self.after.is_none()
+    }
+
     /// Moves on after a page. Returns whether it was the last one.
     fn advance(&mut self, next_after: Option<String>) -> bool {
         self.after = next_after;
@@ -204,10 +209,11 @@
             full_read.published.targets.extend(read.targets);
             full_read.published.evacuations.extend(read.evacuations);
             let revision = *full_read.revision.get_or_insert(page.revision);
+            let is_first_page = full_read.is_at_first_targets();
             if full_read.advance(page.next_after) {
                 break revision;
             }
-            if self.receives_rest(&full_read.published.targets).await {
+            if is_first_page && self.receives_rest(&full_read.published.targets).await {
                 return Ok(());
             }
         };
@@ -221,7 +227,7 @@
         Ok(())
     }
 
-    /// Serves with the targets that were read so far, if they suffice, and gives the relays time to send the rest.
+    /// Serves with the first page of targets, if they suffice, and gives the relays time to send the rest.
     /// Returns whether they have.
     async fn receives_rest(&mut self, targets: &[TargetChange]) -> bool {
         if self.state.was_ready() || !self.state.serving().may_interrupt_first_read(targets) {
--- a/crates/serving/src/engines.rs
+++ b/crates/serving/src/engines.rs
@@ -5,7 +5,7 @@
 mod work_rate;
 
 pub use {
-    engine_load::{EngineLoad, UnreadPart, WritingStream},
+    engine_load::{EngineLoad, Occupancy, UnreadPart, WritingStream},
     engine_loads::{EngineLoads, Job},
     work_rate::WorkRate,
 };
--- a/crates/serving/src/engines/engine_load.rs
+++ b/crates/serving/src/engines/engine_load.rs
@@ -16,6 +16,27 @@
 /// slow.
 const PACE_BOUNDS: (f64, f64) = (1.0, 12.0);
 
+/// Time for which work counts that an engine reports and that this instance doesn't know, in ms. It is that of callers
+/// and instances that are gone; engines notice that within some seconds, or their short streams end.
+const UNKNOWN_WORK_TTL_MS: u64 = 1_500;
+
+/// State of an engine as it reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Occupancy {
+    /// Prompts that it reads or answers, or that wait for a slot.
+    pub prompts: usize,
+    /// Memory in use, in tokens.
+    pub memory_tokens: u64,
+}
+
+/// Work on an engine of which no instance knows, such as the streams of instances that were killed.
+#[derive(Debug, Clone, Copy, Default)]
+struct UnknownWork {
+    prompts: usize,
+    memory_tokens: u64,
+    until: MonoMs,
+}
+
 /// A prompt, or a part of one, that an engine has yet to read.
 #[derive(Debug, Clone, Copy)]
 pub struct UnreadPart {
@@ -85,6 +106,7 @@
     pub helping: usize,
     /// Share of the prompts that it was to answer but failed.
     pub failures: FailureShare,
+    unknown: UnknownWork,
     /// Actual against predicted length of the passes since the pace was last evaluated.
     pass_ratios: Vec<f64>,
     /// Time up to which the state was advanced, in ms.
@@ -106,9 +128,22 @@
         }
     }
 
+    /// Applies a report of the engine: what exceeds the known prompts counts as unknown work for a while.
+    pub fn apply_occupancy(&mut self, now: MonoMs, occupancy: Occupancy) {
+        self.unknown = UnknownWork::default();
+        self.unknown = UnknownWork {
+            prompts: occupancy.prompts.saturating_sub(self.running()),
+            memory_tokens: occupancy.memory_tokens.saturating_sub(self.memory_tokens),
+            until: now + UNKNOWN_WORK_TTL_MS,
+        };
+    }
+
     /// Advances the prediction to `now`.
     pub fn advance(&mut self, now: MonoMs, spec: &EngineSpec) {
         let now_ms = now.0 as f64;
+        if now >= self.unknown.until {
+            self.unknown = UnknownWork::default();
+        }
         loop {
             if let Some(end_ms) = self.pass_end_ms {
                 if end_ms > now_ms {
@@ -227,7 +262,7 @@
 
     /// Returns the length of a pass in which nothing is read, in ms.
     pub fn base_ms(&self, spec: &EngineSpec) -> f64 {
-        spec.pass_ms(self.streams.len(), 0) * self.pace
+        spec.pass_ms(self.streams.len() + self.unknown.prompts, 0) * self.pace
     }
 
     /// Returns the number of waiting tokens and the time to read them, in ms.
@@ -299,9 +334,14 @@
     }
 
     /// Returns the number of slots in use: one for each prompt that the engine answers, whether it still
-    /// reads the prompt or writes the answer.
+    /// reads the prompt or writes the answer, and one for each unknown one.
     pub fn running(&self) -> usize {
         let reading = self.parts.iter().filter(|part| !part.is_helper).count();
-        reading + self.streams.len()
+        reading + self.streams.len() + self.unknown.prompts
+    }
+
+    /// Returns the memory in use by known and unknown prompts, in tokens.
+    pub fn used_tokens(&self) -> u64 {
+        self.memory_tokens + self.unknown.memory_tokens
     }
 }
--- a/crates/serving/src/engines/engine_loads.rs
+++ b/crates/serving/src/engines/engine_loads.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineLoad, UnreadPart, WorkRate, WritingStream},
+    super::{EngineLoad, Occupancy, UnreadPart, WorkRate, WritingStream},
     crate::{
         catalog::EngineSpec,
         fleet::{EngineGroup, JobId, PlacedPrompt},
@@ -176,6 +176,18 @@
         self.engine(now, spec, engine).set_pace(pace)
     }
 
+    /// Applies what an engine reports of its work.
+    pub fn apply_occupancy(
+        &mut self,
+        now: MonoMs,
+        spec: &EngineSpec,
+        engine: &TargetId,
+        occupancy: Occupancy,
+    ) {
+        self.engine(now, spec, engine)
+            .apply_occupancy(now, occupancy);
+    }
+
     /// Returns an engine's slowdown against its published speed; 1 if nothing is known.
     pub fn pace_of(&self, engine: &str) -> f64 {
         self.engines.get(engine).map_or(1.0, |engine| engine.pace)
--- a/crates/serving/src/placement/answer_loss.rs
+++ b/crates/serving/src/placement/answer_loss.rs
@@ -32,7 +32,7 @@
         Some(_) => 0,
         None => shape.prompt_tokens + u64::from(shape.answer_tokens),
     };
-    load.running() < spec.slots as usize && load.memory_tokens + tokens <= spec.memory_tokens
+    load.running() < spec.slots as usize && load.used_tokens() + tokens <= spec.memory_tokens
 }
 
 /// Returns the loss of a stream with a medium pause limit on an engine that reads long prompts.
--- a/crates/serving/src/placement/prompt_split.rs
+++ b/crates/serving/src/placement/prompt_split.rs
@@ -130,7 +130,7 @@
     /// Sorts helpers by free memory, the most first. Returns whether enough of them have memory for the
     /// reservations.
     fn order_by_free_memory(&self, reserved: ReservedMemory, shares: &mut [EngineShare]) -> bool {
-        let used = |share: &EngineShare| self.candidates[share.index].load.memory_tokens;
+        let used = |share: &EngineShare| self.candidates[share.index].load.used_tokens();
         shares.sort_by_key(used);
         shares
             .iter()
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         catalog::EngineSpec,
-        engines::EngineLoad,
+        engines::{EngineLoad, Occupancy},
         fleet::{EngineGroup, EnginePace, JobId, PlacedPrompt, Placement, ReservedMemory},
         mechanism::Mechanism,
         names::TargetId,
@@ -21,6 +21,12 @@
 /// Number of groups of engines that are tried for a prompt before it is refused. One full group may be
 /// chance while another has room; two full groups are an overload.
 const TRIED_GROUPS: usize = 2;
+/// Engines whose reports are read before a choice by an instance that knows little of what they do.
+const REPORTS_PER_CHOICE: usize = 3;
+/// Time for which a report counts for further choices, in ms: that in which the work of an engine changes little.
+const REPORT_TTL_MS: u64 = 500;
+/// Time after it has settled for which an instance still takes engines to have work that it doesn't know, in ms.
+const UNKNOWN_WORK_MS: u64 = 500;
 
 impl Serving {
     /// Admits a prompt and returns a new id for it, or refuses it as poison or because the retry budget is
@@ -124,6 +130,52 @@
         })
     }
 
+    /// Returns the engines whose reports to read before this instance chooses among a group for a prompt: those that it
+    /// would choose, if it knows little of what others place. Empty otherwise.
+    ///
+    /// Guards against prompts that are placed on engines full of the streams of instances that were all killed, and
+    /// wait there until their callers leave.
+    pub fn engines_to_ask(
+        &mut self,
+        now: MonoMs,
+        group: EngineGroup,
+        request: &PromptRequest,
+    ) -> Vec<TargetEntry> {
+        if !self.is_blind(now, group) || !self.expects_unknown_work(now) {
+            return Vec::new();
+        }
+        self.asked_engines
+            .retain(|_engine, asked_at| now.since(*asked_at) < REPORT_TTL_MS);
+        let run = self.own.run;
+        let mut engines = self.usable_engines(now, group, request);
+        engines.retain(|id| !self.is_limited(now, id));
+        engines.sort_by(|left, right| affinity(run, right).total_cmp(&affinity(run, left)));
+        engines.retain(|id| !self.asked_engines.contains_key(id));
+        engines.truncate(REPORTS_PER_CHOICE);
+        for id in &engines {
+            self.asked_engines.insert(id.clone(), now);
+        }
+        let entries = engines.iter().filter_map(|id| self.targets.ready_entry(id));
+        entries.cloned().collect()
+    }
+
+    /// Returns whether engines may have work of which no live instance knows: this one has just started or got a new
+    /// role.
+    pub fn expects_unknown_work(&self, now: MonoMs) -> bool {
+        now < self.settled_at + UNKNOWN_WORK_MS
+    }
+
+    /// Applies what an engine reports of its work. Has no effect once this instance knows what others place.
+    pub fn apply_occupancy(&mut self, now: MonoMs, engine: &TargetEntry, occupancy: Occupancy) {
+        if !self.expects_unknown_work(now) {
+            return;
+        }
+        if let Some(spec) = self.spec_of_service(&engine.service) {
+            self.engines
+                .apply_occupancy(now, &spec, &engine.id, occupancy);
+        }
+    }
+
     /// Combines a prompt's request with the current state of a group of engines.
     fn shape_of(
         &mut self,
