--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -3,7 +3,7 @@
     crate::{
         clock::timeout,
         shared::Shared,
-        targets::{AttemptWork, connect, read_body},
+        targets::{AttemptWork, MAX_ANSWER_BYTES, connect, read_body},
     },
     http_types::{Method, Request, Response, Url},
     std::{net::SocketAddr, sync::Arc},
@@ -14,8 +14,8 @@
     },
 };
 
-/// Largest answer of a home that is passed to the caller, in bytes.
-const MAX_ANSWER_BYTES: u64 = 17 * 1_048_576;
+/// Largest answer of a home that is passed to the caller, in bytes: a target's, and what the home adds to it.
+const MAX_FORWARDED_BYTES: u64 = MAX_ANSWER_BYTES + 1_048_576;
 /// Header fields of the home's answer that are copied to the caller's.
 const COPIED_FIELDS: [&str; 5] = [
     OUTCOME_HEADER,
@@ -82,7 +82,7 @@
 async fn send(shared: &Shared, request: Request, to: SocketAddr) -> Option<Response> {
     let stream = connect(shared.clock.as_ref(), to).await.ok()?;
     let mut answer = async_h1::connect(stream, request).await.ok()?;
-    let body = read_body(&mut answer, MAX_ANSWER_BYTES).await.ok()?;
+    let body = read_body(&mut answer, MAX_FORWARDED_BYTES).await.ok()?;
     let mut response = Response::new(answer.status());
     response.set_body(body);
     for field in COPIED_FIELDS {
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -25,10 +25,10 @@
 const LAG_CHECK_INTERVAL_MS: u64 = 200;
 /// Timeout for an answer of the store, in ms: a hundred times the usual duration.
 const ANSWER_TIMEOUT_MS: u64 = 400;
-/// Timeout for a page, in ms. It tolerates a store that is sixty times as slow as usual.
+/// Timeout for a page, in ms. A page takes some 16 ms, and the store may be sixty times as slow as usual.
 const PAGE_TIMEOUT_MS: u64 = 1_000;
-/// The same while an instance starts, in ms. It tolerates a store that is over eighty times as slow as usual, and
-/// isn't longer since a store that fell silent on a connection answers on a new one as soon as it is back.
+/// The same while an instance starts, in ms. It is shorter since callers wait, and a store that fell silent on a
+/// connection answers on a new one as soon as it is back.
 const STARTING_PAGE_TIMEOUT_MS: u64 = 400;
 /// Status of a watch from a revision whose history the store no longer has.
 const GONE: u16 = 410;
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -15,5 +15,5 @@
     attempt::{Attempt, AttemptWork, Step},
     calls::call,
     connect::{GuardedStream, connect, connect_within, set_options},
-    json_call::{CallError, get_json, read_body},
+    json_call::{CallError, MAX_ANSWER_BYTES, get_json, read_body},
 };
--- a/crates/daemon/src/targets/json_call.rs
+++ b/crates/daemon/src/targets/json_call.rs
@@ -86,8 +86,8 @@
         .unwrap_or(Err(CallError::Lost))
 }
 
-/// Largest answer to a call that is not an attempt, in bytes.
-const MAX_ANSWER_BYTES: u64 = 16 * 1_048_576;
+/// Largest complete answer of a target, in bytes.
+pub const MAX_ANSWER_BYTES: u64 = 16 * 1_048_576;
 
 pub fn request(method: Method, address: SocketAddr, path: &str) -> Result<Request, CallError> {
     let url = Url::parse(&format!("http://{address}{path}"))
--- a/crates/daemon/src/targets/service_call.rs
+++ b/crates/daemon/src/targets/service_call.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        MAX_ANSWER_BYTES,
         attempt::{AttemptWork, Step, lost_event, refused_event},
         generate::send,
         liveness::Liveness,
@@ -12,9 +13,6 @@
     whinlatch_wire::target::{CALL_PATH, ServiceAnswer, ServiceCall},
 };
 
-/// Largest answer of a plain service that is passed to the caller, in bytes.
-const MAX_ANSWER_BYTES: u64 = 16 * 1_048_576;
-
 /// Calls a plain service and emits its complete answer as a step.
 pub async fn run(
     shared: &Shared,
