--- a/crates/daemon/src/entry/engine_life.rs
+++ b/crates/daemon/src/entry/engine_life.rs
@@ -58,7 +58,7 @@
 async fn is_answering(state: &EntryState, engine: &TargetEntry) -> bool {
     let call = own_call(state, engine, OwnCall::Query(REPORT_PATH), Need::Optional);
     match timeout(state.clock.as_ref(), REPORT_TIMEOUT_MS, call).await {
-        Some(Ok(_)) | Some(Err(AttemptFault::NotPermitted)) => true,
+        Some(Ok(_) | Err(AttemptFault::NotPermitted)) => true,
         Some(Err(_)) | None => false,
     }
 }
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -143,7 +143,7 @@
 
     /// Returns whether the next heartbeat goes over all links, or only over those from and to hubs.
     pub fn is_full_heartbeat_due(&self) -> bool {
-        !self.members.is_large() || self.heartbeat_number % FULL_HEARTBEAT_PERIOD == 0
+        !self.members.is_large() || self.heartbeat_number.is_multiple_of(FULL_HEARTBEAT_PERIOD)
     }
 
     /// Returns whether this instance or a peer is a hub.
