--- a/crates/serving/tests/serving/fleet_fixture.rs
+++ b/crates/serving/tests/serving/fleet_fixture.rs
@@ -84,6 +84,8 @@
     /// one.
     pub partitions: BTreeMap<SocketAddr, u8>,
     pub store: Store,
+    /// Observes each frame that is sent, with its sender; does nothing by default.
+    pub on_sent: Box<dyn FnMut(SocketAddr, &Frame)>,
 }
 
 impl Fleet {
@@ -101,6 +103,7 @@
             links: BTreeSet::new(),
             partitions: BTreeMap::new(),
             store: Store::default(),
+            on_sent: Box::new(|_from, _frame| {}),
         };
         for run in 1..=count {
             let serving = instance_of(run, &domain(run % domains));
@@ -120,6 +123,7 @@
     }
 
     pub fn deliver(&mut self, from: SocketAddr, to: SocketAddr, frame: Frame) {
+        (self.on_sent)(from, &frame);
         if self.can_reach(from, to) {
             let run = self.runs[&from];
             let now = self.now;
