--- a/crates/daemon/src/entry/store/store_pace.rs
+++ b/crates/daemon/src/entry/store/store_pace.rs
@@ -140,10 +140,13 @@
         }
     }
 
-    /// Waits while this instance serves with a part of the targets, until its relays have sent the rest or it is
-    /// time to read that. Returns whether they have.
-    pub async fn wait_for_rest(&self) -> bool {
-        let pause_ms = FIRST_READ_MIN_PAUSE_MS + fastrand::u64(..FIRST_READ_PAUSE_SPREAD_MS);
+    /// Returns the time for which an instance that serves with a part of the targets waits for the rest, in ms.
+    pub fn first_read_pause_ms() -> u64 {
+        FIRST_READ_MIN_PAUSE_MS + fastrand::u64(..FIRST_READ_PAUSE_SPREAD_MS)
+    }
+
+    /// Waits in a first read for `pause_ms`, or until relays have sent all. Returns whether they have.
+    pub async fn wait_for_rest(&self, pause_ms: u64) -> bool {
         let until = self.state.now() + pause_ms;
         while self.state.serving().complete_revision().is_none() {
             if self.state.now() >= until {
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -14,7 +14,10 @@
         RangePage, WatchEvents, operators_request, read_range, read_watch, targets_request,
         watch_request,
     },
-    whinlatch_serving::targets::{PublishedChanges, TargetChange},
+    whinlatch_serving::{
+        Serving,
+        targets::{PublishedChanges, TargetChange},
+    },
 };
 
 /// Time after which the store answers a watch without changes, in ms. A connection that has gone silent is
@@ -144,6 +147,8 @@
     needs_full_read: bool,
     /// Whether peers know a later revision than the watch returned, so that the changes are requested again.
     needs_recheck: bool,
+    /// Duration of the store's last answer to a page, in ms; 0 after a failure.
+    last_page_ms: u64,
     pace: StorePace<'a>,
 }
 
@@ -157,6 +162,7 @@
             full_read: None,
             needs_full_read: false,
             needs_recheck: false,
+            last_page_ms: 0,
             pace: StorePace::new(state),
         }
     }
@@ -213,6 +219,9 @@
             if full_read.advance(page.next_after) {
                 break revision;
             }
+            if self.is_told_in_pause().await {
+                return Ok(());
+            }
             if is_first_page && self.receives_rest(&full_read.published.targets).await {
                 return Ok(());
             }
@@ -227,6 +236,15 @@
         Ok(())
     }
 
+    /// Waits before the next page if the store is congested. Returns whether relays have sent all meanwhile.
+    async fn is_told_in_pause(&mut self) -> bool {
+        if self.state.was_ready() {
+            return false;
+        }
+        let pause_ms = self.state.serving().first_read_pause_ms(self.last_page_ms);
+        self.pace.wait_for_rest(pause_ms).await
+    }
+
     /// Serves with the first page of targets, if they suffice, and gives the relays time to send the rest.
     /// Returns whether they have.
     async fn receives_rest(&mut self, targets: &[TargetChange]) -> bool {
@@ -236,7 +254,9 @@
         let now = self.state.now();
         self.state.serving().begin_with_targets(now, targets);
         self.state.notify_if_ready();
-        self.pace.wait_for_rest().await
+        self.pace
+            .wait_for_rest(StorePace::first_read_pause_ms())
+            .await
     }
 
     async fn range(&mut self, kind: CallKind, target: &str) -> Result<RangePage, ReadFault> {
@@ -250,7 +270,11 @@
         } else {
             Reason::Start
         };
-        let body = self.get(kind, reason, target, page_ms).await?;
+        let timeout_ms = Serving::call_timeout_ms(page_ms, self.last_page_ms);
+        let began = self.state.now();
+        self.last_page_ms = 0;
+        let body = self.get(kind, reason, target, timeout_ms).await?;
+        self.last_page_ms = self.state.now().since(began);
         Ok(read_range(&body)?)
     }
 
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -32,6 +32,10 @@
 /// Maximum time for which a weaker instance waits at the first start while it knows relays of its failure domain,
 /// in ms. Hundreds of instances that link to the same hubs at once take seconds to be told.
 const FIRST_START_MAX_WAIT_MS: u64 = 5_000;
+/// Duration of an answer from which the store counts as congested, in ms: twenty-five times the usual one.
+const CONGESTED_ANSWER_MS: u64 = 100;
+/// Timeout for an answer of a congested store, as a multiple of the duration of the one before.
+const CONGESTED_TIMEOUT_FACTOR: u64 = 3;
 /// Minimum number of targets with which a weaker instance begins to serve before it knows all: enough to share the
 /// load of a second among all callers, who meet the same ones at each instance.
 const MIN_TARGETS_TO_SERVE: usize = 100;
@@ -192,6 +196,25 @@
         self.has_begun_with_part && self.complete_revision().is_none()
     }
 
+    /// Returns the pause before the next call of a first read, in ms, after an answer that took `answer_ms`. It is random,
+    /// so that instances spread their calls over twice that time.
+    ///
+    /// Guards against a store whose network is congested by the answers to hundreds of instances that start at the same
+    /// time: if all ask on, all answers come at the end.
+    pub fn first_read_pause_ms(&mut self, answer_ms: u64) -> u64 {
+        if answer_ms < CONGESTED_ANSWER_MS {
+            return 0;
+        }
+        self.rng.u64(..2 * answer_ms)
+    }
+
+    /// Returns the timeout of a call, in ms: the usual one, or longer if the answer before took long.
+    ///
+    /// Guards against answers of a congested store that are given up just before they are complete, and asked for again.
+    pub fn call_timeout_ms(usual_ms: u64, last_answer_ms: u64) -> u64 {
+        usual_ms.max(CONGESTED_TIMEOUT_FACTOR * last_answer_ms)
+    }
+
     /// Returns whether this instance reads the store only in case that the first relay of its failure domain fails.
     pub fn is_standby_relay(&self, now: MonoMs) -> bool {
         let first = self.readers(now).next();
--- a/crates/serving/tests/serving/relays.rs
+++ b/crates/serving/tests/serving/relays.rs
@@ -451,3 +451,18 @@
     assert!(!started(weak).may_interrupt_first_read(&engines[60..]));
     assert!(!started(strong).may_interrupt_first_read(&engines));
 }
+
+/// Guards against a store whose network is congested by the answers to hundreds of instances that start at the same time:
+/// all gave up their answers after the same time and asked again.
+#[test]
+fn a_first_read_slows_down_at_a_congested_store() {
+    let mut serving = Serving::new(member(1, 7_000), rule());
+
+    let usual = serving.first_read_pause_ms(20);
+    let congested: BTreeSet<u64> = (0..50).map(|_| serving.first_read_pause_ms(500)).collect();
+
+    assert_eq!(usual, 0);
+    assert!(congested.len() > 40 && congested.iter().all(|pause_ms| *pause_ms < 1_000));
+    assert_eq!(Serving::call_timeout_ms(400, 20), 400);
+    assert_eq!(Serving::call_timeout_ms(400, 500), 1_500);
+}
