--- a/crates/daemon/src/entry/engine_life.rs
+++ b/crates/daemon/src/entry/engine_life.rs
@@ -10,13 +10,13 @@
     whinlatch_serving::targets::TargetEntry,
 };
 
-/// Time between two looks at what is known of the engine, in ms.
-const LOOK_INTERVAL_MS: u64 = 250;
-/// Time between two reports while the engine gives reason for doubt, in ms.
-const DOUBT_CHECK_INTERVAL_MS: u64 = 500;
+/// Time between two checks of what is known of the engine, in ms.
+const CHECK_INTERVAL_MS: u64 = 250;
+/// Time between two reports while the engine is suspect, in ms.
+const SUSPECT_REPORT_INTERVAL_MS: u64 = 500;
 /// Time between two reports while the prompt holds memory at other engines, in ms. That memory must be free within
 /// four seconds of the engine's death, and an expiring reservation alone takes three.
-const MEMORY_CHECK_INTERVAL_MS: u64 = 1_000;
+const MEMORY_REPORT_INTERVAL_MS: u64 = 1_000;
 /// Reports in a row without an answer after which the engine counts as lost. One may be lost with a packet.
 const MAX_UNANSWERED_REPORTS: u32 = 2;
 
@@ -27,22 +27,22 @@
 /// Guards against an engine that loses power while a prompt waits in its queue: no connection breaks, so the
 /// caller would wait until its deadline, and the memory reserved at helpers would be renewed for nobody.
 pub async fn until_engine_is_lost(state: &EntryState, engine: &TargetEntry, holds_memory: bool) {
-    let mut checked_at = state.now();
+    let mut reported_at = state.now();
     let mut unanswered = 0;
     loop {
-        state.clock.sleep(LOOK_INTERVAL_MS).await;
+        state.clock.sleep(CHECK_INTERVAL_MS).await;
         if state.serving().has_restarted(engine) {
             return;
         }
         let now = state.now();
-        let since_check_ms = now.since(checked_at);
-        let is_doubtful = unanswered > 0 || state.serving().is_doubtful(now, &engine.id);
-        let is_due = is_doubtful && since_check_ms >= DOUBT_CHECK_INTERVAL_MS
-            || holds_memory && since_check_ms >= MEMORY_CHECK_INTERVAL_MS;
+        let since_report_ms = now.since(reported_at);
+        let is_suspect = unanswered > 0 || state.serving().may_be_gone(now, &engine.id);
+        let is_due = is_suspect && since_report_ms >= SUSPECT_REPORT_INTERVAL_MS
+            || holds_memory && since_report_ms >= MEMORY_REPORT_INTERVAL_MS;
         if !is_due {
             continue;
         }
-        checked_at = now;
+        reported_at = now;
         if is_answering(state, engine).await {
             unanswered = 0;
             continue;
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -170,8 +170,8 @@
         });
     }
 
-    /// Updates the metrics of what this instance knows of targets. Called when metrics are read, since it takes a
-    /// look at each target.
+    /// Updates the metrics of what this instance knows of targets. Called when metrics are read, since it visits
+    /// each target.
     pub fn update_target_metrics(&self) {
         let now = self.now();
         let serving = self.serving();
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -84,7 +84,7 @@
 
     /// Returns whether a run may be gone: its entry is, or a connection to it failed recently, here or at a
     /// peer. A target that leaves may go on serving without an entry.
-    pub fn is_doubtful(&self, now: MonoMs, target: &str) -> bool {
+    pub fn may_be_gone(&self, now: MonoMs, target: &str) -> bool {
         self.is_unreachable(now, target) || self.targets.entry(target).is_none()
     }
 
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -15,9 +15,8 @@
 /// Time between heartbeats in a large fleet, in ms. Three missing heartbeats are noticed within two
 /// seconds, and a hub sends and receives half as many as at the rate of a small fleet.
 const LARGE_FLEET_HEARTBEAT_INTERVAL_MS: u64 = 500;
-/// In a large fleet, every how many heartbeats one goes over all links; the others only over those from and to hubs. Who
-/// is alive is known through hubs, so that the links to deciders need heartbeats only to stay open, and they are most
-/// of an instance's links.
+/// Number of heartbeats in a large fleet of which one goes over all links; the others go only to and from hubs. Who is
+/// alive is known through hubs, so the links to deciders, which are most of them, need heartbeats only to stay open.
 const FULL_HEARTBEAT_PERIOD: u64 = 4;
 /// Maximum number of peer addresses in a heartbeat. The greeting of each link has them without this limit, so
 /// heartbeats only fill gaps that lost links left.
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -36,8 +36,8 @@
 const CONGESTED_ANSWER_MS: u64 = 100;
 /// Timeout for an answer of a congested store, as a multiple of the duration of the one before.
 const CONGESTED_TIMEOUT_FACTOR: u64 = 3;
-/// Minimum number of targets with which a weaker instance begins to serve before it knows all: enough to share the
-/// load of a second among all callers, who meet the same ones at each instance.
+/// Minimum number of targets with which a weaker instance begins to serve before it knows all. All instances begin with
+/// the same ones, which bear the load of all callers for a second.
 const MIN_TARGETS_TO_SERVE: usize = 100;
 
 /// Role of an instance towards the store.
