--- a/crates/daemon/tests/entry/leaving.rs
+++ b/crates/daemon/tests/entry/leaving.rs
@@ -17,6 +17,8 @@
 /// Pause that a target asks for: its header value in seconds, and in ms.
 const PAUSE: (&str, u64) = ("1.5", 1_500);
 
+/// Time after which an instance knows what others place, and asks no engine before it places a prompt there, in ms.
+const SETTLING_MS: u64 = 2_000;
 /// Time within which a reservation is renewed after the engine's pause, in ms.
 const RENEWAL_MS: u64 = 1_500;
 
@@ -52,6 +54,7 @@
 async fn an_engine_that_announces_its_leaving_gets_no_further_prompt() {
     let engines = ["e-1", "e-2"].map(|id| target(id, Behaviour::Stream(2)));
     let fleet = Fleet::start(Published::Engine(&engines[0])).await;
+    fleet.advance(SETTLING_MS).await;
     engines[0].announce_leaving();
     assert_eq!(fleet.status_of(0, &prompt()), 200);
     fleet.add(Published::Engine(&engines[1])).await;
@@ -63,6 +66,20 @@
     assert_eq!(engines[0].arrivals().len(), 1);
 }
 
+/// Guards against a prompt sent to an engine that has just said in its report that it leaves: an instance that has just
+/// started asks before it places a prompt.
+#[async_std::test]
+async fn an_engine_that_says_in_its_report_that_it_leaves_gets_no_prompt() {
+    let engine = target("e-1", Behaviour::Stream(2));
+    let fleet = Fleet::start(Published::Engine(&engine)).await;
+    engine.announce_leaving();
+
+    let refused = fleet.exchange(0, &prompt());
+
+    assert_eq!((refused.status, engine.arrivals().len()), (503, 0));
+    assert!(refused.header("Retry-After").is_some());
+}
+
 /// Guards against instances that send to a leaving target until it has answered each of them.
 #[async_std::test]
 async fn all_instances_learn_that_a_target_leaves_from_the_first_one() {
