--- a/crates/daemon/src/entry/engine_reports.rs
+++ b/crates/daemon/src/entry/engine_reports.rs
@@ -18,8 +18,6 @@
 /// Time between two reports of an engine, in ms. An engine that has become slow is avoided after this time at
 /// the latest; each report is charged like a health check.
 const REPORT_INTERVAL_MS: u64 = 2_000;
-/// Time between two checks whether a starting instance is the one that reads reports, in ms.
-const STARTING_CHECK_INTERVAL_MS: u64 = 100;
 /// Timeout for a report, in ms.
 pub const REPORT_TIMEOUT_MS: u64 = 300;
 
@@ -29,15 +27,9 @@
 /// slowest of them, and an engine that writes no streams shows its pace nowhere else.
 pub async fn read_reports(state: Arc<EntryState>) {
     loop {
+        state.clock.sleep(REPORT_INTERVAL_MS).await;
         let engines = state.serving().reported_engines(state.now());
         join_all(engines.iter().map(|engine| read(&state, engine))).await;
-        let is_new = state.is_starting() && engines.is_empty();
-        let interval_ms = if is_new {
-            STARTING_CHECK_INTERVAL_MS
-        } else {
-            REPORT_INTERVAL_MS
-        };
-        state.clock.sleep(interval_ms).await;
     }
 }
 
