--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -32,9 +32,6 @@
     pub caller: CallerHead,
     /// Route that matches its path.
     pub route: Arc<Route>,
-    /// Number of priorities of the service's routes that are more urgent than the request's: its account's, or its
-    /// route's.
-    pub urgency_rank: u8,
     /// Service that was drawn from those of the route.
     pub service: ServiceName,
     /// Its client account; `None` on a route that needs no key.
--- a/crates/daemon/src/entry/routing.rs
+++ b/crates/daemon/src/entry/routing.rs
@@ -59,9 +59,8 @@
     let route = configuration.route(host, &head.target).map_err(rejection)?;
     let account = configuration
         .account(route, caller.key.as_deref())
-        .map_err(rejection)?;
-    let own_priority = account.and_then(|(_name, priority)| priority);
-    let account = account.map(|(name, _priority)| name.clone());
+        .map_err(rejection)?
+        .map(|(name, _priority)| name.clone());
     let service = route
         .draw_service(fastrand::f64())
         .cloned()
@@ -70,14 +69,11 @@
             message: "the route leads to no service: come back".to_owned(),
             retry_after_ms: Some(MIN_RETRY_AFTER_MS),
         })?;
-    let priority = own_priority.unwrap_or(route.priority);
-    let urgency_rank = configuration.urgency_rank(&service, priority);
     serving.record_arrival(state.now(), &service);
     Ok(RequestContext {
         fingerprint: fingerprint(account.as_deref(), &head, &body),
         deadline: arrived + deadline_ms.min(route.timeout_ms),
         route: Arc::clone(route),
-        urgency_rank,
         service,
         account,
         version: configuration.version,
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -146,7 +146,6 @@
             service: context.service.clone(),
             fingerprint: context.fingerprint,
             prompt_tokens: prompt.prompt_tokens,
-            urgency_rank: context.urgency_rank,
             answer_tokens: hint.min(max_answer_tokens.max(1)),
             max_answer_tokens,
             slack_ms: limit_ms.cast_signed() - passed_ms.cast_signed(),
--- a/crates/serving/src/catalog/configuration.rs
+++ b/crates/serving/src/catalog/configuration.rs
@@ -1,10 +1,7 @@
 use {
     super::{Account, Limits, Route, Service},
     crate::names::{AccountName, ServiceName},
-    std::{
-        collections::{BTreeSet, HashMap},
-        sync::Arc,
-    },
+    std::{collections::HashMap, sync::Arc},
     thiserror::Error,
 };
 
@@ -29,8 +26,6 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Arc<Service>>,
     accounts: HashMap<String, (AccountName, Option<u8>)>,
-    /// Priorities of the routes to each service, the most urgent first.
-    priorities: HashMap<ServiceName, BTreeSet<u8>>,
     needs_keys: bool,
 }
 
@@ -45,12 +40,7 @@
     ) -> Self {
         let needs_keys = !accounts.is_empty();
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        let mut priorities: HashMap<ServiceName, BTreeSet<u8>> = HashMap::new();
         for route in routes {
-            for share in &route.shares {
-                let of_service = priorities.entry(share.service.clone()).or_default();
-                of_service.insert(route.priority);
-            }
             let host = route.host.to_ascii_lowercase();
             by_host.entry(host).or_default().push(Arc::new(route));
         }
@@ -72,7 +62,6 @@
                 .map(|service| (service.name.clone(), Arc::new(service)))
                 .collect(),
             accounts: by_key,
-            priorities,
             needs_keys,
         }
     }
@@ -113,13 +102,6 @@
         }
     }
 
-    /// Returns the number of priorities of the routes to a service that are more urgent than the given one.
-    pub fn urgency_rank(&self, service: &str, priority: u8) -> u8 {
-        let more_urgent = self.priorities.get(service);
-        let count = more_urgent.map_or(0, |priorities| priorities.range(..priority).count());
-        u8::try_from(count).unwrap_or(u8::MAX)
-    }
-
     /// Returns the names of all services.
     pub fn service_names(&self) -> impl Iterator<Item = &ServiceName> {
         self.services.keys()
--- a/crates/serving/src/engines/engine_loads.rs
+++ b/crates/serving/src/engines/engine_loads.rs
@@ -88,7 +88,7 @@
         work.add(now, spec.read_ms(placed.prompt_tokens));
         let part_tokens = placed.prompt_tokens.max(1) as f64 / degree as f64;
         let slack_ms = u64::try_from(placed.slack_ms).unwrap_or(0);
-        let value = value_of(placed.prompt_tokens, placed.urgency_rank);
+        let value = value_of(placed.prompt_tokens);
         for (index, id) in placed.engines.iter().enumerate() {
             let engine = self.engine(now, spec, id);
             let is_helper = index > 0;
@@ -133,7 +133,7 @@
             engine.start_stream(WritingStream {
                 job: id,
                 pause_limit_ms: f64::from(placed.pause_limit_ms),
-                value: value_of(placed.prompt_tokens, placed.urgency_rank),
+                value: value_of(placed.prompt_tokens),
                 is_late,
             });
         }
--- a/crates/serving/src/placement/answer_loss.rs
+++ b/crates/serving/src/placement/answer_loss.rs
@@ -46,7 +46,7 @@
     if has_short_streams || shape.pause_limit_ms > MEDIUM_PAUSE_MS {
         return 0.0;
     }
-    EXPOSURE_LOSS * shape.utilization * value_of(shape.prompt_tokens, shape.urgency_rank)
+    EXPOSURE_LOSS * shape.utilization * value_of(shape.prompt_tokens)
 }
 
 /// Returns the loss by writing the answer on an engine: long parts in the passes of a stream with a medium
--- a/crates/serving/src/placement/placement_context.rs
+++ b/crates/serving/src/placement/placement_context.rs
@@ -24,7 +24,7 @@
 impl PlacementContext<'_> {
     /// Returns the value of the answer if it is on time.
     pub fn value(self) -> f64 {
-        value_of(self.shape.prompt_tokens, self.shape.urgency_rank)
+        value_of(self.shape.prompt_tokens)
     }
 
     /// Returns the share of its value by which an answer that is only likely to be on time is discounted.
--- a/crates/serving/src/placement/prompt_shape.rs
+++ b/crates/serving/src/placement/prompt_shape.rs
@@ -5,8 +5,6 @@
 pub struct PromptShape {
     /// Length of the prompt.
     pub prompt_tokens: u64,
-    /// Number of more urgent priorities among the routes of its service.
-    pub urgency_rank: u8,
     /// Expected length of the answer.
     pub answer_tokens: u32,
     /// Time until the first event is late, in ms; 0 if it is late already.
--- a/crates/serving/src/placement/value.rs
+++ b/crates/serving/src/placement/value.rs
@@ -1,9 +1,6 @@
 /// Tokens of prompt that are worth as much as having an answer at all. Routes publish no value; the cost
 /// of a late answer to its caller is about proportional to the length of the prompt.
 const TOKENS_PER_VALUE: f64 = 9_000.0;
-/// Factor on the value of an answer for each more urgent priority among the routes of its service. Operators rank
-/// what must be served first, whatever its length.
-const LESS_URGENT_FACTOR: f64 = 0.5;
 /// Share of its limit at which a predicted time has even odds of exceeding the limit.
 const EVEN_ODDS_SHARE: f64 = 0.92;
 /// Steepness of the logistic curve around that point.
@@ -12,11 +9,9 @@
 /// Share of its value that an answer loses by being late.
 pub const LATE_LOSS: f64 = 0.75;
 
-/// Returns the value of an answer on time, by the length of its prompt and the number of more urgent priorities among
-/// the routes of its service; 1 for an empty prompt of the most urgent one.
-pub fn value_of(prompt_tokens: u64, urgency_rank: u8) -> f64 {
-    let of_length = 1.0 + prompt_tokens as f64 / TOKENS_PER_VALUE;
-    of_length * LESS_URGENT_FACTOR.powi(i32::from(urgency_rank))
+/// Returns the value of an answer on time, by the length of its prompt; 1 for an empty prompt.
+pub fn value_of(prompt_tokens: u64) -> f64 {
+    1.0 + prompt_tokens as f64 / TOKENS_PER_VALUE
 }
 
 /// Returns the probability that something predicted to take `predicted_ms` takes longer than `limit_ms`.
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -113,7 +113,6 @@
             job,
             engines,
             prompt_tokens: request.prompt_tokens,
-            urgency_rank: request.urgency_rank,
             answer_tokens: request.answer_tokens,
             pause_limit_ms: u32::try_from(request.pause_limit_ms).unwrap_or(u32::MAX),
             slack_ms: i32::try_from(request.slack_ms).unwrap_or(0),
@@ -188,7 +187,6 @@
         let tokens = request.prompt_tokens + u64::from(request.max_answer_tokens);
         PromptShape {
             prompt_tokens: request.prompt_tokens,
-            urgency_rank: request.urgency_rank,
             answer_tokens: request.answer_tokens,
             slack_ms: request.slack_ms.max(0) as f64,
             pause_limit_ms: request.pause_limit_ms as f64,
--- a/crates/serving/src/serving/requests.rs
+++ b/crates/serving/src/serving/requests.rs
@@ -23,9 +23,6 @@
     pub fingerprint: Fingerprint,
     /// Length of the prompt.
     pub prompt_tokens: u64,
-    /// Number of more urgent priorities among the routes of its service.
-    #[serde(rename = "urgency", default)]
-    pub urgency_rank: u8,
     /// Expected length of the answer.
     pub answer_tokens: u32,
     /// Maximum length of the answer.
