--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod configured;
+mod first_read;
 mod members;
 mod news;
 mod notices;
