--- a/crates/daemon/src/entry/links/keeper.rs
+++ b/crates/daemon/src/entry/links/keeper.rs
@@ -9,7 +9,7 @@
     },
     whinlatch_core::MonoMs,
     whinlatch_serving::{
-        Recipients, StoreRole, WantedLinks,
+        Heartbeat, HeartbeatReach, Recipients, StoreRole, WantedLinks,
         fleet::{EngineGroup, Frame, HeartbeatFrame},
     },
 };
@@ -216,27 +216,23 @@
         }
     }
 
-    /// Sends a heartbeat over the links that are due. Peers whose link this instance needs itself get `requests_link`
+    /// Sends a heartbeat over the links that it reaches. Peers whose link this instance needs itself get `requests_link`
     /// set, and its relays, which always get one, also a follow request with the revision that it knows.
     fn send_heartbeat(&self, now: MonoMs) {
-        // Instances that start together find each other by the addresses in heartbeats.
-        let is_starting = self.state.is_starting();
         let mut serving = self.state.serving();
-        let is_full = is_starting || serving.is_full_heartbeat_due();
-        let is_due = |peer: &&SocketAddr| is_full || serving.is_hub_link(**peer);
-        let requested: Vec<SocketAddr> = self
-            .wanted
-            .requested
-            .iter()
-            .filter(is_due)
-            .copied()
-            .collect();
-        let mut own: Vec<SocketAddr> = self.wanted.own.iter().filter(is_due).copied().collect();
+        let Heartbeat { mut frame, reach } = serving.heartbeat(now, self.state.is_starting());
+        let is_reached = |peer: &&SocketAddr| match reach {
+            HeartbeatReach::AllLinks => true,
+            HeartbeatReach::HubLinks => serving.is_hub_link(**peer),
+        };
+        let requested = self.wanted.requested.iter().filter(is_reached);
+        let requested: Vec<SocketAddr> = requested.copied().collect();
+        let own = self.wanted.own.iter().filter(is_reached);
+        let mut own: Vec<SocketAddr> = own.copied().collect();
         let follows = serving.follow_requests(now);
-        let mut heartbeat = serving.heartbeat(now);
         drop(serving);
-        self.state.send(&requested, &heartbeat);
-        let Some(fields) = heartbeat.heartbeat else {
+        self.state.send(&requested, &frame);
+        let Some(fields) = frame.heartbeat else {
             return;
         };
         own.retain(|address| follows.iter().all(|(relay, _)| relay != address));
@@ -244,15 +240,15 @@
             requests_link: true,
             ..fields
         };
-        heartbeat.heartbeat = Some(fields);
-        self.state.send(&own, &heartbeat);
+        frame.heartbeat = Some(fields);
+        self.state.send(&own, &frame);
         for (relay, follow) in follows {
             let follow_request = Some(follow);
-            heartbeat.heartbeat = Some(HeartbeatFrame {
+            frame.heartbeat = Some(HeartbeatFrame {
                 follow_request,
                 ..fields
             });
-            self.state.send(&[relay], &heartbeat);
+            self.state.send(&[relay], &frame);
         }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,6 @@
 mod serving;
 
 pub use serving::{
-    CallPlacement, CallRequest, DecisionInputs, PromptPlacement, PromptRequest, Recipients,
-    Refusal, Serving, StoreRole, WantedLinks,
+    CallPlacement, CallRequest, DecisionInputs, Heartbeat, HeartbeatReach, PromptPlacement,
+    PromptRequest, Recipients, Refusal, Serving, StoreRole, WantedLinks,
 };
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -13,7 +13,7 @@
 mod requests;
 
 pub use {
-    members::WantedLinks,
+    members::{Heartbeat, HeartbeatReach, WantedLinks},
     news::Recipients,
     relaying::StoreRole,
     requests::{
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -22,6 +22,24 @@
 /// heartbeats only fill gaps that lost links left.
 const MAX_HEARTBEAT_ADDRESSES: usize = 4;
 
+/// A heartbeat of an instance, and the links over which it goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Heartbeat {
+    /// The frame to send.
+    pub frame: Frame,
+    /// The links over which it goes.
+    pub reach: HeartbeatReach,
+}
+
+/// The links over which a heartbeat goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeartbeatReach {
+    /// All links.
+    AllLinks,
+    /// The links from and to hubs. Relays that the sender follows get it as well.
+    HubLinks,
+}
+
 /// The peers to which an instance should have a link, by who needs it.
 #[derive(Debug, Default)]
 pub struct WantedLinks {
@@ -140,39 +158,47 @@
         self.is_roster_due
     }
 
-    /// Returns whether the next heartbeat goes over all links, or only over those from and to hubs.
-    pub fn is_full_heartbeat_due(&self) -> bool {
-        !self.members.is_large() || self.heartbeat_number.is_multiple_of(FULL_HEARTBEAT_PERIOD)
-    }
-
     /// Returns whether this instance or a peer is a hub.
     pub fn is_hub_link(&self, peer: SocketAddr) -> bool {
         self.is_hub() || self.members.ranks().hubs().contains(&peer)
     }
 
-    /// Returns a heartbeat: the versions that this instance knows, its own state if it changed, and, if it goes over
-    /// all links, the addresses of a few random peers.
-    pub fn heartbeat(&mut self, now: MonoMs) -> Frame {
+    /// Returns the next heartbeat: the versions that this instance knows, its own state if it changed, and, if it goes
+    /// over all links, the addresses of a few random peers.
+    ///
+    /// It goes over all links in a small fleet, while the instance is starting, since instances that start together find
+    /// each other by the addresses in heartbeats, and when its state has changed, since there may be no hub to tell
+    /// the others.
+    pub fn heartbeat(&mut self, now: MonoMs, is_starting: bool) -> Heartbeat {
         let own = self.own_member(now);
         let has_changed = !self
             .last_stated
             .as_ref()
             .is_some_and(|stated| stated.is_same_state(&own));
         self.last_stated = Some(own.clone());
-        let mut peers = if self.is_full_heartbeat_due() {
-            self.members.addresses_to_report(now)
+        let is_periodic = self.heartbeat_number.is_multiple_of(FULL_HEARTBEAT_PERIOD);
+        self.heartbeat_number += 1;
+        let goes_to_all = is_starting || has_changed || is_periodic || !self.members.is_large();
+        let (reach, peers) = if goes_to_all {
+            (HeartbeatReach::AllLinks, self.random_addresses(now))
         } else {
-            Vec::new()
+            (HeartbeatReach::HubLinks, Vec::new())
         };
-        self.heartbeat_number += 1;
-        self.rng.shuffle(&mut peers);
-        peers.truncate(MAX_HEARTBEAT_ADDRESSES);
-        Frame {
+        let frame = Frame {
             member: has_changed.then_some(own),
             heartbeat: Some(self.heartbeat_fields(false)),
             peers,
             ..Frame::default()
-        }
+        };
+        Heartbeat { frame, reach }
+    }
+
+    /// Returns the addresses of a few random peers.
+    fn random_addresses(&mut self, now: MonoMs) -> Vec<SocketAddr> {
+        let mut peers = self.members.addresses_to_report(now);
+        self.rng.shuffle(&mut peers);
+        peers.truncate(MAX_HEARTBEAT_ADDRESSES);
+        peers
     }
 
     /// Returns the time between two heartbeats, in ms.
