--- a/crates/daemon/src/entry/store/store_pace.rs
+++ b/crates/daemon/src/entry/store/store_pace.rs
@@ -26,11 +26,6 @@
 /// Shortest delay of an instance that stands in after its first failure, in ms; it doubles with each further
 /// one. Hundreds of instances that retry as often as a relay would use up most calls of a store that is back.
 const STAND_IN_RETRY_INTERVAL_MS: u64 = 500;
-/// Shortest time for which an instance that serves with a part of the targets waits for its relays, in ms. Most have
-/// found them by then.
-const FIRST_READ_MIN_PAUSE_MS: u64 = 1_000;
-/// Time over which the instances that weren't told by then spread the rest of their reads, in ms.
-const FIRST_READ_PAUSE_SPREAD_MS: u64 = 500;
 /// Limit for the number of times that [`STAND_IN_RETRY_INTERVAL_MS`] doubles.
 const MAX_DOUBLINGS: u32 = 3;
 
@@ -140,13 +135,8 @@
         }
     }
 
-    /// Returns the time for which an instance that serves with a part of the targets waits for the rest, in ms.
-    pub fn first_read_pause_ms() -> u64 {
-        FIRST_READ_MIN_PAUSE_MS + fastrand::u64(..FIRST_READ_PAUSE_SPREAD_MS)
-    }
-
     /// Waits in a first read for `pause_ms`, or until relays have sent all. Returns whether they have.
-    pub async fn wait_for_rest(&self, pause_ms: u64) -> bool {
+    pub async fn wait_for_relays(&self, pause_ms: u64) -> bool {
         let until = self.state.now() + pause_ms;
         while self.state.serving().complete_revision().is_none() {
             if self.state.now() >= until {
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -219,10 +219,8 @@
             if full_read.advance(page.next_after) {
                 break revision;
             }
-            if self.is_told_in_pause().await {
-                return Ok(());
-            }
-            if is_first_page && self.receives_rest(&full_read.published.targets).await {
+            if self.is_completed_by_relays(is_first_page, &full_read).await {
+                self.needs_full_read = false;
                 return Ok(());
             }
         };
@@ -236,27 +234,35 @@
         Ok(())
     }
 
-    /// Waits before the next page if the store is congested. Returns whether relays have sent all meanwhile.
-    async fn is_told_in_pause(&mut self) -> bool {
+    /// Gives the relays time to send the rest of a first read: while the store is congested, and once the first page of
+    /// targets suffices to serve. Returns whether they have.
+    async fn is_completed_by_relays(&mut self, is_first_page: bool, read: &FullRead) -> bool {
         if self.state.was_ready() {
             return false;
         }
-        let pause_ms = self.state.serving().first_read_pause_ms(self.last_page_ms);
-        self.pace.wait_for_rest(pause_ms).await
+        let pause_ms = self.state.serving().congestion_pause_ms(self.last_page_ms);
+        if self.pace.wait_for_relays(pause_ms).await {
+            return true;
+        }
+        let Some(patience_ms) = self.begin_with_part(is_first_page, &read.published.targets) else {
+            return false;
+        };
+        self.pace.wait_for_relays(patience_ms).await
     }
 
-    /// Serves with the first page of targets, if they suffice, and gives the relays time to send the rest.
-    /// Returns whether they have.
-    async fn receives_rest(&mut self, targets: &[TargetChange]) -> bool {
-        if self.state.was_ready() || !self.state.serving().may_interrupt_first_read(targets) {
-            return false;
-        }
+    /// Begins to serve with the first page of targets, if they suffice. Returns how long to wait for the rest.
+    fn begin_with_part(&self, is_first_page: bool, targets: &[TargetChange]) -> Option<u64> {
         let now = self.state.now();
-        self.state.serving().begin_with_targets(now, targets);
+        let patience_ms = {
+            let mut serving = self.state.serving();
+            if !is_first_page || !serving.may_interrupt_first_read(targets) {
+                return None;
+            }
+            serving.begin_with_targets(now, targets);
+            serving.rest_patience_ms()
+        };
         self.state.notify_if_ready();
-        self.pace
-            .wait_for_rest(StorePace::first_read_pause_ms())
-            .await
+        Some(patience_ms)
     }
 
     async fn range(&mut self, kind: CallKind, target: &str) -> Result<RangePage, ReadFault> {
--- a/crates/serving/src/serving/first_read.rs
+++ b/crates/serving/src/serving/first_read.rs
@@ -24,6 +24,11 @@
 const CONGESTED_ANSWER_MS: u64 = 100;
 /// Timeout for an answer of a congested store, as a multiple of the duration of the one before.
 const CONGESTED_TIMEOUT_FACTOR: u64 = 3;
+/// Minimum time for which an instance that serves with a part of the targets waits for its relays, in ms. Most have found
+/// them by then.
+const REST_MIN_WAIT_MS: u64 = 1_000;
+/// Time over which the instances that weren't told by then spread the rest of their reads, in ms.
+const REST_SPREAD_MS: u64 = 500;
 /// Minimum number of targets with which a weaker instance begins to serve before it knows all. All instances begin with
 /// the same ones, which bear the load of all callers for a second.
 const MIN_TARGETS_TO_SERVE: usize = 100;
@@ -83,6 +88,11 @@
         }
     }
 
+    /// Returns how long an instance that serves with a part of the targets waits for its relays to send the rest, in ms.
+    pub fn rest_patience_ms(&mut self) -> u64 {
+        REST_MIN_WAIT_MS + self.rng.u64(..REST_SPREAD_MS)
+    }
+
     /// Returns whether this instance serves with a part of the targets and lacks the rest.
     pub(super) fn awaits_rest(&self) -> bool {
         self.has_begun_with_part && self.complete_revision().is_none()
@@ -93,7 +103,7 @@
     ///
     /// Guards against a store whose network is congested by the answers to hundreds of instances that start at the same
     /// time: if all ask on, all answers come at the end.
-    pub fn first_read_pause_ms(&mut self, answer_ms: u64) -> u64 {
+    pub fn congestion_pause_ms(&mut self, answer_ms: u64) -> u64 {
         if answer_ms < CONGESTED_ANSWER_MS {
             return 0;
         }
