--- a/crates/serving/src/catalog/configuration.rs
+++ b/crates/serving/src/catalog/configuration.rs
@@ -27,6 +27,7 @@
     services: HashMap<ServiceName, Arc<Service>>,
     accounts: HashMap<String, (AccountName, Option<u8>)>,
     needs_keys: bool,
+    has_cold_starts: bool,
 }
 
 impl Configuration {
@@ -39,6 +40,7 @@
         accounts: Vec<Account>,
     ) -> Self {
         let needs_keys = !accounts.is_empty();
+        let has_cold_starts = services.iter().any(|service| service.cold_start.is_some());
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -63,6 +65,7 @@
                 .collect(),
             accounts: by_key,
             needs_keys,
+            has_cold_starts,
         }
     }
 
@@ -102,6 +105,11 @@
         }
     }
 
+    /// Returns whether the targets of any service are cold after a start.
+    pub fn has_cold_starts(&self) -> bool {
+        self.has_cold_starts
+    }
+
     /// Returns the names of all services.
     pub fn service_names(&self) -> impl Iterator<Item = &ServiceName> {
         self.services.keys()
--- a/crates/serving/src/serving/quotas.rs
+++ b/crates/serving/src/serving/quotas.rs
@@ -187,6 +187,9 @@
     /// Guards against targets that come back cold all at once, as after the loss or the evacuation of their
     /// failure domain: they are idle, so every instance prefers them, and together they would crash them.
     fn cold_limit_per_s(&self, now: MonoMs, target: &str) -> Option<f64> {
+        if !self.configuration.as_ref()?.has_cold_starts() {
+            return None;
+        }
         let service = &self.targets.entry(target)?.service;
         let cold_start = self.configuration.as_ref()?.service(service)?.cold_start?;
         let after_evacuation_ms = cold_start.duration_ms + COLD_NOTICE_MS;
