--- a/crates/serving/src/engines/engine_load.rs
+++ b/crates/serving/src/engines/engine_load.rs
@@ -106,6 +106,8 @@
     pub helping: usize,
     /// Share of the prompts that it was to answer but failed.
     pub failures: FailureShare,
+    /// When its report was last read for a choice; `None` if it never was.
+    pub asked_at: Option<MonoMs>,
     unknown: UnknownWork,
     /// Actual against predicted length of the passes since the pace was last evaluated.
     pass_ratios: Vec<f64>,
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -27,7 +27,6 @@
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, Membership, PublishedText, hash},
         mechanism::DisabledMechanisms,
-        names::TargetId,
         quotas::{ColdLimitRule, QuotaTable},
         relays::{FollowedRelays, Followers},
         retries::{CrashTracker, FleetBudget, FleetBudgetRule},
@@ -89,8 +88,6 @@
     read_at: Option<MonoMs>,
     /// Time of the first call that the store didn't answer since its last answer; `None` while it answers.
     store_lost_since: Option<MonoMs>,
-    /// Engines whose reports were read for a choice, and when.
-    asked_engines: HashMap<TargetId, MonoMs>,
     /// Mechanisms that are disabled; none by default.
     mechanisms: DisabledMechanisms,
     /// When a peer last reported a placed prompt; `None` if none ever has.
@@ -130,7 +127,6 @@
             has_begun_with_part: false,
             read_at: None,
             store_lost_since: None,
-            asked_engines: HashMap::new(),
             mechanisms: DisabledMechanisms::default(),
             last_peer_prompt_at: None,
         }
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -143,16 +143,21 @@
         if !self.is_blind(now, group) || !self.expects_unknown_work(now) {
             return Vec::new();
         }
-        self.asked_engines
-            .retain(|_engine, asked_at| now.since(*asked_at) < REPORT_TTL_MS);
+        let Some(spec) = self.spec_of_service(&request.service) else {
+            return Vec::new();
+        };
+        let was_asked = |id: &TargetId| {
+            let load = self.engines.get(id);
+            load.and_then(|load| load.asked_at)
+                .is_some_and(|asked_at| now.since(asked_at) < REPORT_TTL_MS)
+        };
         let run = self.own.run;
         let mut engines = self.usable_engines(now, group, request);
-        engines.retain(|id| !self.is_limited(now, id));
+        engines.retain(|id| !self.is_limited(now, id) && !was_asked(id));
         engines.sort_by(|left, right| affinity(run, right).total_cmp(&affinity(run, left)));
-        engines.retain(|id| !self.asked_engines.contains_key(id));
         engines.truncate(REPORTS_PER_CHOICE);
         for id in &engines {
-            self.asked_engines.insert(id.clone(), now);
+            self.engines.engine(now, &spec, id).asked_at = Some(now);
         }
         let entries = engines.iter().filter_map(|id| self.targets.ready_entry(id));
         entries.cloned().collect()
