--- a/crates/serving/src/fleet/roster_rows.rs
+++ b/crates/serving/src/fleet/roster_rows.rs
@@ -4,7 +4,7 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
-        net::{Ipv4Addr, SocketAddr},
+        net::{IpAddr, Ipv6Addr, SocketAddr},
     },
 };
 
@@ -33,29 +33,24 @@
     bool,
 );
 
-/// An address, as two numbers where that is possible.
+/// An IP address, as the number of its IPv6 form, and a port.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(untagged)]
-enum Address {
-    V4(u32, u16),
-    Other(SocketAddr),
-}
+struct Address(u128, u16);
 
 impl From<SocketAddr> for Address {
     fn from(address: SocketAddr) -> Self {
-        match address {
-            SocketAddr::V4(v4) => Self::V4(v4.ip().to_bits(), v4.port()),
-            SocketAddr::V6(_) => Self::Other(address),
-        }
+        let ip = match address.ip() {
+            IpAddr::V4(v4) => v4.to_ipv6_mapped(),
+            IpAddr::V6(v6) => v6,
+        };
+        Self(ip.to_bits(), address.port())
     }
 }
 
 impl From<Address> for SocketAddr {
     fn from(address: Address) -> Self {
-        match address {
-            Address::V4(ip, port) => Self::from((Ipv4Addr::from_bits(ip), port)),
-            Address::Other(address) => address,
-        }
+        let Address(ip, port) = address;
+        Self::new(Ipv6Addr::from_bits(ip).to_canonical(), port)
     }
 }
 
