--- a/crates/daemon/src/entry/store.rs
+++ b/crates/daemon/src/entry/store.rs
@@ -1,5 +1,6 @@
 //! Reads the published configuration and targets from the store.
 
+mod full_read;
 mod intake;
 mod store_calls;
 mod store_pace;
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        full_read::FullRead,
         intake::Intake,
         store_calls::{CallKind, ReadFault, StoreCalls},
         store_pace::{StorePace, Turn},
@@ -10,14 +11,8 @@
     futures::{FutureExt, pin_mut, select},
     std::{convert::Infallible, sync::Arc},
     whinlatch_core::MonoMs,
-    whinlatch_platform::{
-        RangePage, WatchEvents, operators_request, read_range, read_watch, targets_request,
-        watch_request,
-    },
-    whinlatch_serving::{
-        Serving,
-        targets::{PublishedChanges, TargetChange},
-    },
+    whinlatch_platform::{RangePage, WatchEvents, read_range, read_watch, watch_request},
+    whinlatch_serving::{Serving, targets::TargetChange},
 };
 
 /// Time after which the store answers a watch without changes, in ms. A connection that has gone silent is
@@ -80,61 +75,6 @@
     }
 }
 
-/// Pages of a full read so far. They are read at different revisions, so they aren't a consistent snapshot. A target
-/// that is missing from them is taken as missing at the first answer's revision, from which a watch continues.
-struct FullRead {
-    /// Revision of the first page; `None` before it was read.
-    revision: Option<u64>,
-    published: PublishedChanges,
-    section: Section,
-    after: Option<String>,
-}
-
-/// What the next page of a full read contains. What operators publish comes first: while it is lacking,
-/// targets that may get nothing could be used.
-#[derive(Debug, Clone, Copy)]
-enum Section {
-    Operators,
-    Targets,
-}
-
-impl FullRead {
-    fn new() -> Self {
-        Self {
-            revision: None,
-            published: PublishedChanges::default(),
-            section: Section::Operators,
-            after: None,
-        }
-    }
-
-    fn next_request(&self) -> (CallKind, String) {
-        let after = self.after.as_deref();
-        match self.section {
-            Section::Operators => (CallKind::Configuration, operators_request(after)),
-            Section::Targets => (CallKind::Page, targets_request(after)),
-        }
-    }
-
-    /// Returns whether the next page is the first one of targets.
-    fn is_at_first_targets(&self) -> bool {
-        matches!(self.section, Section::Targets) && self.after.is_none()
-    }
-
-    /// Moves on after a page. Returns whether it was the last one.
-    fn advance(&mut self, next_after: Option<String>) -> bool {
-        self.after = next_after;
-        match self.section {
-            _ if self.after.is_some() => false,
-            Section::Operators => {
-                self.section = Section::Targets;
-                false
-            }
-            Section::Targets => true,
-        }
-    }
-}
-
 struct StoreReader<'a> {
     state: &'a EntryState,
     calls: StoreCalls<'a>,
