--- a/crates/serving/src/relays/relay_status.rs
+++ b/crates/serving/src/relays/relay_status.rs
@@ -42,4 +42,7 @@
     /// Whether the store has left the relay without answers for some time.
     #[serde(rename = "is_cut_off")]
     pub is_store_lost: bool,
+    /// Whether it covers evacuations too; false for relays of former builds, which don't read them.
+    #[serde(default)]
+    pub covers_evacuations: bool,
 }
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -159,6 +159,10 @@
         status: &RelayStatus,
         changes: PublishedChanges,
     ) -> PublishedChanges {
+        if !status.covers_evacuations {
+            // It can't confirm that all is known, so this instance goes on reading the store itself.
+            return self.apply_changes(now, changes);
+        }
         let applied = match status.since {
             _ if !self.followed_relays.is_contiguous(status) => PublishedChanges::default(),
             None => self
@@ -209,6 +213,7 @@
         let as_of = self.read_at.max(relayed_as_of)?;
         let known = self.known_state();
         Some(RelayStatus {
+            covers_evacuations: true,
             known,
             age_ms: now.since(as_of),
             since: Some(known.revision),
--- a/crates/serving/tests/serving/relays.rs
+++ b/crates/serving/tests/serving/relays.rs
@@ -42,6 +42,7 @@
 
 fn status(revision: u64, since: Option<u64>) -> RelayStatus {
     RelayStatus {
+        covers_evacuations: true,
         known: KnownState {
             revision,
             version: 1,
