--- a/crates/serving/src/relays/relay_status.rs
+++ b/crates/serving/src/relays/relay_status.rs
@@ -43,6 +43,6 @@
     #[serde(rename = "is_cut_off")]
     pub is_store_lost: bool,
     /// Whether it covers evacuations too; false for relays of former builds, which don't read them.
-    #[serde(default)]
+    #[serde(rename = "evac", default)]
     pub covers_evacuations: bool,
 }
