--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -85,9 +85,24 @@
         state: &'static str,
         /// Revision of the store at which it changed.
         revision: u64,
-        /// `store` or `peer`.
+        /// `store`, `peer`, or `grace` for a removal that was unconfirmed until now.
         source: &'static str,
     },
+    /// The store removed a target's entry, which may have expired only because the store was unavailable. The target
+    /// takes requests until the removal is confirmed by a `target` line, or by another entry.
+    RemovalUnconfirmed {
+        /// Name under which the target is published.
+        target: String,
+        /// Revision of the store at which the entry was removed.
+        revision: u64,
+        /// The instance's role in reading the store.
+        #[serde(rename = "duty")]
+        store_role: &'static str,
+        /// Whether the instance takes the store for unavailable.
+        is_store_lost: bool,
+        /// Time since the store answered again, in ms, if it was unavailable before.
+        regained_ms_ago: Option<u64>,
+    },
     /// Operators requested that the targets of a failure domain get nothing new, or ended that.
     Evacuation {
         /// The failure domain.
@@ -240,7 +255,7 @@
 }
 
 impl Decision {
-    /// Creates the line for a change of a target; `source` is `store` or `peer`.
+    /// Creates the line for a change of a target; `source` is `store`, `peer` or `grace`.
     pub fn target(change: &TargetChange, source: &'static str) -> Self {
         let entry = change.entry.as_ref();
         Self::Target {
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -28,6 +28,7 @@
     open_requests: IntGauge,
     store_failures: IntCounter,
     store_calls: IntCounterVec,
+    unconfirmed_removals: IntCounter,
     relayed_changes: IntCounter,
     changes_from_peers: IntCounter,
     knowledge_age: Histogram,
@@ -88,6 +89,10 @@
                 Opts::new("whinlatch_entry_store_calls_total", "Calls of the store."),
                 &["kind", "reason"],
             )?,
+            unconfirmed_removals: IntCounter::new(
+                "whinlatch_entry_unconfirmed_removals_total",
+                "Removals of targets that didn't take effect at once, since the entry may have expired in an outage.",
+            )?,
             relayed_changes: IntCounter::new(
                 "whinlatch_entry_changes_passed_on_total",
                 "Changes of targets that were sent to followers, by change and instance.",
@@ -142,6 +147,8 @@
         self.registry
             .register(Box::new(self.store_failures.clone()))?;
         self.registry.register(Box::new(self.store_calls.clone()))?;
+        self.registry
+            .register(Box::new(self.unconfirmed_removals.clone()))?;
         self.registry
             .register(Box::new(self.relayed_changes.clone()))?;
         self.registry
@@ -225,6 +232,11 @@
         self.store_calls.with_label_values(&[kind, reason]).inc();
     }
 
+    /// Counts a removal of a target that doesn't take effect at once.
+    pub fn record_unconfirmed_removal(&self) {
+        self.unconfirmed_removals.inc();
+    }
+
     /// Counts changes of targets that are sent to followers.
     pub fn record_relayed_changes(&self, count: usize) {
         self.relayed_changes.inc_by(count as u64);
--- a/crates/daemon/src/entry/links/keeper.rs
+++ b/crates/daemon/src/entry/links/keeper.rs
@@ -94,11 +94,14 @@
         let seeds = state.seed_peers();
         let mut serving = state.serving();
         serving.set_seeds(&seeds);
-        serving.tick(now);
+        let confirmed = serving.tick(now);
         let roster = serving.roster_news(now);
         let (is_hub, peers) = (serving.is_hub(), serving.live_peer_count(now));
         let role = serving.store_role(now);
         drop(serving);
+        for removal in &confirmed {
+            state.log(&Decision::target(removal, "grace"));
+        }
         if std::mem::replace(&mut self.is_hub, is_hub) != is_hub {
             state.log(&Decision::Hub { is_hub, peers });
         }
--- a/crates/daemon/src/entry/store/intake.rs
+++ b/crates/daemon/src/entry/store/intake.rs
@@ -3,7 +3,9 @@
     crate::entry::{decision_line::Decision, entry_state::EntryState},
     std::sync::Arc,
     whinlatch_platform::{Change, StoreFault},
-    whinlatch_serving::targets::{EvacuationChange, PublishedChanges, TargetChange},
+    whinlatch_serving::targets::{
+        ChangeOutcome, EvacuationChange, PublishedChanges, TargetChange, TargetState,
+    },
 };
 
 /// Limit for the error in a log line on an unreadable entry, in characters: other writers may store
@@ -30,14 +32,51 @@
     pub fn apply(&mut self, changes: Vec<Result<Change, StoreFault>>) {
         let now = self.state.now();
         for change in self.apply_operators_changes(changes).targets {
-            let line = Decision::target(&change, "store");
-            if self.state.serving().apply_store_change(now, change) {
-                self.state.log(&line);
-            }
+            let outcome = self.state.serving().apply_store_change(now, &change);
+            self.log_change(&change, outcome);
         }
         self.state.notify_if_ready();
     }
 
+    /// Applies the pages of a full read. Targets that it shows as ready aren't logged: an instance that starts
+    /// reads hundreds of them.
+    pub fn apply_full_read(&self, revision: u64, published: PublishedChanges) {
+        let now = self.state.now();
+        let outcomes = self
+            .state
+            .serving()
+            .apply_store_snapshot(now, revision, published);
+        self.state.notify_if_ready();
+        for (change, outcome) in &outcomes {
+            let is_ready =
+                change.entry.as_ref().map(|entry| entry.state) == Some(TargetState::Ready);
+            if !is_ready {
+                self.log_change(change, *outcome);
+            }
+        }
+    }
+
+    fn log_change(&self, change: &TargetChange, outcome: ChangeOutcome) {
+        match outcome {
+            ChangeOutcome::Applied => self.state.log(&Decision::target(change, "store")),
+            ChangeOutcome::Unconfirmed => self.log_unconfirmed(change),
+            ChangeOutcome::Known => {}
+        }
+    }
+
+    fn log_unconfirmed(&self, change: &TargetChange) {
+        let now = self.state.now();
+        self.state.metrics.record_unconfirmed_removal();
+        let serving = self.state.serving();
+        self.state.log(&Decision::RemovalUnconfirmed {
+            target: change.name.to_string(),
+            revision: change.revision,
+            store_role: serving.store_role(now).name(),
+            is_store_lost: serving.is_store_lost(),
+            regained_ms_ago: serving.store_regained_at().map(|at| now.since(at)),
+        });
+    }
+
     /// Applies the configurations and evacuations among the changes. Returns the evacuations, and the changes of
     /// targets unapplied.
     pub fn apply_operators_changes(
--- a/crates/daemon/src/entry/store/store_reader.rs
+++ b/crates/daemon/src/entry/store/store_reader.rs
@@ -165,11 +165,7 @@
             }
         };
         self.needs_full_read = false;
-        let now = self.state.now();
-        self.state
-            .serving()
-            .apply_store_snapshot(now, revision, full_read.published);
-        self.state.notify_if_ready();
+        self.intake.apply_full_read(revision, full_read.published);
         self.mark_complete(revision);
         Ok(())
     }
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -30,7 +30,7 @@
         quotas::{ColdLimitRule, QuotaTable},
         relays::{FollowedRelays, Followers},
         retries::{CrashTracker, FleetBudget, FleetBudgetRule},
-        targets::{CallLoads, TargetNotices, TargetRegistry},
+        targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
     },
     news::News,
     peers::PeerLag,
@@ -187,9 +187,9 @@
     }
 
     /// Applies what follows from the passage of time alone: silent peers, expired records, ranks, groups
-    /// and relays.
-    pub fn tick(&mut self, now: MonoMs) {
-        self.targets.confirm_removals(now);
+    /// and relays. Returns the unconfirmed removals that take effect.
+    pub fn tick(&mut self, now: MonoMs) -> Vec<TargetChange> {
+        let confirmed = self.targets.confirm_removals(now);
         self.detect_lag(now);
         for run in self.members.silent_runs(now) {
             self.engines.remove_run(run, &[]);
@@ -206,6 +206,7 @@
         self.notices
             .evict_expired(now, |id| targets.entry(id).is_some());
         self.quotas.evict_expired(now);
+        confirmed
     }
 
     /// Ranks the live members again. A new role of this instance restarts its settling time.
--- a/crates/serving/src/serving/configured.rs
+++ b/crates/serving/src/serving/configured.rs
@@ -6,7 +6,7 @@
         catalog::Configuration,
         fleet::PublishedText,
         names::FailureDomain,
-        targets::{EvacuationChange, PublishedChanges, TargetChange},
+        targets::{ChangeOutcome, EvacuationChange, PublishedChanges, TargetChange},
     },
     std::sync::Arc,
     whinlatch_core::MonoMs,
@@ -60,14 +60,19 @@
         self.targets.is_store_lost()
     }
 
+    /// Returns when the store answered this instance again after its last outage; `None` if there was none.
+    pub fn store_regained_at(&self) -> Option<MonoMs> {
+        self.targets.store_regained_at()
+    }
+
     /// Returns the run ids of the targets that take requests, sorted.
     pub fn ready_targets(&self) -> Vec<String> {
         self.targets.ready_ids()
     }
 
-    /// Applies a change of a target that was read from the store. Returns whether it takes effect.
-    pub fn apply_store_change(&mut self, now: MonoMs, change: TargetChange) -> bool {
-        self.targets.apply_store_change(now, change).is_some()
+    /// Applies a change of a target that was read from the store.
+    pub fn apply_store_change(&mut self, now: MonoMs, change: &TargetChange) -> ChangeOutcome {
+        self.targets.apply_store_change(now, change)
     }
 
     /// Applies the begin or end of an evacuation that was read from the store. Returns whether it is new.
@@ -75,9 +80,15 @@
         self.targets.apply_evacuation(now, change)
     }
 
-    /// Applies all targets and evacuations that the store had at a revision.
-    pub fn apply_store_snapshot(&mut self, now: MonoMs, revision: u64, all: PublishedChanges) {
-        self.targets.apply_store_snapshot(now, revision, all);
+    /// Applies all targets and evacuations that the store had at a revision. Returns the changes of targets with
+    /// their outcomes.
+    pub fn apply_store_snapshot(
+        &mut self,
+        now: MonoMs,
+        revision: u64,
+        all: PublishedChanges,
+    ) -> Vec<(TargetChange, ChangeOutcome)> {
+        self.targets.apply_store_snapshot(now, revision, all)
     }
 
     /// Returns the failure domains whose targets must get nothing new, sorted.
--- a/crates/serving/src/serving/first_read.rs
+++ b/crates/serving/src/serving/first_read.rs
@@ -84,7 +84,7 @@
     pub fn begin_with_targets(&mut self, now: MonoMs, read: &[TargetChange]) {
         self.has_begun_with_part = true;
         for change in read {
-            self.apply_store_change(now, change.clone());
+            self.apply_store_change(now, change);
         }
     }
 
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -5,6 +5,7 @@
 mod call_loads;
 mod evacuations;
 mod failure_share;
+mod target_change;
 mod target_entry;
 mod target_limit;
 mod target_notice;
@@ -16,9 +17,10 @@
     call_loads::CallLoads,
     evacuations::{EvacuationChange, Evacuations},
     failure_share::FailureShare,
+    target_change::{ChangeOutcome, PublishedChanges, TargetChange},
     target_entry::{TargetEntry, TargetState},
     target_limit::TargetLimit,
     target_notice::TargetNotice,
     target_notices::TargetNotices,
-    target_registry::{AddressTakeover, PublishedChanges, TargetChange, TargetRegistry},
+    target_registry::{AddressTakeover, TargetRegistry},
 };
--- a/crates/serving/src/targets/target_registry.rs
+++ b/crates/serving/src/targets/target_registry.rs
@@ -1,5 +1,8 @@
 use {
-    super::{AddressClaim, AddressOwners, EvacuationChange, Evacuations, TargetEntry, TargetState},
+    super::{
+        AddressClaim, AddressOwners, ChangeOutcome, EvacuationChange, Evacuations,
+        PublishedChanges, TargetChange, TargetEntry, TargetState,
+    },
     crate::names::{FailureDomain, TargetId, TargetName},
     serde::{Deserialize, Serialize},
     std::{
@@ -16,32 +19,6 @@
 /// removed entry.
 const REMOVAL_RETENTION_MS: u64 = 120_000;
 
-/// A change of an entry at a revision of the store. The higher revision wins, so changes may arrive in any
-/// order and more than once.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetChange {
-    /// Name under which the target is published.
-    #[serde(rename = "id")]
-    pub name: TargetName,
-    /// Revision of the store at which the entry changed.
-    pub revision: u64,
-    /// The new entry; `None` if it was removed or is unreadable.
-    pub entry: Option<TargetEntry>,
-    /// Whether the store has a value under this name that can't be read as a target. Unlike a removal, this
-    /// takes effect immediately even after an outage of the store.
-    #[serde(default)]
-    pub is_unreadable: bool,
-}
-
-/// Changes of the published state other than the configuration.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PublishedChanges {
-    /// Changes of targets.
-    pub targets: Vec<TargetChange>,
-    /// Begins and ends of evacuations.
-    pub evacuations: Vec<EvacuationChange>,
-}
-
 /// A report that another target answers at the address of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AddressTakeover {
@@ -102,16 +79,12 @@
         self.is_initialized
     }
 
-    /// Applies a change from the store. Returns it if it is new and takes effect.
+    /// Applies a change from the store.
     ///
     /// Guards against entries that expire while the store is unavailable: their targets are alive and
     /// publish them again soon after. Such a removal stays unconfirmed and takes effect only if the entry is
     /// still missing after `REMOVAL_GRACE_MS`.
-    pub fn apply_store_change(
-        &mut self,
-        now: MonoMs,
-        change: TargetChange,
-    ) -> Option<TargetChange> {
+    pub fn apply_store_change(&mut self, now: MonoMs, change: &TargetChange) -> ChangeOutcome {
         self.is_initialized = true;
         let was_store_lost = self.store_lost
             || self
@@ -125,20 +98,34 @@
             self.unconfirmed
                 .insert(change.name.clone(), change.revision);
             self.recompute_owner_for(&change.name);
-            return None;
+            return ChangeOutcome::Unconfirmed;
+        }
+        if self.merge(now, change) {
+            ChangeOutcome::Applied
+        } else {
+            ChangeOutcome::Known
         }
-        self.merge(now, &change).then_some(change)
     }
 
     /// Applies all entries and evacuations of the store at `revision`. Known ones that are missing from it are
-    /// removed.
-    pub fn apply_store_snapshot(&mut self, now: MonoMs, revision: u64, all: PublishedChanges) {
+    /// removed. Returns the changes of targets with their outcomes.
+    pub fn apply_store_snapshot(
+        &mut self,
+        now: MonoMs,
+        revision: u64,
+        all: PublishedChanges,
+    ) -> Vec<(TargetChange, ChangeOutcome)> {
         let missing = self.missing_from(&all.targets, revision);
         self.mark_complete_at(revision);
-        for change in all.targets.into_iter().chain(missing) {
-            self.apply_store_change(now, change);
-        }
+        let changes = all.targets.into_iter().chain(missing);
+        let outcomes = changes
+            .map(|change| {
+                let outcome = self.apply_store_change(now, &change);
+                (change, outcome)
+            })
+            .collect();
         self.apply_all_evacuations(now, revision, all.evacuations);
+        outcomes
     }
 
     /// Applies a change from a peer, removals immediately. Returns whether it is new.
@@ -198,7 +185,7 @@
             .filter(|(name, known)| {
                 known.entry.is_some() && known.revision <= revision && !listed.contains(name)
             })
-            .map(|(name, _)| removal(name, revision))
+            .map(|(name, _)| TargetChange::removal(name.clone(), revision))
             .collect()
     }
 
@@ -304,8 +291,8 @@
     }
 
     /// Applies unconfirmed removals once `REMOVAL_GRACE_MS` have passed since the store's return, and evicts
-    /// expired records. Returns the names of the removed targets.
-    pub fn confirm_removals(&mut self, now: MonoMs) -> Vec<TargetName> {
+    /// expired records. Returns the removals that take effect.
+    pub fn confirm_removals(&mut self, now: MonoMs) -> Vec<TargetChange> {
         let is_grace_over = !self.store_lost
             && self
                 .store_regained_at
@@ -325,9 +312,8 @@
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
         unconfirmed
             .into_iter()
-            .map(|(name, revision)| removal(&name, revision))
+            .map(|(name, revision)| TargetChange::removal(name, revision))
             .filter(|change| self.merge(now, change))
-            .map(|change| change.name)
             .collect()
     }
 
@@ -365,6 +351,11 @@
         self.store_lost
     }
 
+    /// Returns when the store answered again after its last outage; `None` if there was none.
+    pub fn store_regained_at(&self) -> Option<MonoMs> {
+        self.store_regained_at
+    }
+
     /// Returns all targets that take requests, sorted by name.
     pub fn all_ready(&self) -> impl Iterator<Item = &TargetEntry> {
         self.by_name
@@ -477,12 +468,3 @@
             .filter(move |entry| &*entry.service == service)
     }
 }
-
-fn removal(name: &TargetName, revision: u64) -> TargetChange {
-    TargetChange {
-        name: name.clone(),
-        revision,
-        entry: None,
-        is_unreadable: false,
-    }
-}
--- /dev/null
+++ b/crates/serving/tests/serving/removals.rs
@@ -0,0 +1,145 @@
+//! Removals of entries whose targets serve on for a short time: how soon instances believe them.
+
+use {
+    super::{
+        fixture::{START, change, instance, removal},
+        fleet_fixture::Fleet,
+    },
+    std::{collections::BTreeSet, net::SocketAddr},
+    whinlatch_serving::{
+        Serving, StoreRole,
+        targets::{ChangeOutcome, TargetRegistry, TargetState},
+    },
+};
+
+/// Steps after which all instances of a fleet know each other.
+const STEPS_TO_SETTLE: usize = 24;
+/// Steps in two seconds, within which a removed target must no longer get requests.
+const STEPS_IN_TIME: usize = 8;
+/// Steps after an outage of the store for which entries that expired in it may still be missing.
+const STEPS_OF_GRACE: usize = 12;
+
+fn settled_fleet(count: u64, domains: u64) -> Fleet {
+    let mut fleet = Fleet::in_domains(count, domains);
+    fleet.steps(STEPS_TO_SETTLE);
+    fleet
+}
+
+/// Has the store refuse the instances that read it for others until all candidates of the first failure domain are
+/// refused, so that its other instances read the store themselves.
+fn refuse_all_relays_of_a_domain(fleet: &mut Fleet) {
+    let now = fleet.now;
+    let is_watching = |serving: &Serving| serving.store_role(now) == StoreRole::Watch;
+    let relays: Vec<SocketAddr> = fleet
+        .alive
+        .values()
+        .filter(|serving| is_watching(serving))
+        .map(Serving::peer_address)
+        .collect();
+    fleet.store.refused.extend(relays);
+}
+
+/// Returns the instances that the store answers and that still send requests to a target.
+fn served_instances_using(fleet: &Fleet, target: &str) -> BTreeSet<SocketAddr> {
+    let served = fleet.alive.values().filter(|serving| {
+        !fleet.store.refused.contains(&serving.peer_address())
+            && serving.ready_targets().iter().any(|ready| ready == target)
+    });
+    served.map(Serving::peer_address).collect()
+}
+
+/// Guards against a whole failure domain that sends requests to a removed target for as long as the store refuses its
+/// relays, though the store answers the other instances there.
+#[test]
+fn a_removal_takes_effect_in_time_though_the_store_refuses_all_relays() {
+    let mut fleet = settled_fleet(60, 3);
+    for _ in 0..4 {
+        refuse_all_relays_of_a_domain(&mut fleet);
+        fleet.steps(4);
+    }
+
+    fleet.store.changes.push(removal("e-00", 9));
+    fleet.steps(STEPS_IN_TIME);
+
+    assert_eq!(served_instances_using(&fleet, "e-00"), BTreeSet::new());
+}
+
+/// Guards against followers that take the store for lost long after it is back, and hold back removals since then.
+#[test]
+fn a_removal_takes_effect_in_time_once_an_outage_is_over() {
+    for outage_steps in [14, 20, 26, 32, 38] {
+        let mut fleet = settled_fleet(60, 3);
+        fleet.store.is_down = true;
+        fleet.steps(outage_steps);
+        fleet.store.is_down = false;
+        fleet.steps(STEPS_OF_GRACE);
+
+        fleet.store.changes.push(removal("e-00", 9));
+        fleet.steps(STEPS_IN_TIME);
+
+        let using = served_instances_using(&fleet, "e-00");
+        assert_eq!(using, BTreeSet::new(), "after {outage_steps} steps");
+    }
+}
+
+/// Guards against an instance that lost the store by itself and holds back a removal that its peers have believed.
+#[test]
+fn an_instance_that_the_store_refused_believes_the_removals_that_its_peers_believe() {
+    let mut fleet = settled_fleet(9, 3);
+    let refused = *fleet.alive.keys().next().unwrap();
+    fleet.store.refused.insert(refused);
+    fleet.steps(20);
+    fleet.store.refused.clear();
+    fleet.step();
+
+    fleet.store.changes.push(removal("e-00", 9));
+    fleet
+        .store
+        .changes
+        .push(change("e-04", 10, TargetState::Ready));
+    fleet.steps(STEPS_IN_TIME / 2);
+
+    assert_eq!(served_instances_using(&fleet, "e-00"), BTreeSet::new());
+}
+
+/// Guards against a removal that is held back after a failure too short for any entry to expire: a watch that the
+/// store cut, or one call without an answer.
+#[test]
+fn a_removal_takes_effect_immediately_after_a_short_failure() {
+    let mut registry = TargetRegistry::default();
+    registry.record_store_answer(START);
+    registry.apply_store_change(START, &change("e-1", 5, TargetState::Ready));
+    registry.record_store_failure();
+    registry.record_store_answer(START + 1_500);
+
+    let outcome = registry.apply_store_change(START + 1_500, &removal("e-1", 6));
+
+    assert_eq!(outcome, ChangeOutcome::Applied);
+}
+
+/// Guards against a relay that believes a removal after the grace time and tells its followers only with the next
+/// change of the store.
+#[test]
+fn a_relay_passes_on_a_removal_as_soon_as_it_is_confirmed() {
+    let mut fleet = settled_fleet(60, 3);
+    fleet.store.is_down = true;
+    fleet.steps(20);
+    fleet.store.is_down = false;
+    fleet.store.changes.push(removal("e-00", 9));
+    fleet.step();
+    let relay = fleet.alive.values().find(|serving| serving.has_followers());
+    let relay = relay.map(Serving::peer_address).unwrap();
+    let serving = fleet.alive.get_mut(&relay).unwrap();
+    serving.relay_news(fleet.now, |_to| true);
+
+    let now = fleet.now + 2_500;
+    let confirmed = serving.tick(now);
+    let updates = serving.relay_news(now, |_to| true);
+
+    assert_eq!(confirmed.len(), 1);
+    let told = updates
+        .iter()
+        .flat_map(|(_to, frame)| &frame.targets)
+        .any(|told| told.entry.is_none() && told.revision == 9);
+    assert!(told, "{updates:?}");
+}
