--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -28,6 +28,8 @@
 mod quotas;
 #[path = "serving/relays.rs"]
 mod relays;
+#[path = "serving/removals.rs"]
+mod removals;
 #[path = "serving/retries.rs"]
 mod retries;
 #[path = "serving/targets.rs"]
