--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -83,6 +83,7 @@
         });
         let mut serving = Serving::new(own, settings.budget);
         serving.set_cold_rule(settings.cold_limit);
+        serving.set_target_heartbeat_interval(settings.target_heartbeat_interval_ms);
         let state = Arc::new(EntryState::new(settings, clock, serving, metrics, log));
         let shared = || Arc::clone(&state);
         let tasks = vec![
--- a/crates/daemon/tests/entry/fixture.rs
+++ b/crates/daemon/tests/entry/fixture.rs
@@ -84,6 +84,7 @@
         },
         cold_limit: ColdLimitRule::default(),
         max_reservation_ms: 20_000,
+        target_heartbeat_interval_ms: 1_200,
     }
 }
 
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Replaces the interval at which targets renew their entries, in ms. Called before the store is read.
+    pub fn set_target_heartbeat_interval(&mut self, heartbeat_interval_ms: u64) {
+        self.targets.set_heartbeat_interval(heartbeat_interval_ms);
+    }
+
     /// Replaces the rule for requests to cold targets.
     pub fn set_cold_rule(&mut self, rule: ColdLimitRule) {
         self.cold_rule = rule;
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -122,7 +122,8 @@
     pub fn catch_up_request(&self, now: MonoMs) -> Option<(Vec<SocketAddr>, Frame)> {
         // The relays send the rest to all that wait for it at once.
         let is_lagging = self.is_lagging(now) && !self.awaits_rest();
-        if !self.is_store_lost() && self.version() != 0 && !is_lagging {
+        let is_store_lost = self.is_store_lost() || self.are_relays_refused(now);
+        if !is_store_lost && self.version() != 0 && !is_lagging {
             return None;
         }
         // Peers of the own failure domain first: traffic between domains is charged and takes longer.
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Returns whether this instance has no fresh status since the store doesn't answer its relays.
+    pub(super) fn are_relays_refused(&self, now: MonoMs) -> bool {
+        let role = self.store_role(now);
+        matches!(role, StoreRole::StandIn { is_store_lost } if is_store_lost)
+    }
+
     /// Returns the instances of this failure domain that should read the store, which may include this one.
     pub(super) fn readers(&self, now: MonoMs) -> impl Iterator<Item = SocketAddr> {
         let candidates = self
@@ -130,8 +136,7 @@
         self.followers.schedule_update();
     }
 
-    /// Evicts expired relays and followers, and applies what follows from the time since the store's last
-    /// answer.
+    /// Evicts expired relays and followers. Excludes this instance from the relays if the store doesn't answer it.
     pub(super) fn tick_relays(&mut self, now: MonoMs) {
         self.followers.evict_expired(now);
         self.followed_relays.evict_expired(now);
@@ -143,12 +148,6 @@
             self.followed_relays.exclude(now, own);
             self.followers.schedule_update();
         }
-        // Entries that are removed after an outage may merely have expired during it, even if only the relays
-        // noticed the outage.
-        let role = self.store_role(now);
-        if matches!(role, StoreRole::StandIn { is_store_lost } if is_store_lost) {
-            self.targets.record_store_failure();
-        }
     }
 
     /// Applies a relay's status and the changes that came with it. Returns the changes that take effect.
@@ -173,8 +172,9 @@
         let version = self.version();
         self.followed_relays
             .apply_status(now, from, status, version);
-        if matches!(self.store_role(now), StoreRole::Follow(_)) {
-            self.targets.record_store_answer(now);
+        if let StoreRole::Follow(relay) = self.store_role(now) {
+            let answered_at = MonoMs(now.0.saturating_sub(relay.age_ms));
+            self.targets.record_store_answer(answered_at);
         }
         applied
     }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -5,6 +5,7 @@
 mod call_loads;
 mod evacuations;
 mod failure_share;
+mod store_outages;
 mod target_change;
 mod target_entry;
 mod target_limit;
@@ -17,6 +18,7 @@
     call_loads::CallLoads,
     evacuations::{EvacuationChange, Evacuations},
     failure_share::FailureShare,
+    store_outages::StoreOutages,
     target_change::{ChangeOutcome, PublishedChanges, TargetChange},
     target_entry::{TargetEntry, TargetState},
     target_limit::TargetLimit,
--- a/crates/serving/src/targets/target_registry.rs
+++ b/crates/serving/src/targets/target_registry.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         AddressClaim, AddressOwners, ChangeOutcome, EvacuationChange, Evacuations,
-        PublishedChanges, TargetChange, TargetEntry, TargetState,
+        PublishedChanges, StoreOutages, TargetChange, TargetEntry, TargetState,
     },
     crate::names::{FailureDomain, TargetId, TargetName},
     serde::{Deserialize, Serialize},
@@ -12,9 +12,6 @@
     whinlatch_core::MonoMs,
 };
 
-/// Time after the store's return for which removals stay unconfirmed, in ms. Live targets whose entries
-/// expired during the outage publish them again within about two seconds, as the operators promise.
-const REMOVAL_GRACE_MS: u64 = 2_300;
 /// Time for which removals are kept, in ms: well over the time for which any peer may still send the
 /// removed entry.
 const REMOVAL_RETENTION_MS: u64 = 120_000;
@@ -51,8 +48,7 @@
     leaving: HashMap<TargetId, MonoMs>,
     evacuations: Evacuations,
     owners: AddressOwners,
-    store_lost: bool,
-    store_regained_at: Option<MonoMs>,
+    outages: StoreOutages,
     is_initialized: bool,
     newest_revision: u64,
     /// Revision since which all removals are known.
@@ -60,18 +56,19 @@
 }
 
 impl TargetRegistry {
-    /// Records that the store didn't answer. Entries that it removes until shortly after its return may have
-    /// expired only because targets couldn't reach it either.
+    /// Replaces the interval between the heartbeats of targets, in ms.
+    pub fn set_heartbeat_interval(&mut self, heartbeat_interval_ms: u64) {
+        self.outages = StoreOutages::new(heartbeat_interval_ms);
+    }
+
+    /// Records that the store didn't answer.
     pub fn record_store_failure(&mut self) {
-        self.store_lost = true;
+        self.outages.record_failure();
     }
 
-    /// Records that the store answered, which ends an outage.
-    pub fn record_store_answer(&mut self, now: MonoMs) {
-        if self.store_lost {
-            self.store_lost = false;
-            self.store_regained_at = Some(now);
-        }
+    /// Records that the store answered at `at`, this instance or a relay that it follows.
+    pub fn record_store_answer(&mut self, at: MonoMs) {
+        self.outages.record_answer(at);
     }
 
     /// Returns whether the store or a peer has reported a change or a list of targets, be it empty.
@@ -83,18 +80,14 @@
     ///
     /// Guards against entries that expire while the store is unavailable: their targets are alive and
     /// publish them again soon after. Such a removal stays unconfirmed and takes effect only if the entry is
-    /// still missing after `REMOVAL_GRACE_MS`.
+    /// still missing after the grace time of [`StoreOutages`].
     pub fn apply_store_change(&mut self, now: MonoMs, change: &TargetChange) -> ChangeOutcome {
         self.is_initialized = true;
-        let was_store_lost = self.store_lost
-            || self
-                .store_regained_at
-                .is_some_and(|regained_at| now.since(regained_at) < REMOVAL_GRACE_MS);
         let was_leaving = self
             .published_entry(&change.name)
             .is_none_or(|entry| entry.state == TargetState::Draining);
         let is_removal = change.entry.is_none() && !change.is_unreadable;
-        if is_removal && was_store_lost && !was_leaving {
+        if is_removal && !was_leaving && self.outages.may_removals_be_expired(now) {
             self.unconfirmed
                 .insert(change.name.clone(), change.revision);
             self.recompute_owner_for(&change.name);
@@ -290,13 +283,9 @@
         });
     }
 
-    /// Applies unconfirmed removals once `REMOVAL_GRACE_MS` have passed since the store's return, and evicts
-    /// expired records. Returns the removals that take effect.
+    /// Applies unconfirmed removals once the grace time after the store's return is over, and evicts expired
+    /// records. Returns the removals that take effect.
     pub fn confirm_removals(&mut self, now: MonoMs) -> Vec<TargetChange> {
-        let is_grace_over = !self.store_lost
-            && self
-                .store_regained_at
-                .is_none_or(|regained_at| now.since(regained_at) >= REMOVAL_GRACE_MS);
         self.evict_removals(now);
         let runs = &self.runs;
         self.leaving.retain(|run, received_at| {
@@ -306,7 +295,7 @@
         // A takeover may be reported before the entry itself arrives.
         self.takeovers
             .retain(|name, revision| by_name.contains_key(name) || *revision > newest_revision);
-        if !is_grace_over || self.unconfirmed.is_empty() {
+        if self.outages.may_removals_be_expired(now) {
             return Vec::new();
         }
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
@@ -348,12 +337,12 @@
 
     /// Returns whether the store failed to answer the last call.
     pub fn is_store_lost(&self) -> bool {
-        self.store_lost
+        self.outages.is_lost()
     }
 
     /// Returns when the store answered again after its last outage; `None` if there was none.
     pub fn store_regained_at(&self) -> Option<MonoMs> {
-        self.store_regained_at
+        self.outages.regained_at()
     }
 
     /// Returns all targets that take requests, sorted by name.
