--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -195,6 +195,9 @@
     /// and relays. Returns the unconfirmed removals that take effect.
     pub fn tick(&mut self, now: MonoMs) -> Vec<TargetChange> {
         let confirmed = self.targets.confirm_removals(now);
+        if !confirmed.is_empty() {
+            self.followers.schedule_update();
+        }
         self.detect_lag(now);
         for run in self.members.silent_runs(now) {
             self.engines.remove_run(run, &[]);
