--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -112,9 +112,9 @@
         })
     }
 
-    /// Returns a request for the state that this instance lacks, and the peers to which to send it. It is
-    /// made while the store doesn't answer, no configuration is known or this instance lags; `None`
-    /// otherwise, or if no peer is ahead.
+    /// Returns a request for the state that this instance lacks, and the peers to which to send it, all of which it
+    /// needs links to. It is made while the store doesn't answer, no configuration is known or this instance lags; `None`
+    /// otherwise, or if no such peer is ahead.
     ///
     /// Guards against a store that refuses this instance, or a connection to it that has gone silent, while
     /// the store serves other instances: targets that leave would still get requests, and revoked keys
@@ -126,8 +126,12 @@
         if !is_store_lost && self.version() != 0 && !is_lagging {
             return None;
         }
+        let linked = self.wanted_links(now).own;
+        let mut ahead: Vec<&Member> = self
+            .peers_ahead(now)
+            .filter(|member| linked.contains(&member.peer_address))
+            .collect();
         // Peers of the own failure domain first: traffic between domains is charged and takes longer.
-        let mut ahead: Vec<&Member> = self.peers_ahead(now).collect();
         ahead.sort_by_key(|member| {
             let is_far = member.failure_domain != self.own.failure_domain;
             (is_far, Reverse(member.cpu_millis))
--- a/crates/serving/tests/serving/removals.rs
+++ b/crates/serving/tests/serving/removals.rs
@@ -89,6 +89,31 @@
     assert_eq!(served_instances_using(&fleet, "e-00"), BTreeSet::new());
 }
 
+/// Guards against an instance that lost the store and asks peers to which it has no link for what it lacks: they are the
+/// nearest, but never get the request.
+#[test]
+fn an_instance_that_lost_the_store_asks_peers_to_which_it_has_a_link() {
+    let mut fleet = settled_fleet(60, 3);
+    let asking = *fleet.alive.keys().last().unwrap();
+    let linked = fleet.links_of(asking);
+    let now = fleet.now;
+    let mut peers: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+    peers.retain(|peer| *peer != asking);
+    for peer in peers {
+        let serving = fleet.alive.get_mut(&peer).unwrap();
+        serving.apply_store_change(now, &removal("e-00", 9));
+        let heartbeat = serving.heartbeat(now, false).frame;
+        fleet.deliver(peer, asking, heartbeat);
+    }
+
+    let serving = fleet.alive.get_mut(&asking).unwrap();
+    serving.record_store_failure(now);
+    let (asked, _request) = serving.catch_up_request(now).unwrap();
+
+    assert!(!asked.is_empty());
+    assert!(asked.iter().all(|peer| linked.contains(peer)), "{asked:?}");
+}
+
 /// Guards against followers that take the store for lost long after it is back, and hold back removals since then.
 #[test]
 fn a_removal_takes_effect_in_time_once_an_outage_is_over() {
