--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -67,6 +67,10 @@
     /// Number of groups into which the sender divides the engines, 0 if it doesn't report one.
     #[serde(default)]
     pub engine_groups: u32,
+    /// Revision up to which all removals are those of targets that have left, as the sender knows; `None` after an
+    /// outage of the store in which entries may have expired, and from instances of a large fleet that are no hubs.
+    #[serde(rename = "settled", default, skip_serializing_if = "Option::is_none")]
+    pub settled_revision: Option<u64>,
     /// What the sender requests of the receiver, if that is a relay that it follows.
     #[serde(rename = "follows", default, skip_serializing_if = "Option::is_none")]
     pub follow_request: Option<FollowRequest>,
--- a/crates/serving/src/relays/followed_relays.rs
+++ b/crates/serving/src/relays/followed_relays.rs
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Applies a relay's status, after the changes that came with it.
+    /// Applies a relay's status, after the changes that came with it. Returns whether it confirms that all is known.
     ///
     /// A status that is older than what is known here comes from a relay that lags, or whose store went back
     /// to an earlier state. It doesn't confirm that the newer state still holds, so its age doesn't count.
@@ -70,25 +70,26 @@
         from: SocketAddr,
         status: &RelayStatus,
         own_version: u64,
-    ) {
+    ) -> bool {
         if status.is_store_lost {
             self.exclude(now, from);
-            return;
+            return false;
         }
         if !self.is_contiguous(status) {
-            return;
+            return false;
         }
         self.mark_complete_at(status.known.revision);
         self.excluded_until.remove(&from);
-        if self.complete_revision == Some(status.known.revision)
-            && own_version >= status.known.version
-        {
+        let is_confirmed = self.complete_revision == Some(status.known.revision)
+            && own_version >= status.known.version;
+        if is_confirmed {
             let confirmed = ConfirmedRevision {
                 revision: status.known.revision,
                 as_of: MonoMs(now.0.saturating_sub(status.age_ms)),
             };
             self.confirmed.insert(from, confirmed);
         }
+        is_confirmed
     }
 
     /// Records that the store doesn't answer an instance, this one or a relay, which is then not followed for
--- a/crates/serving/src/relays/relay_status.rs
+++ b/crates/serving/src/relays/relay_status.rs
@@ -42,6 +42,10 @@
     /// Whether the store has left the relay without answers for some time.
     #[serde(rename = "is_cut_off")]
     pub is_store_lost: bool,
+    /// Whether all removals up to the known revision are those of targets that have left, and none is that of an entry
+    /// which expired in an outage of the store.
+    #[serde(rename = "settled", default)]
+    pub is_settled: bool,
     /// Whether it covers evacuations too; false for relays of former builds, which don't read them.
     #[serde(rename = "evac", default)]
     pub covers_evacuations: bool,
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -82,6 +82,8 @@
     followed_relays: FollowedRelays,
     /// The instances that follow this one.
     followers: Followers,
+    /// Revision up to which settled peers know all removals to be those of targets that have left.
+    settled_revision: u64,
     /// Whether this instance began to serve before it had read all targets.
     has_begun_with_part: bool,
     /// When this instance last completed a read of the store.
@@ -124,6 +126,7 @@
             lag: None,
             followed_relays: FollowedRelays::default(),
             followers: Followers::default(),
+            settled_revision: 0,
             has_begun_with_part: false,
             read_at: None,
             store_lost_since: None,
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -131,7 +131,7 @@
         let mut requests = self.follow_requests(now).into_iter();
         let heartbeat = HeartbeatFrame {
             follow_request: requests.find_map(|(relay, follow)| (relay == to).then_some(follow)),
-            ..self.heartbeat_fields(requests_link)
+            ..self.heartbeat_fields(now, requests_link)
         };
         let roster = self.members.full_roster(now, self.own.peer_address);
         Frame {
@@ -186,7 +186,7 @@
         };
         let frame = Frame {
             member: has_changed.then_some(own),
-            heartbeat: Some(self.heartbeat_fields(false)),
+            heartbeat: Some(self.heartbeat_fields(now, false)),
             peers,
             ..Frame::default()
         };
@@ -210,12 +210,13 @@
         }
     }
 
-    fn heartbeat_fields(&self, requests_link: bool) -> HeartbeatFrame {
+    fn heartbeat_fields(&self, now: MonoMs, requests_link: bool) -> HeartbeatFrame {
         HeartbeatFrame {
             version: self.version(),
             revision: self.targets.revision(),
             requests_link,
             engine_groups: self.groups.count(),
+            settled_revision: self.settled_revision_to_report(now),
             follow_request: None,
         }
     }
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -181,11 +181,12 @@
             targets: frame.targets,
             evacuations: frame.evacuations,
         };
-        let changes = match (frame.relay_status, address) {
+        let mut changes = match (frame.relay_status, address) {
             (Some(status), Some(relay)) => self.apply_relay_status(now, relay, &status, published),
             (Some(_), None) => PublishedChanges::default(),
             (None, _) => self.apply_changes(now, published),
         };
+        changes.targets.extend(self.confirm_settled_removals(now));
         let notices = FleetNotices {
             crashes: frame.crashes,
             served: frame.served,
@@ -261,6 +262,9 @@
     ) {
         if let Some(heartbeat) = heartbeat {
             self.members.apply_heartbeat(now, from, heartbeat);
+            if let Some(revision) = heartbeat.settled_revision {
+                self.note_settled_revision(revision);
+            }
             if let Some(follow) = heartbeat.follow_request {
                 self.followers.apply_follow_request(now, from, follow);
             }
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -5,7 +5,7 @@
     crate::{
         fleet::{CatchUpRequest, Frame},
         relays::{FollowRequest, KnownState, Relay, RelayStatus},
-        targets::PublishedChanges,
+        targets::{PublishedChanges, TargetChange},
     },
     std::net::SocketAddr,
     whinlatch_core::MonoMs,
@@ -170,11 +170,17 @@
             Some(_) => self.apply_changes(now, changes),
         };
         let version = self.version();
-        self.followed_relays
+        let is_confirmed = self
+            .followed_relays
             .apply_status(now, from, status, version);
-        if let StoreRole::Follow(relay) = self.store_role(now) {
-            let answered_at = MonoMs(now.0.saturating_sub(relay.age_ms));
-            self.targets.record_store_answer(answered_at);
+        if is_confirmed {
+            let answered_at = MonoMs(now.0.saturating_sub(status.age_ms));
+            if status.is_settled {
+                self.targets.record_settled_answer(answered_at);
+                self.note_settled_revision(status.known.revision);
+            } else {
+                self.targets.record_store_answer(answered_at);
+            }
         }
         applied
     }
@@ -206,6 +212,34 @@
         news
     }
 
+    /// Returns the revision up to which this instance knows all removals to be those of targets that have left; `None` if
+    /// it can't tell, or if it is one of many from which peers don't need to hear that.
+    pub(super) fn settled_revision_to_report(&self, now: MonoMs) -> Option<u64> {
+        let is_heard = !self.members.is_large() || self.is_hub();
+        let is_settled = is_heard && self.targets.is_settled(now);
+        is_settled.then(|| self.known_state().revision)
+    }
+
+    /// Records that a settled peer knows all removals up to a revision to be those of targets that have left.
+    pub(super) fn note_settled_revision(&mut self, revision: u64) {
+        self.settled_revision = self.settled_revision.max(revision);
+    }
+
+    /// Applies the unconfirmed removals that settled peers know to be those of targets that have left, once this instance
+    /// knows all that they knew: a later entry of such a target would otherwise be missing. Returns those that take
+    /// effect.
+    pub(super) fn confirm_settled_removals(&mut self, now: MonoMs) -> Vec<TargetChange> {
+        let settled_revision = self.settled_revision;
+        if self.complete_revision() < Some(settled_revision) {
+            return Vec::new();
+        }
+        let confirmed = self.targets.confirm_removals_up_to(now, settled_revision);
+        if !confirmed.is_empty() {
+            self.followers.schedule_update();
+        }
+        confirmed
+    }
+
     /// Returns this instance's status as a relay; `None` if it never received the complete published state.
     fn relay_status(&self, now: MonoMs) -> Option<RelayStatus> {
         let followed = self.followed_relays.freshest(now);
@@ -213,6 +247,7 @@
         let as_of = self.read_at.max(relayed_as_of)?;
         let known = self.known_state();
         Some(RelayStatus {
+            is_settled: self.targets.is_settled(now),
             covers_evacuations: true,
             known,
             age_ms: now.since(as_of),
--- a/crates/serving/src/targets/store_outages.rs
+++ b/crates/serving/src/targets/store_outages.rs
@@ -22,6 +22,8 @@
     answered_at: Option<MonoMs>,
     /// End of the last outage in which entries may have expired.
     regained_at: Option<MonoMs>,
+    /// Since when there was no such outage: its end, or the first answer.
+    continuous_since: Option<MonoMs>,
 }
 
 impl Default for StoreOutages {
@@ -38,6 +40,7 @@
             is_lost: false,
             answered_at: None,
             regained_at: None,
+            continuous_since: None,
         }
     }
 
@@ -54,11 +57,29 @@
         };
         if may_entries_have_expired {
             self.regained_at = Some(at);
+            self.continuous_since = Some(at);
         }
+        self.continuous_since.get_or_insert(at);
         self.is_lost = false;
         self.answered_at = self.answered_at.max(Some(at));
     }
 
+    /// Records that the store answered a relay at `at` which is settled: what the relay knows is true of this instance
+    /// from now on.
+    pub fn record_settled_answer(&mut self, at: MonoMs) {
+        self.is_lost = false;
+        self.answered_at = self.answered_at.max(Some(at));
+        self.regained_at = None;
+        self.continuous_since = Some(MonoMs(at.0.saturating_sub(GRACE_MS)));
+    }
+
+    /// Returns whether all removals that are known now are those of targets that have left: no entry that expired in an
+    /// outage may still be published again.
+    pub fn is_settled(&self, now: MonoMs) -> bool {
+        let is_old_enough = |since| now.since(since) >= GRACE_MS;
+        !self.is_lost && self.continuous_since.is_some_and(is_old_enough)
+    }
+
     /// Returns whether the store didn't answer the last call.
     pub fn is_lost(&self) -> bool {
         self.is_lost
--- a/crates/serving/src/targets/target_registry.rs
+++ b/crates/serving/src/targets/target_registry.rs
@@ -71,6 +71,16 @@
         self.outages.record_answer(at);
     }
 
+    /// Records that the store answered a settled relay at `at`.
+    pub fn record_settled_answer(&mut self, at: MonoMs) {
+        self.outages.record_settled_answer(at);
+    }
+
+    /// Returns whether all removals that are known now are those of targets that have left.
+    pub fn is_settled(&self, now: MonoMs) -> bool {
+        self.outages.is_settled(now)
+    }
+
     /// Returns whether the store or a peer has reported a change or a list of targets, be it empty.
     pub fn is_initialized(&self) -> bool {
         self.is_initialized
@@ -298,12 +308,23 @@
         if self.outages.may_removals_be_expired(now) {
             return Vec::new();
         }
-        let unconfirmed = std::mem::take(&mut self.unconfirmed);
-        unconfirmed
-            .into_iter()
-            .map(|(name, revision)| TargetChange::removal(name, revision))
-            .filter(|change| self.merge(now, change))
-            .collect()
+        self.confirm_removals_up_to(now, u64::MAX)
+    }
+
+    /// Applies the unconfirmed removals up to a revision, which a settled peer knows to be those of targets that have
+    /// left. Returns the removals that take effect.
+    pub fn confirm_removals_up_to(&mut self, now: MonoMs, revision: u64) -> Vec<TargetChange> {
+        let confirmed: Vec<TargetChange> = self
+            .unconfirmed
+            .iter()
+            .filter(|(_, removed_at)| **removed_at <= revision)
+            .map(|(name, removed_at)| TargetChange::removal(name.clone(), *removed_at))
+            .collect();
+        for change in &confirmed {
+            self.unconfirmed.remove(&change.name);
+        }
+        let applied = confirmed.into_iter();
+        applied.filter(|change| self.merge(now, change)).collect()
     }
 
     fn evict_removals(&mut self, now: MonoMs) {
--- a/crates/serving/tests/serving/evacuation.rs
+++ b/crates/serving/tests/serving/evacuation.rs
@@ -202,6 +202,7 @@
     serving.on_frame(START, 2, greeting, |_text| None);
     serving.apply_evacuation(START, &evacuation(5, true));
     let former_status = RelayStatus {
+        is_settled: false,
         known: KnownState {
             revision: 8,
             version: 1,
--- a/crates/serving/tests/serving/relays.rs
+++ b/crates/serving/tests/serving/relays.rs
@@ -43,6 +43,7 @@
 fn status(revision: u64, since: Option<u64>) -> RelayStatus {
     RelayStatus {
         covers_evacuations: true,
+        is_settled: false,
         known: KnownState {
             revision,
             version: 1,
@@ -196,6 +197,7 @@
             revision: 1,
             requests_link: true,
             engine_groups: 0,
+            settled_revision: None,
             follow_request: Some(follow),
         }),
         ..Frame::default()
