--- a/crates/daemon/src/entry/store/store_pace.rs
+++ b/crates/daemon/src/entry/store/store_pace.rs
@@ -18,11 +18,6 @@
 /// The same for an instance that starts, has no state yet and can't connect to the store, in ms: callers
 /// wait meanwhile, and a failed connection isn't charged as a call.
 const STARTING_RETRY_INTERVAL_MS: u64 = 40;
-/// Longest random delay before an instance whose relays fell silent calls the store, in ms: it spreads the
-/// instances, and is short enough for a target that leaves meanwhile.
-const STAND_IN_SPREAD_MS: u64 = 150;
-/// The same if the store doesn't answer the relays either, in ms. It is likely to be down for all.
-const LOST_SPREAD_MS: u64 = 2_000;
 /// Shortest delay of an instance that stands in after its first failure, in ms; it doubles with each further
 /// one. Hundreds of instances that retry as often as a relay would use up most calls of a store that is back.
 const STAND_IN_RETRY_INTERVAL_MS: u64 = 500;
@@ -87,12 +82,9 @@
                 Turn::Follow
             }
             StoreRole::StandIn { .. } if stood_in_before => Turn::Call,
-            StoreRole::StandIn { is_store_lost } => {
-                let spread_ms = if is_store_lost {
-                    LOST_SPREAD_MS
-                } else {
-                    STAND_IN_SPREAD_MS
-                };
+            StoreRole::StandIn { .. } => {
+                let now = self.state.now();
+                let spread_ms = self.state.serving().stand_in_spread_ms(now);
                 self.wait_for_relay(fastrand::u64(..spread_ms)).await;
                 Turn::Recheck
             }
--- a/crates/serving/src/serving/relaying.rs
+++ b/crates/serving/src/serving/relaying.rs
@@ -20,6 +20,14 @@
 /// Time without an answer of the store after which a relay reports that the store is lost, in ms: a few
 /// attempts.
 const STORE_LOSS_TIMEOUT_MS: u64 = 600;
+/// Longest random delay before an instance whose relays fell silent calls the store, in ms: it spreads the
+/// instances, and is short enough for a target that leaves meanwhile.
+const STAND_IN_SPREAD_MS: u64 = 150;
+/// The same if the store doesn't answer the relays either, in ms. It is likely to be down for all.
+const LOST_SPREAD_MS: u64 = 2_000;
+/// Time that a call of the store takes, with a new connection, in ms.
+const CALL_MARGIN_MS: u64 = 200;
+
 /// Role of an instance towards the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreRole {
@@ -72,6 +80,21 @@
         matches!(role, StoreRole::StandIn { is_store_lost } if is_store_lost)
     }
 
+    /// Returns the longest random delay before this instance calls the store in place of its relays, in ms.
+    ///
+    /// Guards against an instance that the store would answer, and that waits for relays which the store refuses until
+    /// it can't tell any more whether a removed entry has expired.
+    pub fn stand_in_spread_ms(&self, now: MonoMs) -> u64 {
+        if !self.are_relays_refused(now) {
+            return STAND_IN_SPREAD_MS;
+        }
+        let deadline = self.targets.expiry_deadline();
+        let left_ms = deadline.map_or(LOST_SPREAD_MS, |deadline| deadline.since(now));
+        left_ms
+            .saturating_sub(CALL_MARGIN_MS)
+            .clamp(STAND_IN_SPREAD_MS, LOST_SPREAD_MS)
+    }
+
     /// Returns the instances of this failure domain that should read the store, which may include this one.
     pub(super) fn readers(&self, now: MonoMs) -> impl Iterator<Item = SocketAddr> {
         let candidates = self
--- a/crates/serving/src/targets/store_outages.rs
+++ b/crates/serving/src/targets/store_outages.rs
@@ -85,6 +85,12 @@
         self.is_lost
     }
 
+    /// Returns the time before which the store must answer to show that no entry expired in an outage; `None` if it never
+    /// answered.
+    pub fn expiry_deadline(&self) -> Option<MonoMs> {
+        Some(self.answered_at? + self.min_outage_ms)
+    }
+
     /// Returns when the store answered again after the last outage in which entries may have expired; `None` if there
     /// was none.
     pub fn regained_at(&self) -> Option<MonoMs> {
--- a/crates/serving/src/targets/target_registry.rs
+++ b/crates/serving/src/targets/target_registry.rs
@@ -361,6 +361,12 @@
         self.outages.is_lost()
     }
 
+    /// Returns the time before which the store must answer to show that no entry expired in an outage; `None` if it never
+    /// answered.
+    pub fn expiry_deadline(&self) -> Option<MonoMs> {
+        self.outages.expiry_deadline()
+    }
+
     /// Returns when the store answered again after its last outage; `None` if there was none.
     pub fn store_regained_at(&self) -> Option<MonoMs> {
         self.outages.regained_at()
