--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -24,6 +24,9 @@
     /// The target's limit is used up or it asked for a pause, so nothing was sent.
     #[error("the target takes no more requests now")]
     NotPermitted,
+    /// The target began to leave after it was chosen, so nothing was sent.
+    #[error("the target takes no requests any more")]
+    Leaving,
     /// The target confirms that it hasn't run the request and won't.
     #[error("the target didn't run the request, status {}", .0.status)]
     NotRun(NotRun),
@@ -69,7 +72,11 @@
     pub fn may_have_run(&self) -> bool {
         !matches!(
             self,
-            Self::NotSent(_) | Self::NotPermitted | Self::NotRun(_) | Self::NoMemory(_)
+            Self::NotSent(_)
+                | Self::NotPermitted
+                | Self::Leaving
+                | Self::NotRun(_)
+                | Self::NoMemory(_)
         )
     }
 
@@ -128,6 +135,23 @@
         .map_err(AttemptFault::NotSent)
 }
 
+/// Returns a connection for a caller's request, which is to be sent on it at once.
+///
+/// Guards against a request that waited for memory or for a connection and goes to a target that has left meanwhile.
+///
+/// # Errors
+/// [`AttemptFault::NotSent`] or [`AttemptFault::Leaving`].
+pub async fn request_connection(
+    state: &EntryState,
+    target: &TargetEntry,
+) -> Result<TargetConnection, AttemptFault> {
+    let connection = connection(state, target).await?;
+    if !state.serving().takes_requests(&target.id) {
+        return Err(AttemptFault::Leaving);
+    }
+    Ok(connection)
+}
+
 /// Sends the request and receives the head of its answer.
 ///
 /// Guards against a target that answers a request twice: the second answer arrives where the next
--- a/crates/daemon/src/entry/plain_calls.rs
+++ b/crates/daemon/src/entry/plain_calls.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         answers::{CallerAnswer, NOT_RUN_STATUSES},
-        attempt::{AttemptFault, NotRun, connection, record_crash, send_request},
+        attempt::{AttemptFault, NotRun, record_crash, request_connection, send_request},
         decision_line::Decision,
         entry_state::EntryState,
         exchange::RequestEnd,
@@ -129,7 +129,7 @@
         sent_at: state.now(),
         failed: true,
     };
-    let connection = connection(state, target).await?;
+    let connection = request_connection(state, target).await?;
     let was_reused = connection.is_reused;
     let now = state.now();
     let bytes = context.for_target(&TargetHead {
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answers::{CallerAnswer, NOT_RUN_STATUSES},
-        attempt::{AttemptFault, connection, record_crash, send_request},
+        attempt::{AttemptFault, record_crash, request_connection, send_request},
         decision_line::Decision,
         engine_life::until_engine_is_lost,
         entry_state::EntryState,
@@ -186,7 +186,7 @@
     async fn attempt(&mut self, placement: &PromptPlacement) -> Result<StreamEnd, AttemptFault> {
         let state = self.state;
         let reservations = Reservations::reserve(state, placement).await?;
-        let connection = connection(state, &placement.engine).await?;
+        let connection = request_connection(state, &placement.engine).await?;
         let was_reused = connection.is_reused;
         let request = self.request(placement, &reservations);
         self.log_sent(placement);
--- a/crates/daemon/tests/entry/leaving.rs
+++ b/crates/daemon/tests/entry/leaving.rs
@@ -80,6 +80,27 @@
     assert!(refused.header("Retry-After").is_some());
 }
 
+/// Guards against a prompt that waits for memory and is then sent to an engine that began to leave meanwhile.
+#[async_std::test]
+async fn a_prompt_that_waits_for_memory_is_not_sent_to_an_engine_that_leaves_meanwhile() {
+    let engines = ENGINES.map(|id| target(id, Behaviour::Stream(2)));
+    let fleet = Fleet::of_small_engines(&engines).await;
+    for engine in &engines {
+        engine.set_holds_orders(true);
+    }
+    let mut waiting = Caller::connect(fleet.entries[0].settings().caller_address);
+    waiting.write(&CallerRequest::prompt(format!("{STREAM_PREFIX}x"), LARGE_TOKENS).text());
+    until(|| engines.iter().any(|engine| !engine.orders().is_empty())).await;
+
+    fleet.drain(&engines).await;
+    for engine in &engines {
+        engine.set_holds_orders(false);
+    }
+
+    assert_eq!(waiting.read().unwrap().status, 503);
+    assert!(engines.iter().all(|engine| engine.arrivals().is_empty()));
+}
+
 /// Guards against instances that send to a leaving target until it has answered each of them.
 #[async_std::test]
 async fn all_instances_learn_that_a_target_leaves_from_the_first_one() {
--- a/crates/serving/src/serving/configured.rs
+++ b/crates/serving/src/serving/configured.rs
@@ -65,6 +65,11 @@
         self.targets.store_regained_at()
     }
 
+    /// Returns whether a run is published and takes requests.
+    pub fn takes_requests(&self, run: &str) -> bool {
+        self.targets.ready_entry(run).is_some()
+    }
+
     /// Returns the run ids of the targets that take requests, sorted.
     pub fn ready_targets(&self) -> Vec<String> {
         self.targets.ready_ids()
