--- a/crates/serving/src/targets/store_outages.rs
+++ b/crates/serving/src/targets/store_outages.rs
@@ -3,9 +3,9 @@
 /// Time after an outage for which a removed entry may still be published again, in ms. Live targets whose entries
 /// expired in the outage are back within about two seconds, as the operators promise.
 const GRACE_MS: u64 = 2_300;
-/// Silence of a target after which the store removes its entry, in intervals of its heartbeats, less the interval that
-/// may have passed before an outage, and the variation of both.
-const EXPIRY_INTERVALS: f64 = 1.8;
+/// Shortest outage in which an entry can expire, in intervals of its target's heartbeats. It expires after three without
+/// one, of which one may have passed before the outage; the rest allows for their variation.
+const MIN_OUTAGE_INTERVALS: f64 = 1.8;
 /// Interval between the heartbeats of a target until the settings are applied, in ms.
 const DEFAULT_HEARTBEAT_INTERVAL_MS: u64 = 1_000;
 
@@ -15,6 +15,7 @@
 /// or relays that the store refuses, say nothing about the targets.
 #[derive(Debug)]
 pub struct StoreOutages {
+    /// Shortest outage in which an entry can expire, in ms.
     min_outage_ms: u64,
     /// Whether the store didn't answer the last call.
     is_lost: bool,
@@ -36,7 +37,7 @@
     /// Creates the state of an instance that the store hasn't answered yet. `heartbeat_interval_ms` is that of targets.
     pub fn new(heartbeat_interval_ms: u64) -> Self {
         Self {
-            min_outage_ms: (EXPIRY_INTERVALS * heartbeat_interval_ms as f64) as u64,
+            min_outage_ms: (MIN_OUTAGE_INTERVALS * heartbeat_interval_ms as f64) as u64,
             is_lost: false,
             answered_at: None,
             regained_at: None,
