--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -36,6 +36,8 @@
     pub service: ServiceName,
     /// Its client account; `None` on a route that needs no key.
     pub account: Option<AccountName>,
+    /// Its priority, 0 first: that of its account, or of its route if the account has none.
+    pub priority: u8,
     /// Version of the configuration by which it was routed.
     pub version: u64,
     /// When its first byte was read.
--- a/crates/daemon/src/entry/routing.rs
+++ b/crates/daemon/src/entry/routing.rs
@@ -57,10 +57,11 @@
     } = request;
     let host = head.header("host").unwrap_or_default();
     let route = configuration.route(host, &head.target).map_err(rejection)?;
-    let account = configuration
+    let known = configuration
         .account(route, caller.key.as_deref())
-        .map_err(rejection)?
-        .map(|(name, _priority)| name.clone());
+        .map_err(rejection)?;
+    let account = known.map(|(name, _priority)| name.clone());
+    let priority = known.and_then(|(_name, priority)| priority);
     let service = route
         .draw_service(fastrand::f64())
         .cloned()
@@ -76,6 +77,7 @@
         route: Arc::clone(route),
         service,
         account,
+        priority: priority.unwrap_or(route.priority),
         version: configuration.version,
         head,
         body,
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -22,7 +22,11 @@
     std::sync::Arc,
     whinlatch_core::MonoMs,
     whinlatch_platform::TargetHead,
-    whinlatch_serving::{PromptPlacement, PromptRequest, Refusal, fleet::JobId, names::TargetId},
+    whinlatch_serving::{
+        PromptPlacement, PromptRequest, Refusal,
+        fleet::JobId,
+        names::{AccountId, TargetId},
+    },
 };
 
 /// Engines that are tried before a prompt fails.
@@ -144,6 +148,8 @@
         let patience_ms = context.route.patience_ms.saturating_sub(passed_ms);
         Some(PromptRequest {
             service: context.service.clone(),
+            account: AccountId::of(context.account.as_ref()),
+            priority: context.priority,
             fingerprint: context.fingerprint,
             prompt_tokens: prompt.prompt_tokens,
             answer_tokens: hint.min(max_answer_tokens.max(1)),
--- /dev/null
+++ b/crates/serving/src/calls.rs
@@ -0,0 +1,5 @@
+//! Answers of plain services: how long they take.
+
+mod answer_times;
+
+pub use answer_times::{AnswerTimes, BUCKETS};
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -2,7 +2,7 @@
     super::{EngineGroup, Roster, RosterRows},
     crate::{
         DecisionInputs, PromptRequest, Refusal,
-        names::{FailureDomain, TargetId},
+        names::{AccountId, FailureDomain, TargetId},
         quotas::{PermitRequest, PermitResponse},
         relays::{FollowRequest, KnownState, RelayStatus},
         retries::Fingerprint,
@@ -122,6 +122,12 @@
     /// Expected time from sending to the first event, in ms.
     #[serde(default)]
     pub first_event_ms: u32,
+    /// Client account of its caller.
+    #[serde(default)]
+    pub account: AccountId,
+    /// Its priority, 0 first.
+    #[serde(default)]
+    pub priority: u8,
 }
 
 /// Observed slowdown of an engine against its published timing.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! The crate has no sockets, clocks or threads: each call takes the time at which it is made.
 
+pub mod calls;
 pub mod catalog;
 pub mod engines;
 pub mod fleet;
--- a/crates/serving/src/names.rs
+++ b/crates/serving/src/names.rs
@@ -3,6 +3,7 @@
 use {
     serde::{Deserialize, Serialize},
     std::{borrow::Borrow, fmt, ops::Deref, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Defines a name type that is cheap to clone.
@@ -66,3 +67,20 @@
     /// Name of a failure domain, as instances and targets state it.
     FailureDomain
 }
+
+/// Short id of a client account, which frames between instances carry in place of its name.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct AccountId(u64);
+
+impl AccountId {
+    /// The id of requests on routes that need no key. They share one account.
+    pub const NONE: Self = Self(0);
+
+    /// Returns the id of the account with this name.
+    pub fn of(name: Option<&AccountName>) -> Self {
+        name.map_or(Self::NONE, |name| Self(xxh3_64(name.as_bytes())))
+    }
+}
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -119,6 +119,8 @@
             reserved: shape.reserved,
             is_prioritized: choice.is_prioritized,
             first_event_ms: choice.first_event_ms as u32,
+            account: request.account,
+            priority: request.priority,
         };
         self.add_placed_job(now, &spec, placed.clone());
         self.news.for_group(group).placed.push(placed.clone());
--- a/crates/serving/src/serving/requests.rs
+++ b/crates/serving/src/serving/requests.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         fleet::{JobId, ReservedMemory},
-        names::{ServiceName, TargetId},
+        names::{AccountId, ServiceName, TargetId},
         retries::Fingerprint,
         targets::TargetEntry,
     },
@@ -19,6 +19,12 @@
 pub struct PromptRequest {
     /// Service to whose engines the prompt is sent.
     pub service: ServiceName,
+    /// Client account of its caller.
+    #[serde(default)]
+    pub account: AccountId,
+    /// Its priority, 0 first: that of its account, or of its route if the account has none.
+    #[serde(default)]
+    pub priority: u8,
     /// Hash of account, path and body.
     pub fingerprint: Fingerprint,
     /// Length of the prompt.
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -1,5 +1,7 @@
 //! The decisions of an entry instance, by the loads and the failures that each test guards against.
 
+#[path = "serving/answer_times.rs"]
+mod answer_times;
 #[path = "serving/cold_targets.rs"]
 mod cold_targets;
 #[path = "serving/engine_load.rs"]
