--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -5,6 +5,7 @@
     crate::{errors::DaemonError, logs::LineQueue},
     serde::Serialize,
     std::{
+        ops::Not,
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
     },
@@ -200,10 +201,26 @@
         fingerprint: Option<String>,
         /// Number of the attempt, from 1.
         attempt: u32,
+        /// Whether it is the second attempt of a call whose first one is still in flight.
+        #[serde(skip_serializing_if = "Not::not")]
+        hedge: bool,
         /// Inputs of the decision; `None` for a plain call.
         #[serde(rename = "weighed", skip_serializing_if = "Option::is_none")]
         inputs: Option<DecisionInputs>,
     },
+    /// A call whose first attempt is late was sent to a second target.
+    Hedged {
+        /// Id of the request.
+        request: String,
+        /// Id of the second target's run.
+        target: String,
+        /// Id of the first target's run.
+        first_target: String,
+        /// Time since the first attempt began, in ms.
+        after_ms: u64,
+        /// Answer time from which an answer of the service is late, in ms; `None` if too few answers are known.
+        late_answer_ms: Option<f64>,
+    },
     /// A request was refused.
     Refused {
         /// Id of the request.
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -16,6 +16,30 @@
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1_000.0;
 
+/// How a second attempt of a late call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeOutcome {
+    /// Its answer was passed on.
+    Won,
+    /// The first attempt succeeded before it.
+    Lost,
+    /// It failed, or neither attempt succeeded before the deadline or before the caller disconnected.
+    Failed,
+    /// It wasn't sent because of a limit, or for lack of another target.
+    Denied,
+}
+
+impl HedgeOutcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Won => "won",
+            Self::Lost => "lost",
+            Self::Failed => "failed",
+            Self::Denied => "denied",
+        }
+    }
+}
+
 /// Metrics of an entry instance.
 #[derive(Debug)]
 pub struct EntryMetrics {
@@ -23,6 +47,7 @@
     requests: IntCounterVec,
     attempts_failed: IntCounterVec,
     notices: IntCounterVec,
+    hedges: IntCounterVec,
     durations: HistogramVec,
     first_events: Histogram,
     open_requests: IntGauge,
@@ -78,6 +103,13 @@
                 ),
                 &["kind"],
             )?,
+            hedges: IntCounterVec::new(
+                Opts::new(
+                    "whinlatch_entry_hedges_total",
+                    "Late calls that got a second attempt or were denied one.",
+                ),
+                &["outcome"],
+            )?,
             durations: HistogramVec::new(durations.buckets(BUCKETS_S.to_vec()), &["outcome"])?,
             first_events: Histogram::with_opts(first_events.buckets(BUCKETS_S.to_vec()))?,
             open_requests: IntGauge::new("whinlatch_entry_open_requests", "Requests in flight.")?,
@@ -139,6 +171,7 @@
         self.registry
             .register(Box::new(self.attempts_failed.clone()))?;
         self.registry.register(Box::new(self.notices.clone()))?;
+        self.registry.register(Box::new(self.hedges.clone()))?;
         self.registry.register(Box::new(self.durations.clone()))?;
         self.registry
             .register(Box::new(self.first_events.clone()))?;
@@ -222,6 +255,11 @@
         }
     }
 
+    /// Counts a second attempt of a late call, or its denial.
+    pub fn record_hedge(&self, outcome: HedgeOutcome) {
+        self.hedges.with_label_values(&[outcome.name()]).inc();
+    }
+
     /// Counts a read of the store that failed.
     pub fn record_store_failure(&self) {
         self.store_failures.inc();
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -284,6 +284,7 @@
             pause_limit_ms: context.route.pause_limit_ms,
             fingerprint: context.fingerprint_text(),
             attempt: self.answer.record_send(),
+            hedge: false,
             inputs: Some(placement.inputs),
         });
     }
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -14,6 +14,8 @@
 mod fleet;
 #[path = "entry/frames.rs"]
 mod frames;
+#[path = "entry/hedges.rs"]
+mod hedges;
 #[path = "entry/leaving.rs"]
 mod leaving;
 #[path = "entry/limits.rs"]
--- a/crates/serving/src/calls.rs
+++ b/crates/serving/src/calls.rs
@@ -1,5 +1,9 @@
-//! Answers of plain services: how long they take.
+//! Answers of plain services: how long they take, and when a late call is sent to a second target.
 
 mod answer_times;
+mod hedging;
 
-pub use answer_times::{AnswerTimes, BUCKETS};
+pub use {
+    answer_times::{AnswerTimes, BUCKETS},
+    hedging::{HedgeDelay, HedgeDenial, HedgeLimit, can_be_hedged},
+};
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -38,6 +38,8 @@
     /// Lets one instance grant the requests to a target with a limit; without it each instance has an equal
     /// share.
     SharedQuotas,
+    /// Sends a late idempotent call to a second target.
+    Hedging,
 }
 
 /// Error for a name that is not the name of a mechanism.
@@ -47,7 +49,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order in which the documentation lists them.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -64,6 +66,7 @@
         Self::PassingOver,
         Self::Failures,
         Self::SharedQuotas,
+        Self::Hedging,
     ];
 
     /// Returns the mechanism's name on the command line.
@@ -85,6 +88,7 @@
             Self::PassingOver => "passing-over",
             Self::Failures => "failures",
             Self::SharedQuotas => "shared-quotas",
+            Self::Hedging => "hedging",
         }
     }
 
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod configured;
 mod first_read;
+mod hedges;
 mod members;
 mod news;
 mod notices;
@@ -32,6 +33,7 @@
         retries::{CrashTracker, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
     },
+    hedges::Hedges,
     news::News,
     peers::PeerLag,
     std::{
@@ -56,6 +58,7 @@
     targets: TargetRegistry,
     engines: EngineLoads,
     calls: CallLoads,
+    hedges: Hedges,
     notices: TargetNotices,
     quotas: QuotaTable,
     cold_rule: ColdLimitRule,
@@ -108,6 +111,7 @@
             targets: TargetRegistry::default(),
             engines: EngineLoads::default(),
             calls: CallLoads::default(),
+            hedges: Hedges::default(),
             notices: TargetNotices::default(),
             quotas: QuotaTable::default(),
             cold_rule: ColdLimitRule::default(),
@@ -214,6 +218,11 @@
         self.engines
             .evict_expired(now, |id| targets.entry(id).is_some());
         self.calls.retain(|id| targets.entry(id).is_some());
+        let configuration = &self.configuration;
+        self.hedges.retain(|name| {
+            let configuration = configuration.as_ref();
+            configuration.is_some_and(|configuration| configuration.service(name).is_some())
+        });
         self.notices
             .evict_expired(now, |id| targets.entry(id).is_some());
         self.quotas.evict_expired(now);
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -30,15 +30,24 @@
         request: &CallRequest<'_>,
     ) -> Result<CallPlacement, Refusal> {
         self.admit_request(now, request.service, request.fingerprint, request.is_repeat)?;
+        let target = self
+            .choose_call_target(now, request)
+            .ok_or_else(|| self.refusal_for_closed_targets(now, request.service))?;
+        self.calls.record_sent(&target.id);
+        Ok(CallPlacement { target })
+    }
+
+    /// Chooses one of the targets that take requests and weren't tried.
+    pub(super) fn choose_call_target(
+        &mut self,
+        now: MonoMs,
+        request: &CallRequest<'_>,
+    ) -> Option<TargetEntry> {
         let mut rng = self.rng.fork();
         let candidates = self.targets.ready(request.service);
         let open = candidates.filter(|entry| self.closed_until(now, &entry.id).is_none());
         let target = self.calls.choose(now, open, request.tried, &mut rng);
-        let target = target
-            .cloned()
-            .ok_or_else(|| self.refusal_for_closed_targets(now, request.service))?;
-        self.calls.record_sent(&target.id);
-        Ok(CallPlacement { target })
+        target.cloned()
     }
 
     /// Refuses a request that is poison, and a retry for which the budget has nothing left. Otherwise takes
@@ -75,6 +84,9 @@
         failed: bool,
     ) {
         self.calls.record_ended(now, target, took_ms, failed);
+        if !failed {
+            self.record_answer_time(now, target, took_ms);
+        }
     }
 
     /// Returns whether a connection to a target, or its help, failed recently, here or at a peer.
--- a/crates/serving/src/targets/call_loads.rs
+++ b/crates/serving/src/targets/call_loads.rs
@@ -15,12 +15,20 @@
 /// Factor by which the failure share raises a target's cost: at one failure in two, a target counts as
 /// eleven times as slow.
 const FAILURE_WEIGHT: f64 = 20.0;
+/// A cancelled attempt counts as unanswered if it waited this many times as long as the attempt that succeeded:
+/// less is within the usual spread of answer times.
+const UNANSWERED_RATIO: f64 = 2.0;
+/// Unanswered attempts without an answer between them from which each counts as a failure. One of them may be an
+/// answer that was late by chance, as one in twenty is.
+const FAILED_FROM_UNANSWERED: u32 = 2;
 
 #[derive(Debug, Default, Clone, Copy)]
 struct CallLoad {
     in_flight: u32,
     answer_ms: Option<f64>,
     failures: FailureShare,
+    /// Attempts that were cancelled as unanswered since the last answer.
+    unanswered: u32,
     unreachable_until: MonoMs,
 }
 
@@ -67,6 +75,11 @@
             .is_some_and(|load| load.unreachable_until > now)
     }
 
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self, target: &str) -> u32 {
+        self.by_target.get(target).map_or(0, |load| load.in_flight)
+    }
+
     /// Counts a request as in flight.
     pub fn record_sent(&mut self, target: &TargetId) {
         self.by_target.entry(target.clone()).or_default().in_flight += 1;
@@ -90,6 +103,30 @@
         if !failed {
             let mean_ms = load.answer_ms.unwrap_or(took_ms);
             load.answer_ms = Some(mean_ms + NEWEST_WEIGHT * (took_ms - mean_ms));
+            load.unanswered = 0;
+        }
+    }
+
+    /// Records that a request was cancelled after `waited_ms` because another target served it within
+    /// `winner_ms`. Its answer would have taken longer than `waited_ms`, which counts towards the answer time if
+    /// it is above the average.
+    ///
+    /// Guards against a target that never answers and still gets calls, since each of its requests is cancelled
+    /// before it fails, and against avoiding a target that was only a little slower than another.
+    pub fn record_overtaken(&mut self, now: MonoMs, target: &str, waited_ms: f64, winner_ms: f64) {
+        let Some(load) = self.by_target.get_mut(target) else {
+            return;
+        };
+        load.in_flight = load.in_flight.saturating_sub(1);
+        let mean_ms = load.answer_ms.unwrap_or(ASSUMED_ANSWER_MS);
+        if waited_ms > mean_ms {
+            load.answer_ms = Some(mean_ms + NEWEST_WEIGHT * (waited_ms - mean_ms));
+        }
+        if waited_ms >= UNANSWERED_RATIO * winner_ms.max(1.0) {
+            load.unanswered += 1;
+            if load.unanswered >= FAILED_FROM_UNANSWERED {
+                load.failures.record(now, true);
+            }
         }
     }
 
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -14,6 +14,8 @@
 mod fixture;
 #[path = "serving/fleet_fixture.rs"]
 mod fleet_fixture;
+#[path = "serving/hedges.rs"]
+mod hedges;
 #[path = "serving/instances.rs"]
 mod instances;
 #[path = "serving/large_fleet.rs"]
