--- a/crates/daemon/src/entry/plain_calls/hedge.rs
+++ b/crates/daemon/src/entry/plain_calls/hedge.rs
@@ -27,7 +27,9 @@
 /// An attempt that ended, with its target.
 #[derive(Debug)]
 pub struct EndedAttempt {
+    /// Entry of the target, as known when it was chosen.
     pub target: TargetEntry,
+    /// Its answer, or the fault that ended the attempt.
     pub end: AttemptEnd,
 }
 
@@ -145,17 +147,19 @@
                     count.outcome = HedgeOutcome::Won;
                     return earlier;
                 }
-                if matches!(earlier.end, Err(AttemptFault::NotPermitted)) {
-                    count.outcome = HedgeOutcome::Denied;
-                }
                 self.record_fault(&earlier);
                 (earlier, EndedAttempt::new(first, first_exchange.await))
             }
         };
-        if later.is_success() && later.target.id == second.target().id {
-            count.outcome = HedgeOutcome::Won;
-        }
-        if later.is_success() || earlier.end.is_err() {
+        let hedged = [&earlier, &later]
+            .into_iter()
+            .find(|attempt| attempt.target.id == second.target().id);
+        count.outcome = match hedged.map(|hedged| &hedged.end) {
+            Some(Ok(answer)) if answer.is_success() => HedgeOutcome::Won,
+            Some(Err(AttemptFault::NotPermitted)) => HedgeOutcome::Denied,
+            _ => HedgeOutcome::Failed,
+        };
+        if is_decided_by_later(&earlier.end, &later.end) {
             return later;
         }
         self.record_fault(&later);
@@ -193,3 +197,13 @@
         }
     }
 }
+
+/// Returns whether the later of two attempts counts for the call, of which the earlier one failed: it does if it
+/// succeeded, or if the earlier one got no answer that could be passed on.
+fn is_decided_by_later(earlier: &AttemptEnd, later: &AttemptEnd) -> bool {
+    later.as_ref().is_ok_and(CompleteAnswer::is_success) || earlier.is_err()
+}
+
+#[cfg(test)]
+#[path = "hedge_test.rs"]
+mod tests;
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -20,7 +20,9 @@
 /// A target's answer, received completely.
 #[derive(Debug)]
 pub struct CompleteAnswer {
+    /// Status line and headers.
     pub head: ResponseHead,
+    /// The complete body.
     pub body: Vec<u8>,
 }
 
@@ -41,9 +43,13 @@
 /// A call of a plain service while it is served.
 #[derive(Debug)]
 pub struct PlainCall<'a> {
+    /// State of the instance.
     pub state: &'a EntryState,
+    /// The caller's request with its route.
     pub context: &'a RequestContext,
+    /// The answer to the caller.
     pub answer: &'a CallerAnswer<'a>,
+    /// Its attempts that may have run.
     pub runs: PossibleRuns<'a>,
 }
 
--- a/crates/daemon/tests/entry/hedges.rs
+++ b/crates/daemon/tests/entry/hedges.rs
@@ -361,6 +361,36 @@
     assert_eq!(targets.arrivals(), 2);
 }
 
+/// Load: calls of a service of which one target of five never answers. Guards against calls without an answer within
+/// the objective, which is longer than the delay of a hedge, and against calls that the target goes on to get.
+#[async_std::test]
+async fn all_calls_are_answered_though_one_target_never_answers() {
+    let silent = TargetStandin::start("p-0", Behaviour::Hang);
+    let working = Targets::start(4, &[AtOnce(Behaviour::Serve("listing"))]);
+    let fleet = Fleet::start(Published::Plain(&silent)).await;
+    // It answers the first call, so that the instance prefers it to targets of which it knows no answer yet.
+    silent.script([Behaviour::Serve("listing")]);
+    fleet.status_of(0, &safe_call());
+    for target in &working.targets {
+        fleet.add(Published::Plain(target)).await;
+    }
+
+    for answered in 0..40 {
+        let before = silent.arrivals().len();
+        let mut caller = Caller::connect(fleet.entries[0].settings().caller_address);
+        caller.write(&safe_call().text());
+        until(|| working.arrivals() > answered || silent.arrivals().len() > before).await;
+        if silent.arrivals().len() > before {
+            fleet.advance(HEDGED_MS).await;
+        }
+        assert_eq!(answer(caller).body, "listing");
+    }
+
+    let silent_arrivals = silent.arrivals().len() - 1;
+    assert!((1..=2).contains(&silent_arrivals), "{silent_arrivals}");
+    assert_eq!(hedges(&fleet, "won") as usize, silent_arrivals);
+}
+
 /// Guards against twice the load on a service whose targets are all slow.
 #[async_std::test]
 async fn only_a_share_of_the_calls_is_hedged() {
