--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -1,7 +1,7 @@
 use {
     prometheus::{
-        Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-        Registry, TextEncoder,
+        Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+        IntGauge, Opts, Registry, TextEncoder,
     },
     whinlatch_serving::targets::TargetNotice,
 };
@@ -37,6 +37,8 @@
     frame_bytes: IntCounterVec,
     evacuated_domains: IntGauge,
     cold_targets: IntGauge,
+    ejected_targets: IntGauge,
+    call_picture_age: Gauge,
     dropped_log_lines: IntCounter,
 }
 
@@ -125,6 +127,14 @@
                 "whinlatch_entry_cold_targets",
                 "Targets that take requests and may be cold.",
             )?,
+            ejected_targets: IntGauge::new(
+                "whinlatch_entry_ejected_targets",
+                "Targets that take requests and are ejected, as this instance knows.",
+            )?,
+            call_picture_age: Gauge::new(
+                "whinlatch_entry_call_picture_age_seconds",
+                "Time since the last row of a hub's view of plain targets; 0 at instances that have all reports, -1 before the first row.",
+            )?,
             dropped_log_lines: IntCounter::new(
                 "whinlatch_entry_dropped_log_lines_total",
                 "Log lines that found the queue full.",
@@ -163,6 +173,10 @@
             .register(Box::new(self.evacuated_domains.clone()))?;
         self.registry
             .register(Box::new(self.cold_targets.clone()))?;
+        self.registry
+            .register(Box::new(self.ejected_targets.clone()))?;
+        self.registry
+            .register(Box::new(self.call_picture_age.clone()))?;
         self.registry
             .register(Box::new(self.dropped_log_lines.clone()))
     }
@@ -260,6 +274,14 @@
             .set(i64::try_from(cold_targets).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of ejected targets, and the age of the view of plain targets in ms.
+    pub fn record_call_picture(&self, ejected_targets: usize, age_ms: Option<u64>) {
+        self.ejected_targets
+            .set(i64::try_from(ejected_targets).unwrap_or(i64::MAX));
+        self.call_picture_age
+            .set(age_ms.map_or(-1.0, |age_ms| age_ms as f64 / MS_PER_S));
+    }
+
     /// Counts frames that were queued for peers, and their size in all, by kind.
     pub fn record_frames(&self, kind: &str, frames: u64, bytes: u64) {
         self.frames.with_label_values(&[kind]).inc_by(frames);
--- a/crates/daemon/src/entry/links/keeper.rs
+++ b/crates/daemon/src/entry/links/keeper.rs
@@ -98,7 +98,11 @@
         let roster = serving.roster_news(now);
         let (is_hub, peers) = (serving.is_hub(), serving.live_peer_count(now));
         let role = serving.store_role(now);
+        let ejections = serving.take_ejection_changes();
         drop(serving);
+        for change in &ejections {
+            state.log(&Decision::ejection(change));
+        }
         for removal in &confirmed {
             state.log(&Decision::target(removal, "grace"));
         }
@@ -233,7 +237,9 @@
         let own = self.wanted.own.iter().filter(is_reached);
         let mut own: Vec<SocketAddr> = own.copied().collect();
         let follows = serving.follow_requests(now);
+        let call_report = serving.call_report();
         drop(serving);
+        self.send_all(call_report.into_iter().collect());
         self.state.send(&requested, &frame);
         let Some(fields) = frame.heartbeat else {
             return;
--- a/crates/daemon/src/entry/plain_calls.rs
+++ b/crates/daemon/src/entry/plain_calls.rs
@@ -35,15 +35,20 @@
     target: &'a TargetId,
     sent_at: MonoMs,
     failed: bool,
+    /// Whether the call ended with an answer or a fault of the connection, rather than being given up.
+    has_ended: bool,
 }
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
         let now = self.state.now();
         let took_ms = now.since(self.sent_at) as f64;
-        self.state
-            .serving()
-            .record_call_ended(now, self.target, took_ms, self.failed);
+        let mut serving = self.state.serving();
+        if self.has_ended {
+            serving.record_call_ended(now, self.target, took_ms, self.failed);
+        } else {
+            serving.record_call_unanswered(now, self.target, took_ms);
+        }
     }
 }
 
@@ -128,8 +133,11 @@
         target: &target.id,
         sent_at: state.now(),
         failed: true,
+        has_ended: false,
     };
-    let connection = request_connection(state, target).await?;
+    let connection = request_connection(state, target).await;
+    guard.has_ended = connection.is_err();
+    let connection = connection?;
     let was_reused = connection.is_reused;
     let now = state.now();
     let bytes = context.for_target(&TargetHead {
@@ -155,6 +163,7 @@
     });
     answer.set_may_have_run(true);
     let received = send_and_receive(state, context, target, connection, &bytes).await;
+    guard.has_ended = !matches!(received, Err(AttemptFault::Silent));
     match &received {
         Ok(received) => guard.failed = received.head.status >= 500,
         Err(fault) => record_crash(state, context, target, fault, was_reused),
--- a/crates/serving/src/calls/answer_times.rs
+++ b/crates/serving/src/calls/answer_times.rs
@@ -66,6 +66,33 @@
         None
     }
 
+    /// Returns the median of the answer times, interpolated within its bucket, in ms; `None` as for
+    /// [`Self::quantile_ms`].
+    ///
+    /// Two targets whose medians lie on both sides of a bound would otherwise seem to differ by a bucket's width.
+    pub fn median_ms(&self, now: MonoMs) -> Option<f64> {
+        let bound_ms = self.quantile_ms(now, 0.5)?;
+        let bucket = Self::bucket_of(bound_ms * BOUND_RATIO.sqrt().recip());
+        let half = 0.5 * self.weights.iter().sum::<f64>();
+        let below: f64 = self.weights[..bucket].iter().sum();
+        let position = (half - below) / self.weights[bucket];
+        Some(bound_ms * BOUND_RATIO.powf(position - 1.0))
+    }
+
+    /// Returns the middle of a bucket, in ms.
+    pub fn bucket_ms(bucket: usize) -> f64 {
+        FIRST_BOUND_MS * BOUND_RATIO.powf(bucket.min(BUCKETS - 1) as f64 - 0.5)
+    }
+
+    /// Adds the answers of another histogram, as they count now.
+    pub fn merge(&mut self, now: MonoMs, other: &Self) {
+        let (decay, other_decay) = (self.decay(now), other.decay(now));
+        for (weight, other_weight) in self.weights.iter_mut().zip(other.weights) {
+            *weight = *weight * decay + other_weight * other_decay;
+        }
+        self.updated_at = now;
+    }
+
     fn decay(&self, now: MonoMs) -> f64 {
         0.5_f64.powf(now.since(self.updated_at) as f64 / HALF_LIFE_MS)
     }
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -2,6 +2,7 @@
     super::{EngineGroup, Roster, RosterRows},
     crate::{
         DecisionInputs, PromptRequest, Refusal,
+        calls::{CallPicture, CallReport},
         names::{AccountId, FailureDomain, TargetId},
         quotas::{PermitRequest, PermitResponse},
         relays::{FollowRequest, KnownState, RelayStatus},
@@ -303,6 +304,12 @@
     /// Fingerprints of requests that failed with a target before and have been served since.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub served: Vec<Fingerprint>,
+    /// The sender's calls to plain targets since its last report.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub calls: Vec<CallReport>,
+    /// What the fleet together knows of plain targets, as far as it has changed; sent by the first responsive hub.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub call_picture: Vec<CallPicture>,
 }
 
 /// Main content of a [`Frame`], a label in metrics.
@@ -322,6 +329,8 @@
     Prompts,
     /// Notices of targets and requests for all instances.
     Notices,
+    /// A report of calls to plain targets.
+    Calls,
     /// A heartbeat.
     Heartbeat,
 }
@@ -337,6 +346,7 @@
             Self::Permit => "permit",
             Self::Prompts => "prompts",
             Self::Notices => "notices",
+            Self::Calls => "calls",
             Self::Heartbeat => "heartbeat",
         }
     }
@@ -367,6 +377,9 @@
         if self.has_prompts() {
             return FrameKind::Prompts;
         }
+        if !self.calls.is_empty() {
+            return FrameKind::Calls;
+        }
         FrameKind::Notices
     }
 
--- a/crates/serving/src/fleet/membership.rs
+++ b/crates/serving/src/fleet/membership.rs
@@ -318,15 +318,19 @@
         is_new
     }
 
+    /// Returns the first hub that is responsive, which may be `own`; `None` in a small fleet or if there is none.
+    pub fn first_hub(&self, now: MonoMs, own: SocketAddr) -> Option<SocketAddr> {
+        let is_responsive = |hub: &SocketAddr| {
+            let known = self.known.get(hub);
+            *hub == own || known.is_some_and(|known| known.is_responsive(now, 0))
+        };
+        self.ranks.hubs().iter().copied().find(is_responsive)
+    }
+
     /// Returns the number of engine groups of the first responsive hub; `None` if that is this instance or it
     /// hasn't reported one.
     pub fn hub_group_count(&self, now: MonoMs, own: SocketAddr) -> Option<u32> {
-        let hubs = self.ranks.hubs().iter();
-        let is_responsive = |hub: &&SocketAddr| {
-            let known = self.known.get(*hub);
-            **hub == own || known.is_some_and(|known| known.is_responsive(now, 0))
-        };
-        let first = hubs.copied().find(|hub| is_responsive(&hub))?;
+        let first = self.first_hub(now, own)?;
         let count = self.known.get(&first)?.engine_groups;
         (first != own && count > 0).then_some(count)
     }
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -38,6 +38,10 @@
     /// Lets one instance grant the requests to a target with a limit; without it each instance has an equal
     /// share.
     SharedQuotas,
+    /// Shares the results of calls to plain targets among all instances.
+    SharedCalls,
+    /// Ejects plain targets that fail far more calls, or are far slower, than their peers.
+    OutlierEjection,
 }
 
 /// Error for a name that is not the name of a mechanism.
@@ -47,7 +51,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order in which the documentation lists them.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -64,6 +68,8 @@
         Self::PassingOver,
         Self::Failures,
         Self::SharedQuotas,
+        Self::SharedCalls,
+        Self::OutlierEjection,
     ];
 
     /// Returns the mechanism's name on the command line.
@@ -85,6 +91,8 @@
             Self::PassingOver => "passing-over",
             Self::Failures => "failures",
             Self::SharedQuotas => "shared-quotas",
+            Self::SharedCalls => "shared-calls",
+            Self::OutlierEjection => "outlier-ejection",
         }
     }
 
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -1,5 +1,6 @@
 //! State of an entry instance and the decisions that it takes from it.
 
+mod call_view;
 mod calls;
 mod configured;
 mod first_read;
@@ -23,6 +24,7 @@
 
 use {
     crate::{
+        calls::{EjectionChange, FleetCalls},
         catalog::Configuration,
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, Membership, PublishedText, hash},
@@ -56,6 +58,11 @@
     targets: TargetRegistry,
     engines: EngineLoads,
     calls: CallLoads,
+    fleet_calls: FleetCalls,
+    /// When the last row of a hub's view of plain targets arrived; `None` if none ever has.
+    call_picture_at: Option<MonoMs>,
+    /// Ejections that this instance decided on and that weren't taken for the log yet.
+    ejection_changes: Vec<EjectionChange>,
     notices: TargetNotices,
     quotas: QuotaTable,
     cold_rule: ColdLimitRule,
@@ -108,6 +115,9 @@
             targets: TargetRegistry::default(),
             engines: EngineLoads::default(),
             calls: CallLoads::default(),
+            fleet_calls: FleetCalls::default(),
+            call_picture_at: None,
+            ejection_changes: Vec::new(),
             notices: TargetNotices::default(),
             quotas: QuotaTable::default(),
             cold_rule: ColdLimitRule::default(),
@@ -204,6 +214,7 @@
         self.detect_lag(now);
         for run in self.members.silent_runs(now) {
             self.engines.remove_run(run, &[]);
+            self.fleet_calls.forget_run(run);
         }
         self.members.evict_expired(now);
         self.crashes.evict_expired(now);
@@ -214,9 +225,12 @@
         self.engines
             .evict_expired(now, |id| targets.entry(id).is_some());
         self.calls.retain(|id| targets.entry(id).is_some());
+        self.fleet_calls
+            .evict_expired(now, |id| targets.entry(id).is_some());
         self.notices
             .evict_expired(now, |id| targets.entry(id).is_some());
         self.quotas.evict_expired(now);
+        self.update_call_view(now);
         confirmed
     }
 
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -3,6 +3,7 @@
 use {
     super::{CallPlacement, CallRequest, Refusal, Serving},
     crate::{
+        calls::CallOutcome,
         fleet::Crash,
         mechanism::Mechanism,
         names::{ServiceName, TargetId},
@@ -75,6 +76,12 @@
         failed: bool,
     ) {
         self.calls.record_ended(now, target, took_ms, failed);
+        let outcome = if failed {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Answered { took_ms }
+        };
+        self.record_shared_outcome(now, target, outcome);
     }
 
     /// Returns whether a connection to a target, or its help, failed recently, here or at a peer.
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -164,7 +164,7 @@
     }
 
     /// Returns the next heartbeat: the versions that this instance knows, its own state if it changed, and, if it goes
-    /// over all links, the addresses of a few random peers.
+    /// over all links, the addresses of a few random peers. The first responsive hub adds its view of plain targets.
     ///
     /// It goes over all links in a small fleet, while the instance is starting, since instances that start together find
     /// each other by the addresses in heartbeats, and when its state has changed, since there may be no hub to tell
@@ -188,6 +188,7 @@
             member: has_changed.then_some(own),
             heartbeat: Some(self.heartbeat_fields(now, false)),
             peers,
+            call_picture: self.call_picture_to_send(now),
             ..Frame::default()
         };
         Heartbeat { frame, reach }
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -196,6 +196,8 @@
             takeovers: frame.takeovers,
         };
         self.apply_fleet_notices(now, notices);
+        self.apply_call_reports(now, from, &frame.calls);
+        self.apply_call_picture(now, frame.call_picture);
         for reported in &frame.paces {
             if let Some(spec) = self.spec_of_target(&reported.id) {
                 self.engines
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -5,6 +5,7 @@
 mod call_loads;
 mod evacuations;
 mod failure_share;
+mod fleet_call_load;
 mod store_outages;
 mod target_change;
 mod target_entry;
@@ -18,6 +19,7 @@
     call_loads::CallLoads,
     evacuations::{EvacuationChange, Evacuations},
     failure_share::FailureShare,
+    fleet_call_load::FleetCallLoad,
     store_outages::StoreOutages,
     target_change::{ChangeOutcome, PublishedChanges, TargetChange},
     target_entry::{TargetEntry, TargetState},
--- a/crates/serving/src/targets/call_loads.rs
+++ b/crates/serving/src/targets/call_loads.rs
@@ -1,6 +1,9 @@
 use {
-    super::{FailureShare, TargetEntry},
-    crate::names::TargetId,
+    super::{FailureShare, FleetCallLoad, TargetEntry},
+    crate::{
+        calls::{CallOutcome, CallReport, CallTally},
+        names::TargetId,
+    },
     std::collections::HashMap,
     whinlatch_core::MonoMs,
 };
@@ -15,16 +18,43 @@
 /// Factor by which the failure share raises a target's cost: at one failure in two, a target counts as
 /// eleven times as slow.
 const FAILURE_WEIGHT: f64 = 20.0;
+/// Share of the calls of which one goes to an ejected target as a trial call, if it has none in flight. At 18 calls per
+/// second a target gets a trial call every four seconds, and stays below one call in fifty.
+const TRIAL_SHARE: f64 = 1.0 / 80.0;
 
 #[derive(Debug, Default, Clone, Copy)]
 struct CallLoad {
     in_flight: u32,
     answer_ms: Option<f64>,
+    answered_at: MonoMs,
     failures: FailureShare,
     unreachable_until: MonoMs,
+    /// Results that this instance hasn't reported yet.
+    unreported: CallTally,
+    /// Calls in flight as last reported.
+    reported_in_flight: u32,
+    fleet: Option<FleetCallLoad>,
 }
 
-/// Requests in flight, answer times and failures per target of plain services, as observed by this instance.
+impl CallLoad {
+    /// Returns the expected answer time of an idle target: of the instance's own value and the fleet's the newer one.
+    fn answer_ms(&self) -> f64 {
+        let fleet = self.fleet.filter(|fleet| fleet.as_of > self.answered_at);
+        fleet
+            .and_then(|fleet| fleet.answer_ms)
+            .or(self.answer_ms)
+            .or_else(|| self.fleet?.answer_ms)
+            .unwrap_or(ASSUMED_ANSWER_MS)
+    }
+
+    fn in_flight(&self) -> u32 {
+        let elsewhere = self.fleet.map_or(0, |fleet| fleet.in_flight_elsewhere);
+        self.in_flight.saturating_add(elsewhere)
+    }
+}
+
+/// Requests in flight, answer times and failures per target of plain services, as observed by this instance and, where
+/// it is known, by the fleet together.
 #[derive(Debug, Default)]
 pub struct CallLoads {
     by_target: HashMap<TargetId, CallLoad>,
@@ -33,6 +63,9 @@
 impl CallLoads {
     /// Returns the target with the lowest expected answer time, raised by a random 0 to 20 % so that equal
     /// targets share the calls. Targets in `tried` are excluded, unreachable ones are a last resort.
+    ///
+    /// An ejected target is chosen for a trial call, one at a time over the fleet as far as is known, or if there is no
+    /// other. A call that was tried elsewhere is no trial call: its caller has waited already.
     pub fn choose<'a>(
         &self,
         now: MonoMs,
@@ -40,24 +73,88 @@
         tried: &[TargetId],
         rng: &mut fastrand::Rng,
     ) -> Option<&'a TargetEntry> {
+        let candidates: Vec<(&TargetEntry, CallLoad)> = candidates
+            .map(|entry| (entry, self.load(&entry.id)))
+            .collect();
+        let usual_share = usual_failure_share(&candidates);
+        let (ejected, admitted): (Vec<_>, Vec<_>) = candidates
+            .into_iter()
+            .filter(|(entry, _)| !tried.contains(&entry.id))
+            .partition(|(_, load)| load.fleet.is_some_and(|fleet| fleet.is_ejected));
+        let trial = ejected.iter().find(|(_, load)| load.in_flight() == 0);
+        if let Some((entry, _)) = trial
+            && tried.is_empty()
+            && rng.f64() < TRIAL_SHARE
+        {
+            return Some(entry);
+        }
+        let candidates = if admitted.is_empty() {
+            ejected
+        } else {
+            admitted
+        };
         candidates
-            .filter(|entry| !tried.contains(&entry.id))
-            .map(|entry| (self.cost(now, entry) * (1.0 + 0.2 * rng.f64()), entry))
+            .into_iter()
+            .map(|(entry, load)| {
+                let cost = cost(now, entry, &load, usual_share);
+                (cost * (1.0 + 0.2 * rng.f64()), entry)
+            })
             .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_, entry)| entry)
     }
 
-    fn cost(&self, now: MonoMs, entry: &TargetEntry) -> f64 {
-        let load = self.by_target.get(&entry.id).copied().unwrap_or_default();
-        let answer_ms = load.answer_ms.unwrap_or(ASSUMED_ANSWER_MS);
-        let utilization = f64::from(load.in_flight) / f64::from(entry.slots.max(1));
-        let failure_share = load.failures.at(now);
-        let unreachable_cost = if load.unreachable_until > now {
-            1e6
-        } else {
-            0.0
-        };
-        answer_ms * (1.0 + utilization) * (1.0 + FAILURE_WEIGHT * failure_share) + unreachable_cost
+    fn load(&self, target: &str) -> CallLoad {
+        self.by_target.get(target).copied().unwrap_or_default()
+    }
+
+    /// Replaces the fleet's view of one target.
+    pub fn set_fleet_load(&mut self, target: &TargetId, fleet: FleetCallLoad) {
+        self.by_target.entry(target.clone()).or_default().fleet = Some(fleet);
+    }
+
+    /// Removes the fleet's view of all targets.
+    pub fn clear_fleet_loads(&mut self) {
+        for load in self.by_target.values_mut() {
+            load.fleet = None;
+        }
+    }
+
+    /// Returns the 95th percentile of a service's answer times in the newest view of one of its targets, in ms.
+    pub fn fleet_late_ms<'a>(&self, targets: impl Iterator<Item = &'a TargetId>) -> Option<f64> {
+        let fleet = targets.filter_map(|id| self.load(id).fleet);
+        fleet.max_by_key(|fleet| fleet.as_of)?.late_ms
+    }
+
+    /// Returns the number of calls in flight to a target from all instances, as far as it is known here.
+    pub fn in_flight(&self, target: &str) -> u32 {
+        self.load(target).in_flight()
+    }
+
+    /// Returns this instance's calls in flight to a target, as last reported.
+    pub fn reported_in_flight(&self, target: &str) -> u32 {
+        self.load(target).reported_in_flight
+    }
+
+    /// Returns whether a target is ejected, as far as it is known here.
+    pub fn is_ejected(&self, target: &str) -> bool {
+        let fleet = self.load(target).fleet;
+        fleet.is_some_and(|fleet| fleet.is_ejected)
+    }
+
+    /// Returns the calls in flight and the results since the last call of this method, for each of the targets
+    /// for which `is_reported`. Targets without calls are left out.
+    pub fn take_reports(&mut self, is_reported: impl Fn(&str) -> bool) -> Vec<CallReport> {
+        let mut reports = Vec::new();
+        for (id, load) in &mut self.by_target {
+            let unreported = std::mem::take(&mut load.unreported);
+            let has_calls =
+                load.in_flight > 0 || load.reported_in_flight > 0 || !unreported.is_empty();
+            load.reported_in_flight = load.in_flight;
+            if has_calls && is_reported(id) {
+                reports.push(unreported.report(id.clone(), load.in_flight));
+            }
+        }
+        reports
     }
 
     /// Returns whether a connection to a target failed within the last `UNREACHABLE_TTL_MS`.
@@ -82,15 +179,33 @@
     /// Records the end of a request; `failed` if the target didn't serve it. Only answers that didn't fail
     /// count towards the answer time.
     pub fn record_ended(&mut self, now: MonoMs, target: &str, took_ms: f64, failed: bool) {
+        let outcome = if failed {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Answered { took_ms }
+        };
+        self.record_outcome(now, target, outcome);
+    }
+
+    /// Records a request that was given up without an answer.
+    pub fn record_unanswered(&mut self, now: MonoMs, target: &str) {
+        self.record_outcome(now, target, CallOutcome::Unanswered);
+    }
+
+    fn record_outcome(&mut self, now: MonoMs, target: &str, outcome: CallOutcome) {
         let Some(load) = self.by_target.get_mut(target) else {
             return;
         };
         load.in_flight = load.in_flight.saturating_sub(1);
-        load.failures.record(now, failed);
-        if !failed {
-            let mean_ms = load.answer_ms.unwrap_or(took_ms);
-            load.answer_ms = Some(mean_ms + NEWEST_WEIGHT * (took_ms - mean_ms));
-        }
+        load.unreported.record(outcome);
+        let CallOutcome::Answered { took_ms } = outcome else {
+            load.failures.record(now, true);
+            return;
+        };
+        load.failures.record(now, false);
+        let mean_ms = load.answer_ms.unwrap_or(took_ms);
+        load.answer_ms = Some(mean_ms + NEWEST_WEIGHT * (took_ms - mean_ms));
+        load.answered_at = now;
     }
 
     /// Records a failed connection to a target. Returns false if the target already counted as unreachable.
@@ -107,3 +222,30 @@
             .retain(|id, load| load.in_flight > 0 || is_published(id));
     }
 }
+
+/// Returns the median of the fleet's failure shares of some targets, 0 if none is known.
+fn usual_failure_share(candidates: &[(&TargetEntry, CallLoad)]) -> f64 {
+    let fleet = candidates.iter().filter_map(|(_, load)| load.fleet);
+    let mut shares: Vec<f64> = fleet.map(|fleet| fleet.failure_share).collect();
+    shares.sort_by(f64::total_cmp);
+    shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// Returns the expected answer time of a target, raised by its failures. Those that the fleet counts raise it as far
+/// as they exceed `usual_share`, that of its peers.
+///
+/// The higher one of the own and the fleet's failure shares counts, also if the other is newer: an instance of a large
+/// fleet has one call in some seconds, and one success of its own says little against a dozen calls of the others.
+fn cost(now: MonoMs, entry: &TargetEntry, load: &CallLoad, usual_share: f64) -> f64 {
+    let utilization = f64::from(load.in_flight()) / f64::from(entry.slots.max(1));
+    let fleet_share = load.fleet.map_or(0.0, |fleet| fleet.failure_share);
+    let fleet_excess = fleet_share - usual_share;
+    let failure_share = load.failures.at(now).max(fleet_excess);
+    let unreachable_cost = if load.unreachable_until > now {
+        1e6
+    } else {
+        0.0
+    };
+    load.answer_ms() * (1.0 + utilization) * (1.0 + FAILURE_WEIGHT * failure_share)
+        + unreachable_cost
+}
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -34,5 +34,7 @@
 mod removals;
 #[path = "serving/retries.rs"]
 mod retries;
+#[path = "serving/shared_calls.rs"]
+mod shared_calls;
 #[path = "serving/targets.rs"]
 mod targets;
--- a/crates/serving/tests/serving/fleet_fixture.rs
+++ b/crates/serving/tests/serving/fleet_fixture.rs
@@ -203,6 +203,7 @@
                 };
                 self.deliver(from, to, frame);
             }
+            self.deliver_call_report(from);
             self.read_store(from);
             self.request_missing_state(from);
             self.deliver_relay_updates(from);
@@ -235,6 +236,17 @@
         }
     }
 
+    fn deliver_call_report(&mut self, from: SocketAddr) {
+        let Some((recipients, frame)) = self.alive.get_mut(&from).unwrap().call_report() else {
+            return;
+        };
+        for to in self.links_of(from) {
+            if is_recipient(&recipients, &to) {
+                self.deliver(from, to, frame.clone());
+            }
+        }
+    }
+
     /// Lets an instance read the store, unless it follows a relay or has failed a short time ago.
     fn read_store(&mut self, from: SocketAddr) {
         let now = self.now;
