--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -1,7 +1,7 @@
 use {
     prometheus::{
-        Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-        Registry, TextEncoder,
+        Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+        IntGauge, Opts, Registry, TextEncoder,
     },
     whinlatch_serving::targets::TargetNotice,
 };
@@ -62,6 +62,8 @@
     frame_bytes: IntCounterVec,
     evacuated_domains: IntGauge,
     cold_targets: IntGauge,
+    ejected_targets: IntGauge,
+    call_picture_age: Gauge,
     dropped_log_lines: IntCounter,
 }
 
@@ -85,29 +87,24 @@
         );
         let metrics = Self {
             registry: Registry::new(),
-            requests: IntCounterVec::new(
-                Opts::new("whinlatch_entry_requests_total", "Requests that ended."),
+            requests: counter_vec(
+                "whinlatch_entry_requests_total",
+                "Requests that ended.",
                 &["outcome", "status"],
             )?,
-            attempts_failed: IntCounterVec::new(
-                Opts::new(
-                    "whinlatch_entry_attempts_failed_total",
-                    "Attempts that failed.",
-                ),
+            attempts_failed: counter_vec(
+                "whinlatch_entry_attempts_failed_total",
+                "Attempts that failed.",
                 &["may_have_run"],
             )?,
-            notices: IntCounterVec::new(
-                Opts::new(
-                    "whinlatch_entry_notices_total",
-                    "Answers in which a target reports a limit, a pause or its leaving.",
-                ),
+            notices: counter_vec(
+                "whinlatch_entry_notices_total",
+                "Answers in which a target reports a limit, a pause or its leaving.",
                 &["kind"],
             )?,
-            hedges: IntCounterVec::new(
-                Opts::new(
-                    "whinlatch_entry_hedges_total",
-                    "Late calls that got a second attempt or were denied one.",
-                ),
+            hedges: counter_vec(
+                "whinlatch_entry_hedges_total",
+                "Late calls that got a second attempt or were denied one.",
                 &["outcome"],
             )?,
             durations: HistogramVec::new(durations.buckets(BUCKETS_S.to_vec()), &["outcome"])?,
@@ -117,8 +114,9 @@
                 "whinlatch_entry_store_failures_total",
                 "Reads of the store that failed.",
             )?,
-            store_calls: IntCounterVec::new(
-                Opts::new("whinlatch_entry_store_calls_total", "Calls of the store."),
+            store_calls: counter_vec(
+                "whinlatch_entry_store_calls_total",
+                "Calls of the store.",
                 &["kind", "reason"],
             )?,
             unconfirmed_removals: IntCounter::new(
@@ -134,18 +132,14 @@
                 "Changes of targets that were first received from peers.",
             )?,
             knowledge_age: Histogram::with_opts(knowledge_age.buckets(AGE_BUCKETS_S.to_vec()))?,
-            frames: IntCounterVec::new(
-                Opts::new(
-                    "whinlatch_entry_peer_frames_total",
-                    "Frames that were queued for peers, by their main content.",
-                ),
+            frames: counter_vec(
+                "whinlatch_entry_peer_frames_total",
+                "Frames that were queued for peers, by their main content.",
                 &["kind"],
             )?,
-            frame_bytes: IntCounterVec::new(
-                Opts::new(
-                    "whinlatch_entry_peer_frame_bytes_total",
-                    "Encoded size of the frames that were queued for peers, by their main content.",
-                ),
+            frame_bytes: counter_vec(
+                "whinlatch_entry_peer_frame_bytes_total",
+                "Encoded size of the frames that were queued for peers, by their main content.",
                 &["kind"],
             )?,
             linked_peers: IntGauge::new("whinlatch_entry_linked_peers", "Links to peers.")?,
@@ -157,6 +151,14 @@
                 "whinlatch_entry_cold_targets",
                 "Targets that take requests and may be cold.",
             )?,
+            ejected_targets: IntGauge::new(
+                "whinlatch_entry_ejected_targets",
+                "Targets that take requests and are ejected, as this instance knows.",
+            )?,
+            call_picture_age: Gauge::new(
+                "whinlatch_entry_call_picture_age_seconds",
+                "Time since the last row of a hub's view of plain targets; 0 at instances that have all reports, -1 before the first row.",
+            )?,
             dropped_log_lines: IntCounter::new(
                 "whinlatch_entry_dropped_log_lines_total",
                 "Log lines that found the queue full.",
@@ -196,6 +198,10 @@
             .register(Box::new(self.evacuated_domains.clone()))?;
         self.registry
             .register(Box::new(self.cold_targets.clone()))?;
+        self.registry
+            .register(Box::new(self.ejected_targets.clone()))?;
+        self.registry
+            .register(Box::new(self.call_picture_age.clone()))?;
         self.registry
             .register(Box::new(self.dropped_log_lines.clone()))
     }
@@ -298,6 +304,14 @@
             .set(i64::try_from(cold_targets).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of ejected targets, and the age of the view of plain targets in ms.
+    pub fn record_call_picture(&self, ejected_targets: usize, age_ms: Option<u64>) {
+        self.ejected_targets
+            .set(i64::try_from(ejected_targets).unwrap_or(i64::MAX));
+        self.call_picture_age
+            .set(age_ms.map_or(-1.0, |age_ms| age_ms as f64 / MS_PER_S));
+    }
+
     /// Counts frames that were queued for peers, and their size in all, by kind.
     pub fn record_frames(&self, kind: &str, frames: u64, bytes: u64) {
         self.frames.with_label_values(&[kind]).inc_by(frames);
@@ -319,3 +333,11 @@
         self.dropped_log_lines.inc();
     }
 }
+
+fn counter_vec(
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), labels)
+}
--- a/crates/daemon/src/entry/plain_calls/call_guard.rs
+++ b/crates/daemon/src/entry/plain_calls/call_guard.rs
@@ -17,7 +17,7 @@
 }
 
 /// Counts an attempt towards its target's load until its end is recorded, or until dropped: an attempt that is
-/// cancelled after it began counts as failed.
+/// cancelled after it began counts as given up without an answer.
 #[derive(Debug)]
 pub struct CallGuard<'a> {
     state: &'a EntryState,
@@ -97,6 +97,16 @@
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
-        self.record_ended(true);
+        let target = &self.target.id;
+        match self.end() {
+            AttemptState::Placed => self.state.serving().record_call_withdrawn(target),
+            AttemptState::Begun(begun_at) => {
+                let now = self.state.now();
+                let waited_ms = now.since(begun_at) as f64;
+                let mut serving = self.state.serving();
+                serving.record_call_unanswered(now, target, waited_ms);
+            }
+            AttemptState::Ended { .. } => {}
+        }
     }
 }
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -40,6 +40,10 @@
     SharedQuotas,
     /// Sends a late idempotent call to a second target.
     Hedging,
+    /// Shares the results of calls to plain targets among all instances.
+    SharedCalls,
+    /// Ejects plain targets that fail far more calls, or are far slower, than their peers.
+    OutlierEjection,
 }
 
 /// Error for a name that is not the name of a mechanism.
@@ -49,7 +53,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order in which the documentation lists them.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 19] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -67,6 +71,8 @@
         Self::Failures,
         Self::SharedQuotas,
         Self::Hedging,
+        Self::SharedCalls,
+        Self::OutlierEjection,
     ];
 
     /// Returns the mechanism's name on the command line.
@@ -89,6 +95,8 @@
             Self::Failures => "failures",
             Self::SharedQuotas => "shared-quotas",
             Self::Hedging => "hedging",
+            Self::SharedCalls => "shared-calls",
+            Self::OutlierEjection => "outlier-ejection",
         }
     }
 
