--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -11,7 +11,6 @@
     },
     whinlatch_serving::{
         DecisionInputs,
-        calls::EjectionChange,
         targets::{TargetChange, TargetState},
     },
 };
@@ -176,19 +175,6 @@
         /// Number of live peers.
         peers: usize,
     },
-    /// A target of a plain service was ejected or readmitted.
-    TargetEjected {
-        /// The target.
-        target: String,
-        /// Whether it is ejected now.
-        is_ejected: bool,
-        /// Share of its calls that failed or stayed unanswered.
-        failure_share: f64,
-        /// Its median answer time, in ms.
-        answer_ms: Option<f64>,
-        /// The median of its peers, in ms.
-        peers_answer_ms: Option<f64>,
-    },
     /// A request was sent to a target.
     Sent {
         /// Id of the request.
@@ -299,17 +285,6 @@
             source,
         }
     }
-
-    /// Creates the line for the ejection or readmission of a target.
-    pub fn ejection(change: &EjectionChange) -> Self {
-        Self::TargetEjected {
-            target: change.target.to_string(),
-            is_ejected: change.is_ejected,
-            failure_share: change.failure_share,
-            answer_ms: change.answer_ms,
-            peers_answer_ms: change.peers_answer_ms,
-        }
-    }
 }
 
 #[derive(Serialize)]
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -62,7 +62,6 @@
     frame_bytes: IntCounterVec,
     evacuated_domains: IntGauge,
     cold_targets: IntGauge,
-    ejected_targets: IntGauge,
     call_picture_age: Gauge,
     dropped_log_lines: IntCounter,
 }
@@ -151,10 +150,6 @@
                 "whinlatch_entry_cold_targets",
                 "Targets that take requests and may be cold.",
             )?,
-            ejected_targets: IntGauge::new(
-                "whinlatch_entry_ejected_targets",
-                "Targets that take requests and are ejected, as this instance knows.",
-            )?,
             call_picture_age: Gauge::new(
                 "whinlatch_entry_call_picture_age_seconds",
                 "Time since the last row of a hub's view of plain targets; 0 at instances that have all reports, -1 before the first row.",
@@ -198,8 +193,6 @@
             .register(Box::new(self.evacuated_domains.clone()))?;
         self.registry
             .register(Box::new(self.cold_targets.clone()))?;
-        self.registry
-            .register(Box::new(self.ejected_targets.clone()))?;
         self.registry
             .register(Box::new(self.call_picture_age.clone()))?;
         self.registry
@@ -304,10 +297,8 @@
             .set(i64::try_from(cold_targets).unwrap_or(i64::MAX));
     }
 
-    /// Records the number of ejected targets, and the age of the view of plain targets in ms.
-    pub fn record_call_picture(&self, ejected_targets: usize, age_ms: Option<u64>) {
-        self.ejected_targets
-            .set(i64::try_from(ejected_targets).unwrap_or(i64::MAX));
+    /// Records the age of the view of plain targets, in ms.
+    pub fn record_call_picture(&self, age_ms: Option<u64>) {
         self.call_picture_age
             .set(age_ms.map_or(-1.0, |age_ms| age_ms as f64 / MS_PER_S));
     }
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -177,12 +177,10 @@
         let serving = self.serving();
         let evacuated_domains = serving.evacuated_domains().len();
         let cold_targets = serving.cold_target_count(now);
-        let ejected_targets = serving.ejected_target_count();
         let call_picture_age_ms = serving.call_picture_age_ms(now);
         drop(serving);
         self.metrics.record_targets(evacuated_domains, cold_targets);
-        self.metrics
-            .record_call_picture(ejected_targets, call_picture_age_ms);
+        self.metrics.record_call_picture(call_picture_age_ms);
     }
 
     /// Queues a line for the log.
--- a/crates/daemon/src/entry/links/keeper.rs
+++ b/crates/daemon/src/entry/links/keeper.rs
@@ -98,11 +98,7 @@
         let roster = serving.roster_news(now);
         let (is_hub, peers) = (serving.is_hub(), serving.live_peer_count(now));
         let role = serving.store_role(now);
-        let ejections = serving.take_ejection_changes();
         drop(serving);
-        for change in &ejections {
-            state.log(&Decision::ejection(change));
-        }
         for removal in &confirmed {
             state.log(&Decision::target(removal, "grace"));
         }
--- a/crates/serving/src/calls.rs
+++ b/crates/serving/src/calls.rs
@@ -7,7 +7,6 @@
 mod call_picture;
 mod call_report;
 mod call_tally;
-mod ejection_change;
 mod fleet_calls;
 mod hedging;
 mod target_calls;
@@ -19,7 +18,6 @@
     call_picture::CallPicture,
     call_report::CallReport,
     call_tally::CallTally,
-    ejection_change::EjectionChange,
     fleet_calls::FleetCalls,
     hedging::{HedgeDelay, HedgeDenial, HedgeLimit, can_be_hedged},
     target_calls::TargetCalls,
--- a/crates/serving/src/calls/answer_times.rs
+++ b/crates/serving/src/calls/answer_times.rs
@@ -48,7 +48,7 @@
     }
 
     /// Returns the upper bound of the time in which the share `quantile` of the answers came, in ms; `None` if too
-    /// few are known, or if it lies in the last bucket.
+    /// few are known. For the last bucket, which has none, it is the lower bound.
     pub fn quantile_ms(&self, now: MonoMs, quantile: f64) -> Option<f64> {
         let all: f64 = self.weights.iter().sum();
         if all * self.decay(now) < MIN_WEIGHT {
@@ -63,7 +63,7 @@
             }
             bound_ms *= BOUND_RATIO;
         }
-        None
+        Some(bound_ms / BOUND_RATIO)
     }
 
     /// Returns the median of the answer times, interpolated within its bucket, in ms; `None` as for
@@ -76,7 +76,7 @@
         let half = 0.5 * self.weights.iter().sum::<f64>();
         let below: f64 = self.weights[..bucket].iter().sum();
         let position = (half - below) / self.weights[bucket];
-        Some(bound_ms * BOUND_RATIO.powf(position - 1.0))
+        Some(bound_ms * BOUND_RATIO.powf(position.min(1.0) - 1.0))
     }
 
     /// Returns the middle of a bucket, in ms.
--- a/crates/serving/src/calls/call_picture.rs
+++ b/crates/serving/src/calls/call_picture.rs
@@ -6,8 +6,7 @@
 /// Change of the calls in flight from which a target's row is sent again. Smaller ones are over before the row
 /// arrives: a call of 30 ms is shorter than the time between two heartbeats.
 const MIN_IN_FLIGHT_CHANGE: u32 = 2;
-/// Change of the failure share from which a target's row is sent again: a sixth of the share from which targets are
-/// ejected.
+/// Change of the failure share from which a target's row is sent again: it doubles the cost of a target.
 const MIN_SHARE_CHANGE: f32 = 0.05;
 /// Relative change of a time from which a target's row is sent again: below it, the random part of a target's cost
 /// decides.
@@ -30,16 +29,12 @@
     /// Share of the calls that failed or stayed unanswered, in steps of a hundredth.
     #[serde(default)]
     pub failure_share: f32,
-    /// Whether the target is ejected.
-    #[serde(default)]
-    pub is_ejected: bool,
 }
 
 impl CallPicture {
     /// Returns whether a row differs from this one by so much that it should be sent.
     pub fn differs_from(&self, other: &Self) -> bool {
-        self.is_ejected != other.is_ejected
-            || self.in_flight.abs_diff(other.in_flight) >= MIN_IN_FLIGHT_CHANGE
+        self.in_flight.abs_diff(other.in_flight) >= MIN_IN_FLIGHT_CHANGE
             || (self.failure_share - other.failure_share).abs() >= MIN_SHARE_CHANGE
             || is_other_time(self.answer_ms, other.answer_ms)
             || is_other_time(self.late_ms, other.late_ms)
--- a/crates/serving/src/calls/target_calls.rs
+++ b/crates/serving/src/calls/target_calls.rs
@@ -7,9 +7,9 @@
 /// Time for which an instance's report of calls in flight holds, in ms: four heartbeats of a large fleet. Instances
 /// repeat it with each heartbeat while there are any.
 const IN_FLIGHT_TTL_MS: u64 = 2_000;
-/// Trial calls in a row that must succeed until an ejected target is readmitted. A target that answers half of its
-/// calls passes five trials in a row once in 30 times.
-const TRIALS_TO_READMIT: u32 = 5;
+/// Maximum number of calls of one kind that a report of one instance counts for: an instance has some hundred
+/// connections to a target, and reports twice a second or more often.
+const MAX_REPORTED_CALLS: u32 = 1_000;
 
 /// What the reports of the instances say of a target.
 #[derive(Debug, Clone, Default)]
@@ -20,37 +20,28 @@
     pub times: AnswerTimes,
     /// Calls and failures.
     pub counts: CallCounts,
-    /// State of the ejection; `None` if the target isn't ejected.
-    ejection: Option<Ejection>,
     /// The last row that was sent, and when.
     pub sent: Option<(CallPicture, MonoMs)>,
 }
 
-/// Trial calls of an ejected target.
-#[derive(Debug, Clone, Copy)]
-struct Ejection {
-    since: MonoMs,
-    passed_trials: u32,
-    /// Answer time from which a trial doesn't count as a success, in ms.
-    slow_ms: f64,
-}
-
 impl TargetCalls {
-    /// Applies the report of another instance.
+    /// Applies the report of another instance. Counts beyond what an instance can have are cut, so that one wrong
+    /// report doesn't outweigh all others.
     pub fn apply_report(&mut self, now: MonoMs, run: u64, report: &CallReport) {
         if report.in_flight > 0 {
-            self.in_flight_elsewhere
-                .insert(run, (report.in_flight, now));
+            let in_flight = report.in_flight.min(MAX_REPORTED_CALLS);
+            self.in_flight_elsewhere.insert(run, (in_flight, now));
         } else {
             self.in_flight_elsewhere.remove(&run);
         }
         for (bucket, count) in &report.answers {
             let bucket = usize::from(*bucket);
-            self.times.add(now, bucket, f64::from(*count));
-            self.counts.add(now, *count, 0);
-            self.count_trials(AnswerTimes::bucket_ms(bucket), *count);
+            let count = (*count).min(MAX_REPORTED_CALLS);
+            self.times.add(now, bucket, f64::from(count));
+            self.counts.add(now, count, 0);
         }
         let failed = report.failed.saturating_add(report.unanswered);
+        let failed = failed.min(MAX_REPORTED_CALLS);
         self.record_failures(now, failed);
     }
 
@@ -60,7 +51,6 @@
             CallOutcome::Answered { took_ms } => {
                 self.times.record(now, took_ms);
                 self.counts.add(now, 1, 0);
-                self.count_trials(took_ms, 1);
             }
             CallOutcome::Failed | CallOutcome::Unanswered => self.record_failures(now, 1),
         }
@@ -68,19 +58,6 @@
 
     fn record_failures(&mut self, now: MonoMs, failed: u32) {
         self.counts.add(now, failed, failed);
-        if let Some(ejection) = self.ejection.as_mut().filter(|_| failed > 0) {
-            ejection.passed_trials = 0;
-        }
-    }
-
-    fn count_trials(&mut self, took_ms: f64, count: u32) {
-        if let Some(ejection) = &mut self.ejection {
-            ejection.passed_trials = if took_ms < ejection.slow_ms {
-                ejection.passed_trials.saturating_add(count)
-            } else {
-                0
-            };
-        }
     }
 
     /// Returns the calls in flight of the other instances.
@@ -102,31 +79,4 @@
         self.in_flight_elsewhere
             .retain(|_, (_, reported_at)| now.since(*reported_at) < IN_FLIGHT_TTL_MS);
     }
-
-    /// Returns since when the target is ejected; `None` if it isn't.
-    pub fn ejected_since(&self) -> Option<MonoMs> {
-        self.ejection.map(|ejection| ejection.since)
-    }
-
-    /// Returns whether enough trial calls of an ejected target have succeeded.
-    pub fn has_passed_trials(&self) -> bool {
-        self.ejection
-            .is_some_and(|ejection| ejection.passed_trials >= TRIALS_TO_READMIT)
-    }
-
-    /// Ejects the target. Trial calls that take `slow_ms` or longer don't count as successes.
-    pub fn eject(&mut self, now: MonoMs, slow_ms: f64) {
-        self.ejection = Some(Ejection {
-            since: now,
-            passed_trials: 0,
-            slow_ms,
-        });
-    }
-
-    /// Readmits the target. What was counted before no longer counts, so that it isn't ejected for it again.
-    pub fn readmit(&mut self) {
-        self.ejection = None;
-        self.times = AnswerTimes::default();
-        self.counts = CallCounts::default();
-    }
 }
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -42,8 +42,6 @@
     Hedging,
     /// Shares the results of calls to plain targets among all instances.
     SharedCalls,
-    /// Ejects plain targets that fail far more calls, or are far slower, than their peers.
-    OutlierEjection,
 }
 
 /// Error for a name that is not the name of a mechanism.
@@ -53,7 +51,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order in which the documentation lists them.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 18] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -72,7 +70,6 @@
         Self::SharedQuotas,
         Self::Hedging,
         Self::SharedCalls,
-        Self::OutlierEjection,
     ];
 
     /// Returns the mechanism's name on the command line.
@@ -96,7 +93,6 @@
             Self::SharedQuotas => "shared-quotas",
             Self::Hedging => "hedging",
             Self::SharedCalls => "shared-calls",
-            Self::OutlierEjection => "outlier-ejection",
         }
     }
 
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -25,7 +25,7 @@
 
 use {
     crate::{
-        calls::{EjectionChange, FleetCalls, HedgeLimit},
+        calls::{FleetCalls, HedgeLimit},
         catalog::Configuration,
         engines::EngineLoads,
         fleet::{EngineGroup, EngineGroups, JobId, Member, Membership, PublishedText, hash},
@@ -63,8 +63,6 @@
     fleet_calls: FleetCalls,
     /// When the last row of a hub's view of plain targets arrived; `None` if none ever has.
     call_picture_at: Option<MonoMs>,
-    /// Ejections that this instance decided on and that weren't taken for the log yet.
-    ejection_changes: Vec<EjectionChange>,
     notices: TargetNotices,
     quotas: QuotaTable,
     cold_rule: ColdLimitRule,
@@ -120,7 +118,6 @@
             hedge_limit: HedgeLimit::default(),
             fleet_calls: FleetCalls::default(),
             call_picture_at: None,
-            ejection_changes: Vec::new(),
             notices: TargetNotices::default(),
             quotas: QuotaTable::default(),
             cold_rule: ColdLimitRule::default(),
--- a/crates/serving/src/serving/call_view.rs
+++ b/crates/serving/src/serving/call_view.rs
@@ -1,16 +1,16 @@
-//! The view of plain targets that the instances share: reports of calls, the view that the first responsive hub sends,
-//! and the ejection of targets that are far worse than their peers.
+//! The view of plain targets that the instances share: reports of calls, and the view that the first responsive hub
+//! sends.
 
 use {
     super::{Recipients, Serving},
     crate::{
-        calls::{CallOutcome, CallPicture, CallReport, EjectionChange},
+        calls::{CallOutcome, CallPicture, CallReport},
         fleet::Frame,
         mechanism::Mechanism,
         names::{ServiceName, TargetId},
         targets::{FleetCallLoad, TargetEntry},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, net::SocketAddr},
     whinlatch_core::MonoMs,
 };
 
@@ -21,8 +21,6 @@
 const BUSY_SHARE: f64 = 0.7;
 /// Time for which the last received rows of the view hold, in ms. Each row is sent at least every two seconds.
 const CALL_PICTURE_TTL_MS: u64 = 3_000;
-/// Maximum number of ejections and readmissions that are kept for the log.
-const MAX_EJECTION_CHANGES: usize = 64;
 
 impl Serving {
     /// Returns the 95th percentile of the answer times of a service's targets, in ms; `None` if too few answers are
@@ -119,16 +117,27 @@
         }
     }
 
-    /// Applies rows of the view that a hub sends. Those of unknown targets are dropped.
-    pub(super) fn apply_call_picture(&mut self, now: MonoMs, rows: Vec<CallPicture>) {
+    /// Applies rows of the view that the instance at `from` sends, if that is the first responsive hub. Those of unknown
+    /// targets are dropped.
+    ///
+    /// Guards against two views in turns, while another hub doesn't hear the first one and sends its own.
+    pub(super) fn apply_call_picture(
+        &mut self,
+        now: MonoMs,
+        from: Option<SocketAddr>,
+        rows: Vec<CallPicture>,
+    ) {
         let is_shared = self.mechanisms.is_enabled(Mechanism::SharedCalls);
         if !is_shared || rows.is_empty() || self.aggregates_calls(now) {
             return;
         }
+        let first_hub = self.members.first_hub(now, self.own.peer_address);
+        if from.is_none() || from != first_hub {
+            return;
+        }
         if !self.reads_call_picture(now) {
             self.calls.clear_fleet_loads();
         }
-        let ejects = self.mechanisms.is_enabled(Mechanism::OutlierEjection);
         for row in rows {
             if !self.is_shared_target(&row.target) {
                 continue;
@@ -136,9 +145,8 @@
             let own_in_flight = self.calls.reported_in_flight(&row.target);
             let load = FleetCallLoad {
                 in_flight_elsewhere: row.in_flight.saturating_sub(own_in_flight),
-                answer_ms: row.answer_ms.map(f64::from),
+                answer_ms: row.answer_ms.map(|ms| f64::from(ms.max(1))),
                 failure_share: f64::from(row.failure_share).clamp(0.0, 1.0),
-                is_ejected: ejects && row.is_ejected,
                 late_ms: row.late_ms.map(f64::from),
                 as_of: now,
             };
@@ -166,7 +174,6 @@
                     answer_ms: load.answer_ms.map(whole_ms),
                     late_ms: late_ms.map(whole_ms),
                     failure_share: (load.failure_share * 100.0).round() as f32 / 100.0,
-                    is_ejected: load.is_ejected,
                 })
             });
             current.extend(known);
@@ -174,52 +181,22 @@
         self.fleet_calls.rows_to_send(now, current)
     }
 
-    /// Decides on ejections by the reports that this instance has, and uses its own view unless it reads that of a hub.
-    ///
-    /// Each instance with reports decides, also while it reads another's view, so that it can continue when the first
-    /// hub fails. Only the decisions that it uses are kept for the log.
+    /// Uses this instance's own view of the reports unless it reads that of a hub.
     pub(super) fn update_call_view(&mut self, now: MonoMs) {
-        let services = self.shared_services();
-        let uses_own = !self.reads_call_picture(now);
-        if self.mechanisms.is_enabled(Mechanism::OutlierEjection) {
-            for ready in services.values() {
-                let changes = self.fleet_calls.update_ejections(now, ready);
-                if uses_own {
-                    self.ejection_changes.extend(changes);
-                }
-            }
-            self.ejection_changes.truncate(MAX_EJECTION_CHANGES);
-        }
-        if !uses_own {
+        if self.reads_call_picture(now) {
             return;
         }
+        self.calls.clear_fleet_loads();
         let has_reports =
             self.mechanisms.is_enabled(Mechanism::SharedCalls) && self.aggregates_calls(now);
-        self.calls.clear_fleet_loads();
-        for id in services.values().flatten() {
-            let Some(load) = self.fleet_calls.load(now, id) else {
-                continue;
-            };
-            let own_only = FleetCallLoad {
-                is_ejected: load.is_ejected,
-                ..FleetCallLoad::default()
-            };
-            let load = if has_reports { load } else { own_only };
-            self.calls.set_fleet_load(id, load);
+        if !has_reports {
+            return;
+        }
+        for id in self.shared_services().values().flatten() {
+            if let Some(load) = self.fleet_calls.load(now, id) {
+                self.calls.set_fleet_load(id, load);
+            }
         }
-    }
-
-    /// Returns the ejections and readmissions that this instance decided on since the last call.
-    pub fn take_ejection_changes(&mut self) -> Vec<EjectionChange> {
-        std::mem::take(&mut self.ejection_changes)
-    }
-
-    /// Returns the number of ready targets that are ejected.
-    pub fn ejected_target_count(&self) -> usize {
-        let ready = self.targets.all_ready();
-        ready
-            .filter(|entry| self.calls.is_ejected(&entry.id))
-            .count()
     }
 
     /// Returns the time since this instance received a row of the view, in ms: 0 if it has the reports itself, `None`
--- a/crates/serving/src/serving/hedges.rs
+++ b/crates/serving/src/serving/hedges.rs
@@ -75,10 +75,10 @@
         waited_ms: f64,
         winner_ms: f64,
     ) {
-        let is_unanswered = self
+        let has_failed = self
             .calls
             .record_overtaken(now, target, waited_ms, winner_ms);
-        if is_unanswered {
+        if has_failed {
             self.record_shared_outcome(now, target, CallOutcome::Unanswered);
         }
     }
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -197,7 +197,7 @@
         };
         self.apply_fleet_notices(now, notices);
         self.apply_call_reports(now, from, &frame.calls);
-        self.apply_call_picture(now, frame.call_picture);
+        self.apply_call_picture(now, address, frame.call_picture);
         for reported in &frame.paces {
             if let Some(spec) = self.spec_of_target(&reported.id) {
                 self.engines
--- a/crates/serving/src/targets/call_loads.rs
+++ b/crates/serving/src/targets/call_loads.rs
@@ -24,9 +24,6 @@
 /// Unanswered attempts without an answer between them from which each counts as a failure. One of them may be an
 /// answer that was late by chance, as one in twenty is.
 const FAILED_FROM_UNANSWERED: u32 = 2;
-/// Share of the calls of which one goes to an ejected target as a trial call, if it has none in flight. At 18 calls per
-/// second a target gets a trial call every four seconds, and stays below one call in fifty.
-const TRIAL_SHARE: f64 = 1.0 / 80.0;
 
 #[derive(Debug, Default, Clone, Copy)]
 struct CallLoad {
@@ -71,9 +68,6 @@
 impl CallLoads {
     /// Returns the target with the lowest expected answer time, raised by a random 0 to 20 % so that equal
     /// targets share the calls. Targets in `tried` are excluded, unreachable ones are a last resort.
-    ///
-    /// An ejected target is chosen for a trial call, one at a time over the fleet as far as is known, or if there is no
-    /// other. A call that was tried elsewhere is no trial call: its caller has waited already.
     pub fn choose<'a>(
         &self,
         now: MonoMs,
@@ -85,24 +79,9 @@
             .map(|entry| (entry, self.load(&entry.id)))
             .collect();
         let usual_share = usual_failure_share(&candidates);
-        let (ejected, admitted): (Vec<_>, Vec<_>) = candidates
-            .into_iter()
-            .filter(|(entry, _)| !tried.contains(&entry.id))
-            .partition(|(_, load)| load.fleet.is_some_and(|fleet| fleet.is_ejected));
-        let trial = ejected.iter().find(|(_, load)| load.in_flight() == 0);
-        if let Some((entry, _)) = trial
-            && tried.is_empty()
-            && rng.f64() < TRIAL_SHARE
-        {
-            return Some(entry);
-        }
-        let candidates = if admitted.is_empty() {
-            ejected
-        } else {
-            admitted
-        };
         candidates
             .into_iter()
+            .filter(|(entry, _)| !tried.contains(&entry.id))
             .map(|(entry, load)| {
                 let cost = cost(now, entry, &load, usual_share);
                 (cost * (1.0 + 0.2 * rng.f64()), entry)
@@ -143,12 +122,6 @@
         self.load(target).reported_in_flight
     }
 
-    /// Returns whether a target is ejected, as far as it is known here.
-    pub fn is_ejected(&self, target: &str) -> bool {
-        let fleet = self.load(target).fleet;
-        fleet.is_some_and(|fleet| fleet.is_ejected)
-    }
-
     /// Returns the calls in flight and the results since the last call of this method, for each of the targets
     /// for which `is_reported`. Targets without calls are left out.
     pub fn take_reports(&mut self, is_reported: impl Fn(&str) -> bool) -> Vec<CallReport> {
@@ -219,7 +192,7 @@
 
     /// Records that a request was cancelled after `waited_ms` because another target served it within
     /// `winner_ms`. Its answer would have taken longer than `waited_ms`, which counts towards the answer time if
-    /// it is above the average. Returns whether the request counts as unanswered.
+    /// it is above the average. Returns whether the request counts as a failure.
     ///
     /// Guards against a target that never answers and still gets calls, since each of its requests is cancelled
     /// before it fails, and against avoiding a target that was only a little slower than another.
@@ -241,11 +214,12 @@
         if waited_ms < UNANSWERED_RATIO * winner_ms.max(1.0) {
             return false;
         }
-        load.unreported.record(CallOutcome::Unanswered);
         load.unanswered += 1;
-        if load.unanswered >= FAILED_FROM_UNANSWERED {
-            load.failures.record(now, true);
+        if load.unanswered < FAILED_FROM_UNANSWERED {
+            return false;
         }
+        load.unreported.record(CallOutcome::Unanswered);
+        load.failures.record(now, true);
         true
     }
 
@@ -264,12 +238,16 @@
     }
 }
 
-/// Returns the median of the fleet's failure shares of some targets, 0 if none is known.
+/// Returns the median of the fleet's failure shares of some targets, the lower one of two in the middle: where half of
+/// the targets fail, their share isn't the usual one. A target without calls counts as one that fails none.
 fn usual_failure_share(candidates: &[(&TargetEntry, CallLoad)]) -> f64 {
-    let fleet = candidates.iter().filter_map(|(_, load)| load.fleet);
-    let mut shares: Vec<f64> = fleet.map(|fleet| fleet.failure_share).collect();
+    let loads = candidates.iter().map(|(_, load)| load.fleet);
+    let mut shares: Vec<f64> = loads
+        .map(|fleet| fleet.map_or(0.0, |fleet| fleet.failure_share))
+        .collect();
     shares.sort_by(f64::total_cmp);
-    shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+    let middle = shares.len().saturating_sub(1) / 2;
+    shares.get(middle).copied().unwrap_or(0.0)
 }
 
 /// Returns the expected answer time of a target, raised by its failures. Those that the fleet counts raise it as far
--- a/crates/serving/src/targets/fleet_call_load.rs
+++ b/crates/serving/src/targets/fleet_call_load.rs
@@ -12,8 +12,6 @@
     pub late_ms: Option<f64>,
     /// Share of the calls that failed or stayed unanswered.
     pub failure_share: f64,
-    /// Whether the target is ejected.
-    pub is_ejected: bool,
     /// When this was the state.
     pub as_of: MonoMs,
 }
