--- a/crates/serving/src/calls/hedging.rs
+++ b/crates/serving/src/calls/hedging.rs
@@ -67,7 +67,7 @@
 /// Limits the hedges of an instance to a share of its idempotent calls, so that a service whose targets are all
 /// slow gets little more load.
 ///
-/// It counts in credits: a call adds one, a hedge takes [`CALLS_PER_HEDGE`].
+/// It counts in credits: a call adds one, a hedge takes `CALLS_PER_HEDGE`.
 #[derive(Debug)]
 pub struct HedgeLimit {
     credits: u32,
