--- a/crates/daemon/src/entry/plain_calls/call_guard.rs
+++ b/crates/daemon/src/entry/plain_calls/call_guard.rs
@@ -2,7 +2,7 @@
     super::super::entry_state::EntryState,
     std::sync::{Mutex, MutexGuard, PoisonError},
     whinlatch_core::MonoMs,
-    whinlatch_serving::targets::TargetEntry,
+    whinlatch_serving::{Serving, names::TargetId, targets::TargetEntry},
 };
 
 /// State of an attempt, for the record of its target.
@@ -56,29 +56,27 @@
 
     /// Records the end of the attempt; `failed` if the target didn't serve it.
     pub fn record_ended(&self, failed: bool) {
-        let target = &self.target.id;
-        match self.end() {
-            AttemptState::Placed => self.state.serving().record_call_withdrawn(target),
-            AttemptState::Begun(begun_at) => {
-                let now = self.state.now();
-                let took_ms = now.since(begun_at) as f64;
-                let mut serving = self.state.serving();
-                serving.record_call_ended(now, target, took_ms, failed);
-            }
-            AttemptState::Ended { .. } => {}
-        }
+        self.record_end(|serving, now, target, took_ms| {
+            serving.record_call_ended(now, target, took_ms, failed);
+        });
     }
 
     /// Records that the attempt is cancelled because another one succeeded, which took `winner_ms`.
     pub fn record_overtaken(&self, winner_ms: u64) {
+        self.record_end(|serving, now, target, waited_ms| {
+            serving.record_call_overtaken(now, target, waited_ms, winner_ms as f64);
+        });
+    }
+
+    /// Ends the attempt once: withdraws it if nothing was sent, or records it with the time since it began, in ms.
+    fn record_end(&self, record: impl FnOnce(&mut Serving, MonoMs, &TargetId, f64)) {
         let target = &self.target.id;
         match self.end() {
             AttemptState::Placed => self.state.serving().record_call_withdrawn(target),
             AttemptState::Begun(begun_at) => {
                 let now = self.state.now();
-                let waited_ms = now.since(begun_at) as f64;
-                let mut serving = self.state.serving();
-                serving.record_call_overtaken(now, target, waited_ms, winner_ms as f64);
+                let elapsed_ms = now.since(begun_at) as f64;
+                record(&mut self.state.serving(), now, target, elapsed_ms);
             }
             AttemptState::Ended { .. } => {}
         }
@@ -97,16 +95,6 @@
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
-        let target = &self.target.id;
-        match self.end() {
-            AttemptState::Placed => self.state.serving().record_call_withdrawn(target),
-            AttemptState::Begun(begun_at) => {
-                let now = self.state.now();
-                let waited_ms = now.since(begun_at) as f64;
-                let mut serving = self.state.serving();
-                serving.record_call_unanswered(now, target, waited_ms);
-            }
-            AttemptState::Ended { .. } => {}
-        }
+        self.record_end(Serving::record_call_unanswered);
     }
 }
--- a/crates/serving/src/serving/call_view.rs
+++ b/crates/serving/src/serving/call_view.rs
@@ -36,7 +36,7 @@
     }
 
     /// Returns whether over seven tenths of the slots of a service's ready targets are in use, as far as it is known.
-    pub fn is_service_busy(&self, _now: MonoMs, service: &str) -> bool {
+    pub fn is_service_busy(&self, service: &str) -> bool {
         let (mut in_flight, mut slots) = (0, 0);
         for entry in self.targets.ready(service) {
             in_flight += u64::from(self.calls.in_flight(&entry.id));
--- a/crates/serving/src/serving/hedges.rs
+++ b/crates/serving/src/serving/hedges.rs
@@ -51,7 +51,7 @@
         if !self.hedge_limit.allows_hedge() {
             return Err(HedgeDenial::AtLimit);
         }
-        if self.is_service_busy(now, request.service) {
+        if self.is_service_busy(request.service) {
             return Err(HedgeDenial::Busy);
         }
         // An unreachable target is chosen only if all others are unreachable too.
