--- a/crates/daemon/src/entry/answers.rs
+++ b/crates/daemon/src/entry/answers.rs
@@ -1,7 +1,7 @@
 //! Writes answers to callers.
 
 use {
-    super::http::ResponseHead,
+    super::http::{Framing, ResponseHead},
     async_std::net::TcpStream,
     futures::AsyncWriteExt,
     std::{
@@ -41,6 +41,10 @@
     pub longest_pause_ms: u64,
     /// Number of times that the request was sent to a target.
     pub sends: u32,
+    /// Framing of the last answer that a target began.
+    pub framing: Option<Framing>,
+    /// Bytes of an incomplete event at the end of the last attempt's stream.
+    pub partial_event_bytes: usize,
 }
 
 impl<'a> CallerAnswer<'a> {
@@ -78,6 +82,16 @@
         progress.longest_pause_ms = progress.longest_pause_ms.max(ms);
     }
 
+    /// Records the framing of an answer that a target begins.
+    pub fn record_framing(&self, framing: Framing) {
+        self.lock().framing = Some(framing);
+    }
+
+    /// Records how many bytes of an incomplete event were left when a stream broke off or ended.
+    pub fn record_partial_event(&self, bytes: usize) {
+        self.lock().partial_event_bytes = bytes;
+    }
+
     fn lock(&self) -> MutexGuard<'_, RequestProgress> {
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -268,6 +268,12 @@
         longest_pause_ms: u64,
         /// Number of attempts in which it was sent to a target.
         sends: u32,
+        /// Framing of the last answer that a target began: `length`, `chunked`, `until_close` or `empty`.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        framing: Option<&'static str>,
+        /// Bytes of an incomplete event at the end of the last stream that broke off or ended.
+        #[serde(skip_serializing_if = "is_zero")]
+        partial_event_bytes: usize,
     },
 }
 
@@ -287,6 +293,11 @@
     }
 }
 
+/// Tells serde which counts to leave out; it passes fields by reference.
+fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u64,
--- a/crates/daemon/src/entry/event_splitter.rs
+++ b/crates/daemon/src/entry/event_splitter.rs
@@ -34,6 +34,11 @@
         (!rest.is_empty()).then_some(rest)
     }
 
+    /// Returns the number of bytes after the last complete event that was taken.
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Discards an incomplete event; the target that resumes the stream sends it from its start.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -5,7 +5,7 @@
         answers::CallerAnswer,
         decision_line::Decision,
         entry_state::EntryState,
-        http::Input,
+        http::{Framing, Input},
         plain_calls::serve_call,
         request_context::{ReadRequest, RequestContext},
         routing::{ASSUMED_DEADLINE_MS, RETRY_AFTER_DIVISOR, RoutingRejection, route},
@@ -163,6 +163,8 @@
         first_event_ms: progress.first_event_ms,
         longest_pause_ms: progress.longest_pause_ms,
         sends: progress.sends,
+        framing: progress.framing.map(Framing::name),
+        partial_event_bytes: progress.partial_event_bytes,
     });
     keeps_alive
 }
--- a/crates/daemon/src/entry/http/request_head.rs
+++ b/crates/daemon/src/entry/http/request_head.rs
@@ -16,6 +16,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// Head of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestHead {
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -173,6 +173,7 @@
             bytes,
         } = prepared;
         let head = send_request(self.state, target, &mut connection, self.context, &bytes).await?;
+        self.answer.record_framing(head.framing);
         let body = connection.complete_body(&head).await?;
         if head.keeps_alive {
             let now = self.state.now();
--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -92,6 +92,8 @@
     fn take_events(&mut self, progress: BodyProgress) -> Vec<u8> {
         let mut events = self.splitter.take_complete().unwrap_or_default();
         if progress == BodyProgress::Complete {
+            self.answer
+                .record_partial_event(self.splitter.partial_bytes());
             events.extend(self.splitter.take_rest().unwrap_or_default());
         }
         events
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -210,6 +210,8 @@
             }
         };
         if let Err(fault) = &end {
+            self.answer
+                .record_partial_event(self.splitter.partial_bytes());
             record_crash(state, self.context, &placement.engine, fault, was_reused);
         }
         end
@@ -229,6 +231,7 @@
         let head = timeout(self.state.clock.as_ref(), wait_ms, responded)
             .await
             .ok_or(AttemptFault::Silent)??;
+        self.answer.record_framing(head.framing);
         if !head.is_success() {
             return read_failure(connection, head).await;
         }
