--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -1,5 +1,7 @@
 //! Tests of an entry instance against stand-ins for the platform's store, targets and callers.
 
+#[path = "entry/answer_ends.rs"]
+mod answer_ends;
 #[path = "entry/bad_input.rs"]
 mod bad_input;
 #[path = "entry/calls.rs"]
