--- a/crates/daemon/src/entry/answers.rs
+++ b/crates/daemon/src/entry/answers.rs
@@ -43,8 +43,8 @@
     pub sends: u32,
     /// Framing of the last answer that a target began.
     pub framing: Option<Framing>,
-    /// Bytes of an incomplete event at the end of the last attempt's stream.
-    pub partial_event_bytes: usize,
+    /// Bytes of an incomplete event at the end of the last attempt's stream, if there were any.
+    pub partial_event_bytes: Option<usize>,
 }
 
 impl<'a> CallerAnswer<'a> {
@@ -87,9 +87,9 @@
         self.lock().framing = Some(framing);
     }
 
-    /// Records how many bytes of an incomplete event were left when a stream broke off or ended.
+    /// Records how many bytes of an incomplete event were left when an attempt's stream ended.
     pub fn record_partial_event(&self, bytes: usize) {
-        self.lock().partial_event_bytes = bytes;
+        self.lock().partial_event_bytes = (bytes > 0).then_some(bytes);
     }
 
     fn lock(&self) -> MutexGuard<'_, RequestProgress> {
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         entry_state::EntryState,
-        http::ResponseHead,
+        http::{BodyFault, ResponseHead},
         request_context::RequestContext,
         target_connection::{TargetConnection, TargetFault},
     },
@@ -95,7 +95,8 @@
     fn is_crash(&self, was_reused: bool) -> bool {
         match self {
             Self::Broken(TargetFault::Io(_) | TargetFault::Closed) => !was_reused,
-            Self::Broken(TargetFault::Body(fault)) => *fault == super::http::BodyFault::Truncated,
+            Self::Broken(TargetFault::Body(fault)) => *fault == BodyFault::Truncated,
+            Self::Broken(TargetFault::InsideEvent) => true,
             _ => false,
         }
     }
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -271,9 +271,9 @@
         /// Framing of the last answer that a target began: `length`, `chunked`, `until_close` or `empty`.
         #[serde(skip_serializing_if = "Option::is_none")]
         framing: Option<&'static str>,
-        /// Bytes of an incomplete event at the end of the last stream that broke off or ended.
-        #[serde(skip_serializing_if = "is_zero")]
-        partial_event_bytes: usize,
+        /// Bytes of an incomplete event at the end of the last attempt's stream, if there were any.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        partial_event_bytes: Option<usize>,
     },
 }
 
@@ -293,11 +293,6 @@
     }
 }
 
-/// Tells serde which counts to leave out; it passes fields by reference.
-fn is_zero(count: &usize) -> bool {
-    *count == 0
-}
-
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u64,
--- a/crates/daemon/src/entry/event_splitter.rs
+++ b/crates/daemon/src/entry/event_splitter.rs
@@ -1,4 +1,5 @@
-/// Splits a stream of server-sent events into complete events.
+/// Splits a stream of server-sent events into complete events. An event ends with an empty line; lines end with CR,
+/// LF or both.
 ///
 /// Guards against a target that stops in the middle of an event: the caller would get a part of the event, and
 /// then the complete event from the target that resumes the stream.
@@ -28,15 +29,19 @@
         Some(complete)
     }
 
-    /// Takes the bytes after the last complete event, at the end of a complete stream.
-    pub fn take_rest(&mut self) -> Option<Vec<u8>> {
-        let rest = std::mem::take(&mut self.pending);
-        (!rest.is_empty()).then_some(rest)
+    /// Takes the line ends and comments after the last complete event, at the end of a complete stream.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
     }
 
-    /// Returns the number of bytes after the last complete event that was taken.
-    pub fn partial_bytes(&self) -> usize {
-        self.pending.len()
+    /// Returns the number of bytes of an event that has begun and isn't complete, after the complete ones were
+    /// taken.
+    pub fn partial_event_bytes(&self) -> usize {
+        if ends_inside_event(&self.pending) {
+            self.pending.len()
+        } else {
+            0
+        }
     }
 
     /// Discards an incomplete event; the target that resumes the stream sends it from its start.
@@ -45,7 +50,7 @@
     }
 
     fn record_ids(&mut self, complete: &[u8]) {
-        for line in complete.split(|byte| *byte == b'\n') {
+        for line in complete.split(|byte| matches!(byte, b'\n' | b'\r')) {
             let Some(value) = line.strip_prefix(b"id:") else {
                 continue;
             };
@@ -57,11 +62,38 @@
     }
 }
 
+/// Returns whether a stream that ends with these bytes stops inside an event, so that it is broken off whatever its
+/// framing says.
+pub fn ends_inside_event(stream: &[u8]) -> bool {
+    let rest = &stream[last_event_end(stream).unwrap_or(0)..];
+    let mut lines = rest.split_inclusive(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| {
+        let is_line_end = matches!(line, b"\n" | b"\r");
+        let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+        !is_line_end && !is_comment
+    })
+}
+
 /// Returns the index after the last empty line.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len()).rev().find_map(|index| {
-        let is_end = bytes[index] == b'\n'
-            && (bytes[..index].ends_with(b"\n") || bytes[..index].ends_with(b"\n\r"));
-        is_end.then_some(index + 1)
-    })
+    (0..bytes.len())
+        .rev()
+        .find(|index| is_empty_line_end(bytes, *index))
+        .map(|index| index + 1)
+}
+
+/// Returns whether the byte at `index` is the last one of an empty line.
+fn is_empty_line_end(bytes: &[u8], index: usize) -> bool {
+    let line = match bytes[index] {
+        b'\n' => bytes[..index]
+            .strip_suffix(b"\r")
+            .unwrap_or(&bytes[..index]),
+        b'\r' => &bytes[..index],
+        _ => return false,
+    };
+    matches!(line.last(), Some(b'\n' | b'\r'))
 }
+
+#[cfg(test)]
+#[path = "event_splitter_test.rs"]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/entry/event_splitter_test.rs
@@ -0,0 +1,68 @@
+use super::{EventSplitter, ends_inside_event};
+
+/// Splits what arrives in these parts, and returns the complete events and what is left.
+fn split(parts: &[&str]) -> (String, String) {
+    let mut splitter = EventSplitter::default();
+    let mut complete = Vec::new();
+    for part in parts {
+        splitter.buffer().extend_from_slice(part.as_bytes());
+        complete.extend(splitter.take_complete().unwrap_or_default());
+    }
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (text(complete), text(splitter.take_rest()))
+}
+
+#[test]
+fn events_end_with_an_empty_line_of_any_line_end() {
+    for end in ["\n\n", "\r\n\r\n", "\r\r", "\n\r\n", "\r\n\n", "\n\r"] {
+        let event = format!("id: 1{end}");
+
+        let (complete, rest) = split(&[&event, "id: 2"]);
+
+        assert_eq!((complete, rest.as_str()), (event, "id: 2"));
+    }
+}
+
+/// Guards against an event that is cut where a line end of two bytes arrives in two parts.
+#[test]
+fn a_line_end_that_arrives_in_two_parts_ends_one_line() {
+    let (complete, rest) = split(&["id: 1\r", "\ndata: x\r\n\r", "\nid: 2\r\n\r\n"]);
+
+    assert_eq!(complete, "id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n");
+    assert_eq!(rest, "");
+}
+
+#[test]
+fn the_last_id_is_that_of_the_last_complete_event() {
+    let mut splitter = EventSplitter::default();
+    splitter
+        .buffer()
+        .extend_from_slice(b"id: 7\rdata\r\rid: 8\r");
+
+    let _complete = splitter.take_complete();
+
+    assert_eq!(splitter.last_id(), Some(7));
+}
+
+/// Guards against a truncated event that is taken for the end of a stream.
+#[test]
+fn a_stream_ends_inside_an_event_unless_only_line_ends_or_comments_follow_the_last_one() {
+    for complete in [
+        "",
+        "id: 1\n\n",
+        "id: 1\n\n\n",
+        "id: 1\r\n\r\n",
+        "id: 1\n\n: bye\n",
+    ] {
+        assert!(!ends_inside_event(complete.as_bytes()), "{complete:?}");
+    }
+    for cut in [
+        "i",
+        "id: 1",
+        "id: 1\n",
+        "id: 1\n\nid: 2\ndata: x\n",
+        "id: 1\n\n: by",
+    ] {
+        assert!(ends_inside_event(cut.as_bytes()), "{cut:?}");
+    }
+}
--- a/crates/daemon/src/entry/http/response_head.rs
+++ b/crates/daemon/src/entry/http/response_head.rs
@@ -64,6 +64,19 @@
         (OK..300).contains(&self.status)
     }
 
+    /// Returns whether the body is declared as a stream of server-sent events; `None` if its type isn't declared.
+    pub fn is_event_stream(&self) -> Option<bool> {
+        let value = values(&self.headers, "content-type").next()?;
+        let media_type = value.split(';').next()?;
+        Some(media_type.trim().eq_ignore_ascii_case("text/event-stream"))
+    }
+
+    /// Returns whether nothing but the end of its connection could tell that the answer is complete, and nothing
+    /// of a body came before it.
+    pub fn ends_without_sign(&self, body_is_empty: bool) -> bool {
+        self.is_success() && self.framing == Framing::UntilClose && body_is_empty
+    }
+
     /// Returns names and values of the headers, in order.
     pub fn pairs(&self) -> impl Iterator<Item = (&str, &str)> + Clone {
         self.headers
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -5,10 +5,11 @@
             attempt::{AttemptFault, record_crash, request_connection, send_request},
             decision_line::Decision,
             entry_state::EntryState,
+            event_splitter::ends_inside_event,
             http::ResponseHead,
             permits::is_permitted,
             request_context::RequestContext,
-            target_connection::TargetConnection,
+            target_connection::{TargetConnection, TargetFault},
         },
         call_guard::CallGuard,
         possible_runs::PossibleRuns,
@@ -175,6 +176,7 @@
         let head = send_request(self.state, target, &mut connection, self.context, &bytes).await?;
         self.answer.record_framing(head.framing);
         let body = connection.complete_body(&head).await?;
+        check_end(&head, &body)?;
         if head.keeps_alive {
             let now = self.state.now();
             let pool = &self.state.pool;
@@ -183,3 +185,14 @@
         Ok(CompleteAnswer { head, body })
     }
 }
+
+/// Checks that an answer whose body is complete by its framing wasn't broken off.
+fn check_end(head: &ResponseHead, body: &[u8]) -> Result<(), TargetFault> {
+    if head.is_event_stream() == Some(true) && ends_inside_event(body) {
+        return Err(TargetFault::InsideEvent);
+    }
+    if head.ends_without_sign(body.is_empty()) {
+        return Err(TargetFault::Closed);
+    }
+    Ok(())
+}
--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -6,7 +6,7 @@
         entry_state::EntryState,
         http::{BodyDecoder, BodyProgress, ResponseHead},
         stream_relay::{MAX_EVENT_PAUSE_MS, Relay, StreamEnd},
-        target_connection::TargetConnection,
+        target_connection::{TargetConnection, TargetFault},
     },
     crate::clock::timeout,
     futures::{
@@ -42,7 +42,8 @@
             let progress = self
                 .receive(placement, &mut connection, &mut decoder, wait_ms)
                 .await?;
-            let events = self.take_events(progress);
+            let is_stream = has_begun || head.is_event_stream() != Some(false);
+            let events = self.take_events(progress, is_stream);
             if !events.is_empty() {
                 self.record_event(placement, !std::mem::replace(&mut has_begun, true));
                 if self.deliver(&head, &events).await.is_err() {
@@ -50,6 +51,7 @@
                 }
             }
             if progress == BodyProgress::Complete {
+                self.check_end(&head, has_begun)?;
                 if self.finish(&head).await.is_err() {
                     return Ok(StreamEnd::CallerGone);
                 }
@@ -88,17 +90,28 @@
         self.context.deadline.since(self.state.now())
     }
 
-    /// Takes the complete events, and at the end of the stream also what follows them.
-    fn take_events(&mut self, progress: BodyProgress) -> Vec<u8> {
+    /// Takes the complete events, and at the end of a complete stream also what follows them. Of an answer that
+    /// declares another type and has no event, takes all.
+    fn take_events(&mut self, progress: BodyProgress, is_stream: bool) -> Vec<u8> {
         let mut events = self.splitter.take_complete().unwrap_or_default();
-        if progress == BodyProgress::Complete {
-            self.answer
-                .record_partial_event(self.splitter.partial_bytes());
-            events.extend(self.splitter.take_rest().unwrap_or_default());
+        let ends_inside_event = is_stream && self.splitter.partial_event_bytes() > 0;
+        if progress == BodyProgress::Complete && !ends_inside_event {
+            events.extend(self.splitter.take_rest());
         }
         events
     }
 
+    /// Checks that a stream whose body is complete by its framing wasn't broken off.
+    fn check_end(&self, head: &ResponseHead, has_begun: bool) -> Result<(), TargetFault> {
+        if self.splitter.partial_event_bytes() > 0 {
+            return Err(TargetFault::InsideEvent);
+        }
+        if head.ends_without_sign(!has_begun) {
+            return Err(TargetFault::Closed);
+        }
+        Ok(())
+    }
+
     fn return_to_pool(
         &self,
         placement: &PromptPlacement,
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -209,9 +209,9 @@
                 () = lost => Err(AttemptFault::Lost),
             }
         };
+        self.answer
+            .record_partial_event(self.splitter.partial_event_bytes());
         if let Err(fault) = &end {
-            self.answer
-                .record_partial_event(self.splitter.partial_bytes());
             record_crash(state, self.context, &placement.engine, fault, was_reused);
         }
         end
--- a/crates/daemon/src/entry/target_connection.rs
+++ b/crates/daemon/src/entry/target_connection.rs
@@ -30,6 +30,9 @@
     /// The body can't be decoded.
     #[error(transparent)]
     Body(#[from] BodyFault),
+    /// The answer is a stream that stopped inside an event, whatever its framing says.
+    #[error("the target's stream ended inside an event")]
+    InsideEvent,
 }
 
 /// Result of a write to a target.
--- a/crates/daemon/tests/entry/answer_ends.rs
+++ b/crates/daemon/tests/entry/answer_ends.rs
@@ -66,6 +66,7 @@
     fn behaviour(self) -> Behaviour {
         Behaviour::End(AnswerEnd {
             body: self.place.body(),
+            media_type: None,
             framing: self.framing,
             is_framed_complete: self.is_framed_complete,
             connection: self.connection,
@@ -189,6 +190,7 @@
         for framing in [AnswerFraming::Chunked, AnswerFraming::UntilClose] {
             let resumed = Behaviour::End(AnswerEnd {
                 body: resumed_body.clone(),
+                media_type: None,
                 framing,
                 is_framed_complete: false,
                 connection,
@@ -213,6 +215,7 @@
 async fn a_call_whose_answer_broke_off_is_no_success() {
     let reset_body = Behaviour::End(AnswerEnd {
         body: "half".to_owned(),
+        media_type: None,
         framing: AnswerFraming::UntilClose,
         is_framed_complete: false,
         connection: ConnectionEnd::Reset,
@@ -244,6 +247,7 @@
     for tail in ["\n", "\r\n", ": bye\n\n"] {
         let answer = serve_alone(Behaviour::End(AnswerEnd {
             body: events(1, 2) + tail,
+            media_type: None,
             framing: AnswerFraming::UntilClose,
             is_framed_complete: true,
             connection: ConnectionEnd::Close,
@@ -254,3 +258,42 @@
         assert_eq!(answer.body, events(1, 2) + tail);
     }
 }
+
+/// Guards against an answer on a streaming route that is taken as broken since it has no events and says so.
+#[async_std::test]
+async fn an_answer_that_declares_another_type_is_no_stream() {
+    let answer = serve_alone(Behaviour::End(AnswerEnd {
+        body: "{}".to_owned(),
+        media_type: Some("application/json"),
+        framing: AnswerFraming::Length,
+        is_framed_complete: true,
+        connection: ConnectionEnd::Close,
+    }))
+    .await;
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, "{}");
+}
+
+/// Guards against a truncated stream as a success, where a request without the headers of a prompt is served as a
+/// call, and against an answer without a length of which nothing came.
+#[async_std::test]
+async fn a_stream_that_is_served_as_a_call_is_no_success_if_it_broke_off() {
+    for body in [String::new(), Place::InsideEvent.body()] {
+        let engine = target(
+            "e-1",
+            Behaviour::End(AnswerEnd {
+                body: body.clone(),
+                media_type: Some("text/event-stream; charset=utf-8"),
+                framing: AnswerFraming::UntilClose,
+                is_framed_complete: true,
+                connection: ConnectionEnd::Close,
+            }),
+        );
+        let world = world(&[&engine], &[]).await;
+
+        let answer = world.exchange(&CallerRequest::new("POST", format!("{STREAM_PREFIX}x")));
+
+        assert_eq!(answer.status, 502, "{body:?}");
+    }
+}
