--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -293,7 +293,7 @@
                 self.crashes.record_served(*request)
             }),
             unreachable: retain_new(notices.unreachable, |id| {
-                self.calls.record_unreachable(now, id)
+                self.calls.record_reported_unreachable(now, id)
             }),
             leaving: retain_new(notices.leaving, |run| self.targets.record_leaving(now, run)),
             limits: retain_new(notices.limits, |limit| {
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -82,6 +82,8 @@
         if entries.is_empty() {
             return Err(Refusal::NoTarget);
         }
+        let (passed_over, passed_over_by_report) =
+            self.count_unreachable(now, &self.candidate_engines(group, request));
         self.engines.advance(now, &spec, &entries);
         let shape = self.shape_of(now, &spec, group, request, entries.len());
         let loads: Vec<&EngineLoad> = entries
@@ -99,7 +101,12 @@
             .collect();
         let choice =
             choose(now, &spec, &shape, &candidates).ok_or_else(|| overloaded(&loads, None))?;
-        let inputs = self.decision_inputs(now, &spec, &shape, &choice, entries.len());
+        let inputs = DecisionInputs {
+            engines: u32::try_from(entries.len()).unwrap_or(u32::MAX),
+            passed_over,
+            passed_over_by_report,
+            ..self.decision_inputs(now, &spec, &shape, &choice)
+        };
         // A stream of which the caller has a part already is resumed in any case.
         if self.should_refuse(&shape, &inputs) && !request.is_resumed {
             return Err(overloaded(&loads, Some(inputs)));
@@ -211,7 +218,6 @@
         spec: &EngineSpec,
         shape: &PromptShape,
         choice: &Choice,
-        engines: usize,
     ) -> DecisionInputs {
         let time_loss = if self.mechanisms.is_enabled(Mechanism::PriceOfTime) {
             work_loss(spec, shape.prompt_tokens, shape.utilization)
@@ -224,9 +230,9 @@
             time_loss,
             utilization: shape.utilization,
             first_event_ms: choice.first_event_ms,
-            engines: u32::try_from(engines).unwrap_or(u32::MAX),
             is_blind: shape.is_blind,
             last_peer_prompt_age_ms: self.last_peer_prompt_at.map(|at| now.since(at)),
+            ..DecisionInputs::default()
         }
     }
 
@@ -292,6 +298,31 @@
         }
     }
 
+    /// Returns the ready engines of a group to which a prompt wasn't sent before.
+    fn candidate_engines<'a>(
+        &'a self,
+        group: EngineGroup,
+        request: &'a PromptRequest,
+    ) -> Vec<&'a TargetId> {
+        self.targets
+            .ready(&request.service)
+            .map(|entry| &entry.id)
+            .filter(|id| group.contains(id))
+            .filter(|id| !request.excluded.contains(id))
+            .collect()
+    }
+
+    /// Returns how many of some targets count as unreachable, and how many of these by the word of peers alone.
+    fn count_unreachable(&self, now: MonoMs, targets: &[&TargetId]) -> (u32, u32) {
+        let count = |is_counted: &dyn Fn(&TargetId) -> bool| {
+            let counted = targets.iter().filter(|id| is_counted(id)).count();
+            u32::try_from(counted).unwrap_or(u32::MAX)
+        };
+        let all = count(&|id| self.calls.is_unreachable(now, id));
+        let reported = count(&|id| self.calls.is_only_reported_unreachable(now, id));
+        (all, reported)
+    }
+
     /// Returns the ready engines of a group that may get a prompt. Unreachable ones are left out unless all
     /// are unreachable.
     fn usable_engines(
@@ -300,13 +331,7 @@
         group: EngineGroup,
         request: &PromptRequest,
     ) -> Vec<TargetId> {
-        let ready: Vec<&TargetId> = self
-            .targets
-            .ready(&request.service)
-            .map(|entry| &entry.id)
-            .filter(|id| group.contains(id))
-            .filter(|id| !request.excluded.contains(id))
-            .collect();
+        let ready = self.candidate_engines(group, request);
         let reachable: Vec<TargetId> = ready
             .iter()
             .filter(|id| {
--- a/crates/serving/src/serving/requests.rs
+++ b/crates/serving/src/serving/requests.rs
@@ -111,6 +111,10 @@
     pub first_event_ms: f64,
     /// Number of engines among which it was chosen.
     pub engines: u32,
+    /// Number of engines that were passed over as unreachable.
+    pub passed_over: u32,
+    /// Number of these that only peers couldn't reach.
+    pub passed_over_by_report: u32,
     /// Whether the deciding instance knew little of what other instances place.
     pub is_blind: bool,
     /// Time since a peer last reported a placed prompt to the deciding instance, in ms; `None` if none ever
--- a/crates/serving/src/targets/call_loads.rs
+++ b/crates/serving/src/targets/call_loads.rs
@@ -33,7 +33,10 @@
     failures: FailureShare,
     /// Attempts that were cancelled as unanswered since the last answer.
     unanswered: u32,
+    /// Until when a failed connection of this instance counts.
     unreachable_until: MonoMs,
+    /// Until when a peer's word counts that it can't reach the target.
+    reported_unreachable_until: MonoMs,
     /// Results that this instance hasn't reported yet.
     unreported: CallTally,
     /// Calls in flight as last reported.
@@ -52,6 +55,10 @@
             .unwrap_or(ASSUMED_ANSWER_MS)
     }
 
+    fn is_unreachable(&self, now: MonoMs) -> bool {
+        self.unreachable_until > now || self.reported_unreachable_until > now
+    }
+
     fn in_flight(&self) -> u32 {
         let elsewhere = self.fleet.map_or(0, |fleet| fleet.in_flight_elsewhere);
         self.in_flight.saturating_add(elsewhere)
@@ -138,11 +145,16 @@
         reports
     }
 
-    /// Returns whether a connection to a target failed within the last `UNREACHABLE_TTL_MS`.
+    /// Returns whether a connection to a target failed within the last `UNREACHABLE_TTL_MS`, here or at a peer.
     pub fn is_unreachable(&self, now: MonoMs, target: &str) -> bool {
-        self.by_target
-            .get(target)
-            .is_some_and(|load| load.unreachable_until > now)
+        let load = self.by_target.get(target);
+        load.is_some_and(|load| load.is_unreachable(now))
+    }
+
+    /// Returns whether a target counts as unreachable by the word of peers alone.
+    pub fn is_only_reported_unreachable(&self, now: MonoMs, target: &str) -> bool {
+        let load = self.by_target.get(target);
+        load.is_some_and(|load| load.is_unreachable(now) && load.unreachable_until <= now)
     }
 
     /// Counts a request as in flight.
@@ -223,11 +235,17 @@
         true
     }
 
-    /// Records a failed connection to a target. Returns false if the target already counted as unreachable.
-    pub fn record_unreachable(&mut self, now: MonoMs, target: &TargetId) -> bool {
+    /// Records a failed connection of this instance to a target.
+    pub fn record_unreachable(&mut self, now: MonoMs, target: &TargetId) {
         let load = self.by_target.entry(target.clone()).or_default();
-        let is_news = load.unreachable_until <= now;
         load.unreachable_until = now + UNREACHABLE_TTL_MS;
+    }
+
+    /// Records that a peer couldn't reach a target. Returns false if the target already counted as unreachable.
+    pub fn record_reported_unreachable(&mut self, now: MonoMs, target: &TargetId) -> bool {
+        let load = self.by_target.entry(target.clone()).or_default();
+        let is_news = !load.is_unreachable(now);
+        load.reported_unreachable_until = now + UNREACHABLE_TTL_MS;
         is_news
     }
 
@@ -260,11 +278,7 @@
     let fleet_share = load.fleet.map_or(0.0, |fleet| fleet.failure_share);
     let fleet_excess = fleet_share - usual_share;
     let failure_share = load.failures.at(now).max(fleet_excess);
-    let unreachable_cost = if load.unreachable_until > now {
-        1e6
-    } else {
-        0.0
-    };
+    let unreachable_cost = if load.is_unreachable(now) { 1e6 } else { 0.0 };
     load.answer_ms() * (1.0 + utilization) * (1.0 + FAILURE_WEIGHT * failure_share)
         + unreachable_cost
 }
