--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -6,6 +6,8 @@
 mod bad_input;
 #[path = "entry/calls.rs"]
 mod calls;
+#[path = "entry/cut_off.rs"]
+mod cut_off;
 #[path = "entry/evacuation.rs"]
 mod evacuation;
 #[path = "entry/failing_engines.rs"]
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -4,6 +4,8 @@
 mod answer_times;
 #[path = "serving/cold_targets.rs"]
 mod cold_targets;
+#[path = "serving/cut_off.rs"]
+mod cut_off;
 #[path = "serving/engine_load.rs"]
 mod engine_load;
 #[path = "serving/evacuation.rs"]
