--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -129,11 +129,10 @@
     if let Some(connection) = state.pool.take(state.now(), target.address) {
         return Ok(connection);
     }
-    state
-        .pool
-        .open(state.clock.as_ref(), target.address)
-        .await
-        .map_err(AttemptFault::NotSent)
+    let opened = state.pool.open(state.clock.as_ref(), target.address).await;
+    let connection = opened.map_err(AttemptFault::NotSent)?;
+    state.serving().record_connected(state.now(), &target.id);
+    Ok(connection)
 }
 
 /// Returns a connection for a caller's request, which is to be sent on it at once.
@@ -171,6 +170,7 @@
     connection.send(bytes).await?;
     for _ in 0..=MAX_MISMATCHED_ANSWERS {
         let head = connection.head(&context.head.method).await?;
+        state.serving().record_heard(state.now(), &target.id);
         let answer = TargetResponse::read(head.status, head.pairs());
         let is_mismatched = answer
             .request_id
--- a/crates/daemon/src/entry/own_call.rs
+++ b/crates/daemon/src/entry/own_call.rs
@@ -84,6 +84,7 @@
     let sent_at = state.now();
     let request = call.request(target);
     let (head, body) = connection.exchange(call.method(), &request).await?;
+    state.serving().record_heard(state.now(), &target.id);
     let answer = TargetResponse::read(head.status, head.pairs());
     state.apply_notice(sent_at, &target.id, &answer.notice);
     if head.keeps_alive {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod names;
 pub mod placement;
 pub mod quotas;
+pub mod reach;
 pub mod relays;
 pub mod retries;
 pub mod targets;
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -31,6 +31,7 @@
         fleet::{EngineGroup, EngineGroups, JobId, Member, Membership, PublishedText, hash},
         mechanism::DisabledMechanisms,
         quotas::{ColdLimitRule, QuotaTable},
+        reach::UnconfirmedFailures,
         relays::{FollowedRelays, Followers},
         retries::{CrashTracker, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
@@ -60,6 +61,8 @@
     engines: EngineLoads,
     calls: CallLoads,
     hedge_limit: HedgeLimit,
+    /// Own failed connections that peers aren't told of yet.
+    unconfirmed_failures: UnconfirmedFailures,
     fleet_calls: FleetCalls,
     /// When the last row of a hub's view of plain targets arrived; `None` if none ever has.
     call_picture_at: Option<MonoMs>,
@@ -116,6 +119,7 @@
             engines: EngineLoads::default(),
             calls: CallLoads::default(),
             hedge_limit: HedgeLimit::default(),
+            unconfirmed_failures: UnconfirmedFailures::default(),
             fleet_calls: FleetCalls::default(),
             call_picture_at: None,
             notices: TargetNotices::default(),
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -14,6 +14,9 @@
     whinlatch_core::MonoMs,
 };
 
+/// An instance reports failed connections to at most the number of ready targets divided by this.
+const REPORTED_TARGETS_DIVISOR: usize = 4;
+
 impl Serving {
     /// Records that a request for a service has arrived, which adds to the service's retry budget. Called
     /// once per request, before any target is chosen.
@@ -104,10 +107,37 @@
         self.is_unreachable(now, target) || self.targets.entry(target).is_none()
     }
 
-    /// Records that a connection to a target failed, and queues a notice for all peers.
+    /// Records that a connection to a target failed. Peers are told once this instance has reached another target.
     pub fn record_unreachable(&mut self, now: MonoMs, target: &TargetId) {
         self.calls.record_unreachable(now, target);
-        self.news.for_all().unreachable.push(target.clone());
+        self.unconfirmed_failures.add(now, target);
+    }
+
+    /// Records that a connection to a target was opened, and queues notices for all peers of other targets to which
+    /// one failed before.
+    pub fn record_connected(&mut self, now: MonoMs, target: &TargetId) {
+        self.calls.record_heard(now, target);
+        let confirmed = self.unconfirmed_failures.take_confirmed(now, target);
+        if !self.misses_many_targets(now) {
+            self.news.for_all().unreachable.extend(confirmed);
+        }
+    }
+
+    /// Returns whether connections to so many targets failed recently that the link of this instance is more likely at
+    /// fault than each of them.
+    fn misses_many_targets(&self, now: MonoMs) -> bool {
+        let ready = self.targets.all_ready();
+        let (mut all, mut missed) = (0, 0);
+        for entry in ready {
+            all += 1;
+            missed += usize::from(self.calls.has_failed_connection(now, &entry.id));
+        }
+        missed > (all / REPORTED_TARGETS_DIVISOR).max(1)
+    }
+
+    /// Records that a target has sent something to this instance, which counts more than what peers report of it.
+    pub fn record_heard(&mut self, now: MonoMs, target: &TargetId) {
+        self.calls.record_heard(now, target);
     }
 
     /// Records that another target answered at the published address of a run, and queues a notice for all
@@ -127,8 +157,10 @@
     /// at the same prompt would choose it again and fail in the same way.
     pub fn record_helper_failure(&mut self, now: MonoMs, address: SocketAddr) {
         let helper = self.targets.ready_at(address).map(|entry| entry.id.clone());
+        // An engine says so, whose link to the helper is not that of this instance.
         if let Some(helper) = helper {
-            self.record_unreachable(now, &helper);
+            self.calls.record_unreachable(now, &helper);
+            self.news.for_all().unreachable.push(helper);
         }
     }
 
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -390,6 +390,7 @@
     /// Records an event of an engine's stream, from which the ends of its passes are derived. Queues the
     /// engine's pace for the deciders if it has changed.
     pub fn record_stream_event(&mut self, now: MonoMs, engine: &TargetEntry) {
+        self.calls.record_heard(now, &engine.id);
         let Some(spec) = self.spec_of_service(&engine.service) else {
             return;
         };
--- a/crates/serving/src/targets/call_loads.rs
+++ b/crates/serving/src/targets/call_loads.rs
@@ -15,6 +15,9 @@
 /// Time for which a target is avoided after a failed connection, in ms: about the time that a crashed
 /// target takes to restart or to be removed from the store.
 const UNREACHABLE_TTL_MS: u64 = 1_500;
+/// Time for which something that a target sent to this instance counts more than a peer's report that it can't reach
+/// the target, in ms: engines that write do so several times in it.
+const OWN_EVIDENCE_TTL_MS: u64 = 1_000;
 /// Factor by which the failure share raises a target's cost: at one failure in two, a target counts as
 /// eleven times as slow.
 const FAILURE_WEIGHT: f64 = 20.0;
@@ -37,6 +40,8 @@
     unreachable_until: MonoMs,
     /// Until when a peer's word counts that it can't reach the target.
     reported_unreachable_until: MonoMs,
+    /// When the target last sent something to this instance.
+    heard_at: Option<MonoMs>,
     /// Results that this instance hasn't reported yet.
     unreported: CallTally,
     /// Calls in flight as last reported.
@@ -151,6 +156,12 @@
         load.is_some_and(|load| load.is_unreachable(now))
     }
 
+    /// Returns whether a connection of this instance to a target failed within the last `UNREACHABLE_TTL_MS`.
+    pub fn has_failed_connection(&self, now: MonoMs, target: &str) -> bool {
+        let load = self.by_target.get(target);
+        load.is_some_and(|load| load.unreachable_until > now)
+    }
+
     /// Returns whether a target counts as unreachable by the word of peers alone.
     pub fn is_only_reported_unreachable(&self, now: MonoMs, target: &str) -> bool {
         let load = self.by_target.get(target);
@@ -241,14 +252,29 @@
         load.unreachable_until = now + UNREACHABLE_TTL_MS;
     }
 
-    /// Records that a peer couldn't reach a target. Returns false if the target already counted as unreachable.
+    /// Records that a peer couldn't reach a target. Returns whether it is news here; it is not if the target has sent
+    /// something to this instance a short time ago.
+    ///
+    /// Guards against avoiding a target that only the peer can't reach.
     pub fn record_reported_unreachable(&mut self, now: MonoMs, target: &TargetId) -> bool {
         let load = self.by_target.entry(target.clone()).or_default();
+        let is_recent = |at| now.since(at) < OWN_EVIDENCE_TTL_MS;
+        if load.heard_at.is_some_and(is_recent) {
+            return false;
+        }
         let is_news = !load.is_unreachable(now);
         load.reported_unreachable_until = now + UNREACHABLE_TTL_MS;
         is_news
     }
 
+    /// Records that a target has sent something to this instance, or taken a connection. What peers report of it no
+    /// longer counts.
+    pub fn record_heard(&mut self, now: MonoMs, target: &TargetId) {
+        let load = self.by_target.entry(target.clone()).or_default();
+        load.heard_at = Some(now);
+        load.reported_unreachable_until = MonoMs::default();
+    }
+
     /// Evicts targets that aren't published any more, except those with requests in flight.
     pub fn retain(&mut self, is_published: impl Fn(&str) -> bool) {
         self.by_target
--- a/crates/serving/tests/serving/cut_off.rs
+++ b/crates/serving/tests/serving/cut_off.rs
@@ -41,3 +41,45 @@
         }
     }
 }
+
+/// Guards against streams that hang at an engine which has lost power, since instances whose links work don't tell
+/// each other.
+#[test]
+fn the_fleet_learns_of_an_engine_that_an_instance_with_a_working_link_cannot_reach() {
+    let mut fleet = Fleet::start(9);
+    fleet.steps(SETTLING_STEPS);
+    let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+    let [lost, reached, ..] = engines();
+    let now = fleet.now;
+    let first = fleet.alive.get_mut(&addresses[0]).unwrap();
+
+    first.record_unreachable(now, &lost);
+    first.record_connected(now + 200, &reached);
+    fleet.deliver_news();
+
+    for address in &addresses {
+        let serving = &fleet.alive[address];
+        let avoided = [&lost, &reached].map(|id| serving.is_unreachable(now, id));
+        assert_eq!(avoided, [true, false], "{address}");
+    }
+}
+
+/// Guards against avoiding targets that a peer can't reach though they have just answered here.
+#[test]
+fn what_a_target_sends_counts_more_than_a_report_of_a_peer() {
+    let mut fleet = Fleet::start(9);
+    fleet.steps(SETTLING_STEPS);
+    let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+    let [lost, reached, ..] = engines();
+    let now = fleet.now;
+    let hearing = fleet.alive.get_mut(&addresses[1]).unwrap();
+    hearing.record_heard(now, &lost);
+
+    let partly_cut = fleet.alive.get_mut(&addresses[0]).unwrap();
+    partly_cut.record_unreachable(now, &lost);
+    partly_cut.record_connected(now, &reached);
+    fleet.deliver_news();
+
+    assert!(!fleet.alive[&addresses[1]].is_unreachable(now, &lost));
+    assert!(fleet.alive[&addresses[2]].is_unreachable(now, &lost));
+}
