--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -13,6 +13,8 @@
 mod entry_state;
 mod event_splitter;
 mod exchange;
+mod forward;
+mod forwarded_stream;
 mod http;
 mod job_guard;
 mod links;
--- a/crates/daemon/src/entry/answers.rs
+++ b/crates/daemon/src/entry/answers.rs
@@ -71,6 +71,13 @@
         progress.sends
     }
 
+    /// Takes over what became of the request at the peer that has forwarded it: the number of times that it was sent to
+    /// a target, and whether one may have run it.
+    pub fn continue_from(&self, sends: u32, may_have_run: bool) {
+        self.lock().sends = sends;
+        self.set_may_have_run(may_have_run);
+    }
+
     /// Records the time to the first event, in ms.
     pub fn record_first_event(&self, ms: u64) {
         self.lock().first_event_ms = Some(ms);
@@ -223,6 +230,7 @@
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        421 => "Misdirected Request",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         501 => "Not Implemented",
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -126,13 +126,38 @@
     state: &EntryState,
     target: &TargetEntry,
 ) -> Result<TargetConnection, AttemptFault> {
-    if let Some(connection) = state.pool.take(state.now(), target.address) {
+    // Connections that were opened before a partition may be silent, so they aren't used during it.
+    let is_out_of_reach = state.serving().is_out_of_reach(&target.service);
+    let idle = state.pool.take(state.now(), target.address);
+    if let Some(connection) = idle.filter(|_| !is_out_of_reach) {
         return Ok(connection);
     }
+    open_connection(state, target).await
+}
+
+/// Opens a connection to a target, and records whether it can be reached.
+///
+/// # Errors
+/// [`AttemptFault::NotSent`].
+pub async fn open_connection(
+    state: &EntryState,
+    target: &TargetEntry,
+) -> Result<TargetConnection, AttemptFault> {
     let opened = state.pool.open(state.clock.as_ref(), target.address).await;
-    let connection = opened.map_err(AttemptFault::NotSent)?;
-    state.serving().record_connected(state.now(), &target.id);
-    Ok(connection)
+    let now = state.now();
+    match opened {
+        Ok(connection) => {
+            state.serving().record_connected(now, &target.id);
+            Ok(connection)
+        }
+        Err(fault) => {
+            let is_news = state.serving().record_connection_failure(now, &target.id);
+            if is_news {
+                state.log_out_of_reach(&target.service);
+            }
+            Err(AttemptFault::NotSent(fault))
+        }
+    }
 }
 
 /// Returns a connection for a caller's request, which is to be sent on it at once.
--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -6,6 +6,7 @@
         answers::CallerAnswer,
         entry_state::EntryState,
         exchange::exchange,
+        forward::ForwardNote,
         http::{
             BodyDecoder, BodyFault, BodyProgress, Framing, HeadFault, Input, RequestHead,
             find_head_end,
@@ -143,14 +144,14 @@
 ) -> Result<RequestHead, ReadFault> {
     loop {
         if let Some(end) = find_head_end(input.as_slice())? {
-            if end > limits.max_head_bytes {
+            let head = RequestHead::parse(&input.as_slice()[..end])?;
+            if end > limits.max_head_bytes + ForwardNote::header_bytes(&head) {
                 return Err(HeadFault::TooLarge.into());
             }
-            let head = RequestHead::parse(&input.as_slice()[..end])?;
             input.consume(end);
             return Ok(head);
         }
-        if input.as_slice().len() > limits.max_head_bytes {
+        if input.as_slice().len() > limits.max_head_bytes + ForwardNote::MAX_HEADER_BYTES {
             return Err(HeadFault::TooLarge.into());
         }
         match input.fill(stream).await {
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -221,6 +221,27 @@
         /// Answer time from which an answer of the service is late, in ms; `None` if too few answers are known.
         late_answer_ms: Option<f64>,
     },
+    /// A request is sent to a peer that is to serve it, since this instance reaches no target of its service.
+    Forwarded {
+        /// Id of the request, which the lines of the peer have too.
+        request: String,
+        /// Name of its route.
+        route: String,
+        /// Peer address of the instance.
+        peer: String,
+        /// Number of targets that may have run it before.
+        runs: u32,
+    },
+    /// A service got out of reach or is in reach again: connections to several of its targets failed in a row, or one
+    /// was opened again.
+    Reach {
+        /// Name of the service.
+        service: String,
+        /// Whether it can be reached.
+        in_reach: bool,
+        /// Live peers that may serve requests for it.
+        has_peer: bool,
+    },
     /// A request was refused.
     Refused {
         /// Id of the request.
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -48,6 +48,7 @@
     attempts_failed: IntCounterVec,
     notices: IntCounterVec,
     hedges: IntCounterVec,
+    forwards: IntCounterVec,
     durations: HistogramVec,
     first_events: Histogram,
     open_requests: IntGauge,
@@ -101,6 +102,11 @@
                 "Answers in which a target reports a limit, a pause or its leaving.",
                 &["kind"],
             )?,
+            forwards: counter_vec(
+                "whinlatch_entry_forwards_total",
+                "Requests that were sent to a peer that was to serve them, by what it did",
+                &["outcome"],
+            )?,
             hedges: counter_vec(
                 "whinlatch_entry_hedges_total",
                 "Late calls that got a second attempt or were denied one.",
@@ -169,6 +175,7 @@
             .register(Box::new(self.attempts_failed.clone()))?;
         self.registry.register(Box::new(self.notices.clone()))?;
         self.registry.register(Box::new(self.hedges.clone()))?;
+        self.registry.register(Box::new(self.forwards.clone()))?;
         self.registry.register(Box::new(self.durations.clone()))?;
         self.registry
             .register(Box::new(self.first_events.clone()))?;
@@ -259,6 +266,11 @@
         self.hedges.with_label_values(&[outcome.name()]).inc();
     }
 
+    /// Counts a request that was sent to a peer; `outcome` is a label.
+    pub fn record_forward(&self, outcome: &str) {
+        self.forwards.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a read of the store that failed.
     pub fn record_store_failure(&self) {
         self.store_failures.inc();
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -16,7 +16,7 @@
     whinlatch_serving::{
         Serving,
         fleet::Frame,
-        names::TargetId,
+        names::{ServiceName, TargetId},
         targets::{EvacuationChange, TargetNotice},
     },
 };
@@ -158,6 +158,25 @@
         }
     }
 
+    /// Logs that no target of a service can be reached.
+    pub fn log_out_of_reach(&self, service: &ServiceName) {
+        self.log_reach(service, false);
+    }
+
+    /// Logs that targets of a service can be reached again.
+    pub fn log_in_reach(&self, service: &ServiceName) {
+        self.log_reach(service, true);
+    }
+
+    fn log_reach(&self, service: &ServiceName, in_reach: bool) {
+        let has_peer = self.serving().has_forward_peer(self.now(), service);
+        self.log(&Decision::Reach {
+            service: service.to_string(),
+            in_reach,
+            has_peer,
+        });
+    }
+
     /// Logs the begin or end of an evacuation; `source` is `store` or `peer`.
     pub fn log_evacuation(&self, change: &EvacuationChange, source: &'static str) {
         let targets = self.serving().count_targets_in(&change.failure_domain);
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -5,6 +5,7 @@
         answers::CallerAnswer,
         decision_line::Decision,
         entry_state::EntryState,
+        forward::{ForwardNote, NOT_TAKEN, TakenForward},
         http::{Framing, Input},
         plain_calls::serve_call,
         request_context::{ReadRequest, RequestContext},
@@ -44,6 +45,15 @@
 }
 
 impl RequestEnd {
+    /// A peer's error was passed on, for a request that was forwarded to it.
+    pub fn passed_error(status: u16) -> Self {
+        Self {
+            outcome: if status == 503 { "refused" } else { "failed" },
+            reason: "the peer that was to serve the request says so".to_owned(),
+            ..Self::answered(status)
+        }
+    }
+
     /// A target's answer was passed on completely.
     pub fn answered(status: u16) -> Self {
         Self {
@@ -91,7 +101,11 @@
         }
         match answer.write_error(status, message, retry_after_ms).await {
             Ok(()) => Self {
-                outcome: if status == 503 { "refused" } else { "failed" },
+                outcome: if matches!(status, 503 | NOT_TAKEN) {
+                    "refused"
+                } else {
+                    "failed"
+                },
                 reason: message.to_owned(),
                 ..Self::answered(status)
             },
@@ -206,7 +220,25 @@
     if !wait_for_configuration(state, stream, input, caller.deadline_ms).await {
         return RequestEnd::caller_gone();
     }
-    let context = match route(state, request, caller) {
+    let forwarded = match ForwardNote::read(&request.head) {
+        Ok(forwarded) => forwarded,
+        Err(fault) => {
+            let message = format!("the note of a forwarded request can't be read: {fault}");
+            return RequestEnd::error(answer, 400, &message, None).await;
+        }
+    };
+    let taken = forwarded
+        .as_ref()
+        .map(|note| TakenForward::take(state, note))
+        .transpose();
+    let _taken = match taken {
+        Ok(taken) => taken,
+        Err(reason) => return RequestEnd::error(answer, NOT_TAKEN, reason, None).await,
+    };
+    if let Some(note) = &forwarded {
+        answer.continue_from(note.sends, note.runs > 0);
+    }
+    let context = match route(state, request, caller, forwarded) {
         Ok(context) => context,
         Err(RoutingRejection {
             status,
--- /dev/null
+++ b/crates/daemon/src/entry/forward/forward_send.rs
@@ -0,0 +1,220 @@
+use {
+    super::{ForwardGuard, ForwardNote},
+    crate::{
+        clock::timeout,
+        entry::{
+            answers::CallerAnswer,
+            decision_line::Decision,
+            entry_state::EntryState,
+            http::ResponseHead,
+            request_context::RequestContext,
+            target_connection::{TargetConnection, TargetFault},
+        },
+    },
+    futures::{FutureExt, pin_mut, select},
+    std::{io, net::SocketAddr},
+    thiserror::Error,
+    whinlatch_platform::TargetResponse,
+    whinlatch_serving::ForwardPeer,
+};
+
+/// Peers that are asked to take a request.
+const MAX_PEERS: usize = 2;
+/// Status with which a peer says that it doesn't take a request, which hasn't run.
+pub const NOT_TAKEN: u16 = 421;
+/// Time between two checks whether a peer is alive, in ms.
+const LIFE_CHECK_INTERVAL_MS: u64 = 250;
+/// Time for which a connection to a peer is reused, in ms: peers keep idle connections of callers for seconds.
+const KEEP_ALIVE_MS: u64 = 2_000;
+
+/// Reason for which no peer served a request.
+#[derive(Debug, Error)]
+pub enum ForwardFault {
+    /// No peer has taken the request; none has run it.
+    #[error("no peer takes the request")]
+    NotTaken,
+    /// The connection to the peer broke, so that the request may have run.
+    #[error("the peer didn't answer: {0}")]
+    Broken(TargetFault),
+}
+
+/// The begin of an answer that comes through a peer.
+#[derive(Debug)]
+pub struct ForwardedHead<'a> {
+    /// Its head.
+    pub head: ResponseHead,
+    /// The connection on which the body follows.
+    pub connection: TargetConnection,
+    /// Counts the request as forwarded.
+    pub guard: ForwardGuard<'a>,
+    /// Whether a target made the answer; otherwise it is an error of the peer.
+    pub is_sealed: bool,
+}
+
+impl ForwardedHead<'_> {
+    /// Keeps the connection for other requests, once the body was received completely.
+    pub fn keep_connection(self, state: &EntryState) {
+        if self.head.keeps_alive {
+            let address = self.guard.peer().caller_address;
+            let keep_alive_ms = Some(KEEP_ALIVE_MS);
+            let pool = &state.pool;
+            pool.put(state.now(), address, self.connection, keep_alive_ms);
+        }
+    }
+}
+
+/// A request on its way through peers.
+#[derive(Debug)]
+pub struct Forward<'a> {
+    state: &'a EntryState,
+    context: &'a RequestContext,
+    answer: &'a CallerAnswer<'a>,
+    /// Peer addresses of the instances that were asked.
+    tried: Vec<SocketAddr>,
+}
+
+impl<'a> Forward<'a> {
+    /// Returns a request that wasn't forwarded yet.
+    pub fn new(
+        state: &'a EntryState,
+        context: &'a RequestContext,
+        answer: &'a CallerAnswer<'a>,
+    ) -> Self {
+        Self {
+            state,
+            context,
+            answer,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Returns whether the request may be forwarded, after `runs` targets may have run it. One that came from a peer
+    /// is never forwarded again.
+    pub fn is_possible(&self, runs: u32) -> bool {
+        let route = &self.context.route;
+        let may_repeat = runs == 0 || route.retry_policy.is_idempotent();
+        let is_possible = self.context.forwarded.is_none()
+            && self.tried.len() < MAX_PEERS
+            && may_repeat
+            && runs < route.max_attempts;
+        is_possible
+            && self
+                .state
+                .serving()
+                .has_forward_peer(self.state.now(), &self.context.service)
+    }
+
+    /// Sends the request to a peer that takes it, and receives the head of its answer. `runs` targets may have run the
+    /// request before; `last_event_id` is that of the last event that its caller has.
+    ///
+    /// # Errors
+    /// [`ForwardFault`].
+    pub async fn send(
+        &mut self,
+        runs: u32,
+        last_event_id: Option<u64>,
+    ) -> Result<ForwardedHead<'a>, ForwardFault> {
+        while self.tried.len() < MAX_PEERS {
+            let now = self.state.now();
+            let chosen =
+                self.state
+                    .serving()
+                    .choose_forward_peer(now, &self.context.service, &self.tried);
+            let Some(peer) = chosen else { break };
+            let guard = ForwardGuard::new(self.state, peer);
+            self.tried.push(peer.peer_address);
+            let Ok(connection) = self.connection(&peer).await else {
+                continue;
+            };
+            let request = self.request(&peer, runs, last_event_id);
+            self.state.log(&Decision::Forwarded {
+                request: self.context.caller.request_id.clone(),
+                route: self.context.route.name.clone(),
+                peer: peer.peer_address.to_string(),
+                runs,
+            });
+            self.answer.set_may_have_run(true);
+            let answered = self.exchange(&peer, connection, &request).await;
+            let (connection, head) = answered.map_err(|fault| {
+                self.state.metrics.record_forward("broken");
+                ForwardFault::Broken(fault)
+            })?;
+            let is_sealed = TargetResponse::read(head.status, head.pairs()).is_sealed;
+            let mut forwarded = ForwardedHead {
+                head,
+                connection,
+                guard,
+                is_sealed,
+            };
+            if forwarded.head.status != NOT_TAKEN || is_sealed {
+                self.state.metrics.record_forward("taken");
+                return Ok(forwarded);
+            }
+            self.state.metrics.record_forward("not_taken");
+            self.answer.set_may_have_run(runs > 0);
+            let body = forwarded.connection.complete_body(&forwarded.head).await;
+            if body.is_ok() {
+                forwarded.keep_connection(self.state);
+            }
+        }
+        Err(ForwardFault::NotTaken)
+    }
+
+    /// Returns a connection to a peer. What runs once at most goes over a new one, on which the peer can't have closed
+    /// its side already.
+    async fn connection(&self, peer: &ForwardPeer) -> io::Result<TargetConnection> {
+        let (state, address) = (self.state, peer.caller_address);
+        if self.context.route.retry_policy.is_idempotent()
+            && let Some(connection) = state.pool.take(state.now(), address)
+        {
+            return Ok(connection);
+        }
+        state.pool.open(state.clock.as_ref(), address).await
+    }
+
+    fn request(&self, peer: &ForwardPeer, runs: u32, last_event_id: Option<u64>) -> Vec<u8> {
+        let context = self.context;
+        let note = ForwardNote {
+            run: peer.run,
+            version: context.version,
+            service: context.service.to_string(),
+            age_ms: self.state.now().since(context.arrived),
+            sends: self.answer.progress().sends,
+            runs,
+            is_resumed: self.answer.has_begun(),
+        };
+        context.for_peer(&note, last_event_id)
+    }
+
+    async fn exchange(
+        &self,
+        peer: &ForwardPeer,
+        mut connection: TargetConnection,
+        request: &[u8],
+    ) -> Result<(TargetConnection, ResponseHead), TargetFault> {
+        let state = self.state;
+        let left_ms = self.context.deadline.since(state.now());
+        let head = {
+            let answered = async {
+                connection.send(request).await?;
+                connection.head(&self.context.head.method).await
+            };
+            let answered = timeout(state.clock.as_ref(), left_ms, answered).fuse();
+            let gone = until_peer_is_gone(state, peer).fuse();
+            pin_mut!(answered, gone);
+            select! {
+                head = answered => head.unwrap_or(Err(TargetFault::Closed))?,
+                () = gone => return Err(TargetFault::Closed),
+            }
+        };
+        Ok((connection, head))
+    }
+}
+
+/// Completes once a peer is no longer considered alive. Guards against a peer that has lost power: the connection to it
+/// doesn't break.
+pub async fn until_peer_is_gone(state: &EntryState, peer: &ForwardPeer) {
+    while state.serving().is_live(state.now(), peer) {
+        state.clock.sleep(LIFE_CHECK_INTERVAL_MS).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/forward/target_probe.rs
@@ -0,0 +1,32 @@
+use {
+    crate::entry::{attempt::open_connection, entry_state::EntryState},
+    futures::future::join_all,
+    std::sync::Arc,
+    whinlatch_serving::targets::TargetEntry,
+};
+
+/// Time between two checks for targets to probe, in ms.
+const CHECK_INTERVAL_MS: u64 = 50;
+
+/// Opens a connection to a target of each service now and then while some service is out of reach, forever. Callers'
+/// requests don't wait for such connections.
+pub async fn probe_targets(state: Arc<EntryState>) {
+    loop {
+        state.clock.sleep(CHECK_INTERVAL_MS).await;
+        let targets = state.serving().targets_to_probe(state.now());
+        join_all(targets.iter().map(|target| probe(&state, target))).await;
+    }
+}
+
+async fn probe(state: &EntryState, target: &TargetEntry) {
+    let was_out = state.serving().is_out_of_reach(&target.service);
+    let Ok(connection) = open_connection(state, target).await else {
+        return;
+    };
+    if was_out {
+        state.log_in_reach(&target.service);
+    }
+    state
+        .pool
+        .put(state.now(), target.address, connection, None);
+}
--- a/crates/daemon/src/entry/plain_calls.rs
+++ b/crates/daemon/src/entry/plain_calls.rs
@@ -2,6 +2,7 @@
 //! can still be replaced by another target's.
 
 mod call_guard;
+mod forwarded_call;
 mod hedge;
 mod plain_call;
 mod possible_runs;
@@ -13,6 +14,7 @@
         decision_line::Decision,
         entry_state::EntryState,
         exchange::RequestEnd,
+        forward::Forward,
         request_context::RequestContext,
     },
     hedge::EndedAttempt,
@@ -22,6 +24,9 @@
 
 /// Targets that are tried before the request fails.
 const MAX_TARGETS: usize = 4;
+/// Targets to which no connection could be opened, after which a request is served through a peer: the second one
+/// hardly has crashed by chance as well.
+pub const MAX_UNREACHED: u32 = 2;
 
 /// Serves a call: tries targets until one answers or the attempts are used up.
 pub async fn serve_call(
@@ -33,13 +38,29 @@
     let is_idempotent = context.route.retry_policy.is_idempotent();
     let mut tried: Vec<TargetId> = Vec::new();
     let mut has_hedged = false;
+    let mut forward = Forward::new(state, context, answer);
+    let mut unreached = 0;
     let mut failure: Option<CompleteAnswer> = None;
     state
         .serving()
         .record_hedgeable_call(&context.service, &context.route);
     loop {
+        let is_out_of_reach = state.serving().is_out_of_reach(&context.service);
+        if (is_out_of_reach || unreached >= MAX_UNREACHED)
+            && forward.is_possible(call.runs.count())
+            && let Some(end) = call.serve_through_peer(&mut forward).await
+        {
+            return end;
+        }
+        if is_out_of_reach && unreached > 0 {
+            return give_up(state, context, answer, Refusal::NoTarget, failure).await;
+        }
         let placed = match call.place(&tried).await {
             Ok(placed) => placed,
+            Err(_) if unreached > 0 && forward.is_possible(call.runs.count()) => {
+                unreached = MAX_UNREACHED;
+                continue;
+            }
             Err(refusal) => return give_up(state, context, answer, refusal, failure).await,
         };
         let EndedAttempt { target, end } = call.attempt(placed, &mut has_hedged, &mut tried).await;
@@ -50,6 +71,7 @@
             Ok(received) => failure = Some(received),
             Err(fault) => {
                 record_failed_attempt(state, context, &target, &fault);
+                unreached += u32::from(matches!(fault, AttemptFault::NotSent(_)));
                 if fault.may_have_run() && !is_idempotent {
                     let reason = fault.to_string();
                     return RequestEnd::error(answer, 502, &reason, None).await;
--- /dev/null
+++ b/crates/daemon/src/entry/plain_calls/forwarded_call.rs
@@ -0,0 +1,54 @@
+//! Calls that a peer serves, since this instance reaches no target of their service.
+
+use {
+    super::{
+        super::{
+            exchange::RequestEnd,
+            forward::{Forward, ForwardFault, ForwardedHead},
+        },
+        plain_call::{PlainCall, check_end},
+    },
+    crate::entry::target_connection::TargetFault,
+};
+
+impl PlainCall<'_> {
+    /// Has a peer serve the call. Returns `None` if no peer took it, or if the connection to the peer broke and the call
+    /// may be sent again.
+    pub async fn serve_through_peer(&self, forward: &mut Forward<'_>) -> Option<RequestEnd> {
+        let (context, answer) = (self.context, self.answer);
+        let last_event_id = context.caller.last_event_id;
+        let fault = match forward.send(self.runs.count(), last_event_id).await {
+            Ok(forwarded) => match self.pass_on_from_peer(forwarded).await {
+                Ok(end) => return Some(end),
+                Err(fault) => fault,
+            },
+            Err(ForwardFault::NotTaken) => return None,
+            Err(ForwardFault::Broken(fault)) => fault,
+        };
+        self.runs.add();
+        answer.record_send();
+        if context.route.retry_policy.is_idempotent() {
+            return None;
+        }
+        let reason = format!("the peer didn't answer: {fault}");
+        Some(RequestEnd::error(answer, 502, &reason, None).await)
+    }
+
+    /// Receives the answer that comes through a peer, and passes it on as it is: the peer has judged it already.
+    async fn pass_on_from_peer(
+        &self,
+        mut forwarded: ForwardedHead<'_>,
+    ) -> Result<RequestEnd, TargetFault> {
+        let body = forwarded.connection.complete_body(&forwarded.head).await?;
+        check_end(&forwarded.head, &body)?;
+        let status = forwarded.head.status;
+        let written = self.answer.write_full(&forwarded.head, &body).await;
+        let is_sealed = forwarded.is_sealed;
+        forwarded.keep_connection(self.state);
+        Ok(match written {
+            Err(_gone) => RequestEnd::caller_gone(),
+            Ok(()) if is_sealed => RequestEnd::answered(status),
+            Ok(()) => RequestEnd::passed_error(status),
+        })
+    }
+}
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -65,7 +65,7 @@
             state,
             context,
             answer,
-            runs: PossibleRuns::new(answer),
+            runs: PossibleRuns::new(answer, context.runs_before()),
         }
     }
 
@@ -187,7 +187,7 @@
 }
 
 /// Checks that an answer whose body is complete by its framing wasn't broken off.
-fn check_end(head: &ResponseHead, body: &[u8]) -> Result<(), TargetFault> {
+pub fn check_end(head: &ResponseHead, body: &[u8]) -> Result<(), TargetFault> {
     if head.is_event_stream() == Some(true) && ends_inside_event(body) {
         return Err(TargetFault::InsideEvent);
     }
--- a/crates/daemon/src/entry/plain_calls/possible_runs.rs
+++ b/crates/daemon/src/entry/plain_calls/possible_runs.rs
@@ -15,11 +15,12 @@
 }
 
 impl<'a> PossibleRuns<'a> {
-    /// Returns a count for a call that wasn't sent yet.
-    pub fn new(answer: &'a CallerAnswer<'a>) -> Self {
+    /// Returns a count for a call that this instance hasn't sent yet; a peer may have done so, so that `count` targets
+    /// may have run it.
+    pub fn new(answer: &'a CallerAnswer<'a>, count: u32) -> Self {
         Self {
             answer,
-            count: AtomicU32::new(0),
+            count: AtomicU32::new(count),
         }
     }
 
--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -1,8 +1,14 @@
 use {
-    super::http::RequestHead,
+    super::{
+        forward::ForwardNote,
+        http::{Framing, RequestHead},
+    },
     std::{fmt::Write, sync::Arc},
     whinlatch_core::MonoMs,
-    whinlatch_platform::{CallerHead, TargetHead, is_forwarded_to_target, write_target_head},
+    whinlatch_platform::{
+        CallerHead, TargetHead, is_forwarded_to_peer, is_forwarded_to_target, write_last_event_id,
+        write_target_head,
+    },
     whinlatch_serving::{
         catalog::Route,
         names::{AccountName, ServiceName},
@@ -46,9 +52,16 @@
     pub deadline: MonoMs,
     /// Hash of account, path and body, the same for all retries of a request.
     pub fingerprint: Fingerprint,
+    /// What the peer says of it that has forwarded it; `None` if it came from its caller.
+    pub forwarded: Option<ForwardNote>,
 }
 
 impl RequestContext {
+    /// Returns how many targets may have run the request before it came to this instance.
+    pub fn runs_before(&self) -> u32 {
+        self.forwarded.as_ref().map_or(0, |note| note.runs)
+    }
+
     /// Returns the fingerprint for the log; `None` without a body, since then it is shared with other requests.
     pub fn fingerprint_text(&self) -> Option<String> {
         (!self.body.is_empty()).then(|| format!("{:016x}", self.fingerprint))
@@ -57,6 +70,25 @@
     /// Returns the bytes of the request to a target: the caller's method, path, headers and body, and the
     /// headers that this system adds.
     pub fn for_target(&self, own: &TargetHead<'_>) -> Vec<u8> {
+        let mut own_lines = String::new();
+        write_target_head(own, &mut own_lines);
+        let is_passed_on = |name: &str| is_forwarded_to_target(name) && !ForwardNote::is_name(name);
+        self.bytes(is_passed_on, &own_lines)
+    }
+
+    /// Returns the bytes of the request to a peer that is to serve it: as its caller sent it, with a note and the last
+    /// event that its caller has.
+    pub fn for_peer(&self, note: &ForwardNote, last_event_id: Option<u64>) -> Vec<u8> {
+        let mut own_lines = note.line();
+        if let Some(id) = last_event_id {
+            write_last_event_id(id, &mut own_lines);
+        }
+        let is_passed_on = |name: &str| is_forwarded_to_peer(name) && !ForwardNote::is_name(name);
+        self.bytes(is_passed_on, &own_lines)
+    }
+
+    /// Returns the bytes of the request with those of the caller's headers that are passed on, and own header lines.
+    fn bytes(&self, is_passed_on: impl Fn(&str) -> bool, own_lines: &str) -> Vec<u8> {
         let mut text = String::with_capacity(1_024);
         // Writing to a String can't fail.
         let _written = write!(
@@ -64,15 +96,11 @@
             "{} {} HTTP/1.1\r\n",
             self.head.method, self.head.target
         );
-        for (name, value) in self
-            .head
-            .pairs()
-            .filter(|(name, _)| is_forwarded_to_target(name))
-        {
+        for (name, value) in self.head.pairs().filter(|(name, _)| is_passed_on(name)) {
             let _written = write!(text, "{name}: {value}\r\n");
         }
-        write_target_head(own, &mut text);
-        if !self.body.is_empty() || self.head.framing != super::http::Framing::Empty {
+        text.push_str(own_lines);
+        if !self.body.is_empty() || self.head.framing != Framing::Empty {
             let _written = write!(text, "Content-Length: {}\r\n", self.body.len());
         }
         text.push_str("\r\n");
--- a/crates/daemon/src/entry/routing.rs
+++ b/crates/daemon/src/entry/routing.rs
@@ -3,10 +3,12 @@
 use {
     super::{
         entry_state::EntryState,
+        forward::ForwardNote,
         http::RequestHead,
         request_context::{ReadRequest, RequestContext},
     },
     std::sync::Arc,
+    whinlatch_core::MonoMs,
     whinlatch_platform::CallerHead,
     whinlatch_serving::catalog::RouteError,
     xxhash_rust::xxh3::Xxh3,
@@ -32,7 +34,12 @@
     pub retry_after_ms: Option<u64>,
 }
 
-/// Finds route, account and service, and counts the request's arrival at the service.
+/// A forwarded request is ended this long before its deadline, in ms, so that the error reaches the forwarding instance
+/// before that one ends it.
+const FORWARD_MARGIN_MS: u64 = 20;
+
+/// Finds route, account and service, and counts the request's arrival at the service. A request that a peer has
+/// forwarded was counted there, and has its service already.
 ///
 /// # Errors
 /// [`RoutingRejection`]; the request has not been sent.
@@ -40,6 +47,7 @@
     state: &EntryState,
     request: ReadRequest,
     caller: CallerHead,
+    forwarded: Option<ForwardNote>,
 ) -> Result<RequestContext, RoutingRejection> {
     let deadline_ms = caller.deadline_ms.unwrap_or(ASSUMED_DEADLINE_MS);
     let mut serving = state.serving();
@@ -62,18 +70,27 @@
         .map_err(rejection)?;
     let account = known.map(|(name, _priority)| name.clone());
     let priority = known.and_then(|(_name, priority)| priority);
-    let service = route
-        .draw_service(fastrand::f64())
+    let service = forwarded
+        .as_ref()
+        .and_then(|note| route.service(&note.service))
+        .or_else(|| route.draw_service(fastrand::f64()))
         .cloned()
         .ok_or_else(|| RoutingRejection {
             status: 503,
             message: "the route leads to no service: come back".to_owned(),
             retry_after_ms: Some(MIN_RETRY_AFTER_MS),
         })?;
-    serving.record_arrival(state.now(), &service);
+    let time_ms = deadline_ms.min(route.timeout_ms);
+    let (arrived, time_ms) = if let Some(note) = &forwarded {
+        let arrived = MonoMs(arrived.0.saturating_sub(note.age_ms));
+        (arrived, time_ms.saturating_sub(FORWARD_MARGIN_MS))
+    } else {
+        serving.record_arrival(state.now(), &service);
+        (arrived, time_ms)
+    };
     Ok(RequestContext {
         fingerprint: fingerprint(account.as_deref(), &head, &body),
-        deadline: arrived + deadline_ms.min(route.timeout_ms),
+        deadline: arrived + time_ms,
         route: Arc::clone(route),
         service,
         account,
@@ -83,6 +100,7 @@
         body,
         caller,
         arrived,
+        forwarded,
     })
 }
 
--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -92,7 +92,7 @@
 
     /// Takes the complete events, and at the end of a complete stream also what follows them. Of an answer that
     /// declares another type and has no event, takes all.
-    fn take_events(&mut self, progress: BodyProgress, is_stream: bool) -> Vec<u8> {
+    pub(super) fn take_events(&mut self, progress: BodyProgress, is_stream: bool) -> Vec<u8> {
         let mut events = self.splitter.take_complete().unwrap_or_default();
         let ends_inside_event = is_stream && self.splitter.partial_event_bytes() > 0;
         if progress == BodyProgress::Complete && !ends_inside_event {
@@ -102,7 +102,11 @@
     }
 
     /// Checks that a stream whose body is complete by its framing wasn't broken off.
-    fn check_end(&self, head: &ResponseHead, has_begun: bool) -> Result<(), TargetFault> {
+    pub(super) fn check_end(
+        &self,
+        head: &ResponseHead,
+        has_begun: bool,
+    ) -> Result<(), TargetFault> {
         if self.splitter.partial_event_bytes() > 0 {
             return Err(TargetFault::InsideEvent);
         }
@@ -137,6 +141,11 @@
             }
             serving.record_stream_event(now, &placement.engine);
         }
+        self.record_arrival(now);
+    }
+
+    /// Records when events arrived, for the log and the metrics.
+    pub(super) fn record_arrival(&mut self, now: MonoMs) {
         if self.first_event_at.is_some() {
             self.answer.record_pause(now.since(self.last_event_at));
         } else {
@@ -148,7 +157,7 @@
         self.last_event_at = now;
     }
 
-    async fn deliver(&self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
+    pub(super) async fn deliver(&self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
         if self.answer.has_begun() {
             self.answer.events(events).await
         } else {
@@ -156,7 +165,7 @@
         }
     }
 
-    async fn finish(&self, head: &ResponseHead) -> io::Result<()> {
+    pub(super) async fn finish(&self, head: &ResponseHead) -> io::Result<()> {
         if !self.answer.has_begun() {
             self.answer.begin(head, &[]).await?;
         }
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -9,10 +9,11 @@
         entry_state::EntryState,
         event_splitter::EventSplitter,
         exchange::RequestEnd,
+        forward::Forward,
         http::ResponseHead,
         job_guard::JobGuard,
         placing::place_prompt,
-        plain_calls::record_failed_attempt,
+        plain_calls::{MAX_UNREACHED, record_failed_attempt},
         request_context::RequestContext,
         reservations::Reservations,
         target_connection::TargetConnection,
@@ -64,7 +65,9 @@
     /// When the latest event arrived; the start of the relay before the first one.
     pub(super) last_event_at: MonoMs,
     /// Failed attempts that may have run at their engine.
-    runs: u32,
+    pub(super) runs: u32,
+    /// Failed attempts for which no connection could be opened.
+    unreached: u32,
 }
 
 /// Serves a prompt on a route that streams.
@@ -80,7 +83,8 @@
         splitter: EventSplitter::default(),
         first_event_at: None,
         last_event_at: state.now(),
-        runs: 0,
+        runs: context.runs_before(),
+        unreached: 0,
     };
     relay.run().await
 }
@@ -88,9 +92,24 @@
 impl<'a> Relay<'a> {
     async fn run(&mut self) -> RequestEnd {
         let mut tried: Vec<TargetId> = Vec::new();
+        let mut forward = Forward::new(self.state, self.context, self.answer);
         loop {
+            let is_out_of_reach = self.is_out_of_reach();
+            if (is_out_of_reach || self.unreached >= MAX_UNREACHED)
+                && forward.is_possible(self.runs)
+                && let Some(end) = self.serve_through_peer(&mut forward).await
+            {
+                return end;
+            }
+            if is_out_of_reach && self.unreached > 0 {
+                return self.give_up(Refusal::NoTarget).await;
+            }
             let (placement, guard) = match self.place(&tried).await {
                 Ok(placed) => placed,
+                Err(_) if self.unreached > 0 && forward.is_possible(self.runs) => {
+                    self.unreached = MAX_UNREACHED;
+                    continue;
+                }
                 Err(refusal) => return self.give_up(refusal).await,
             };
             let target = placement.engine.clone();
@@ -107,6 +126,7 @@
             drop(guard);
             record_failed_attempt(self.state, self.context, &target, &fault);
             tried.push(target.id);
+            self.unreached += u32::from(matches!(fault, AttemptFault::NotSent(_)));
             if fault.may_have_run() {
                 self.runs += 1;
             } else {
@@ -119,12 +139,20 @@
             let is_over = self.runs >= self.context.route.max_attempts
                 || self.answer.progress().sends > self.context.route.max_attempts
                 || tried.len() >= MAX_TARGETS;
-            if is_over || !may_retry {
+            let may_forward =
+                forward.is_possible(self.runs) && (self.unreached > 0 || self.is_out_of_reach());
+            if is_over && may_forward && may_retry {
+                self.unreached = MAX_UNREACHED;
+            } else if is_over || !may_retry {
                 return self.give_up(Refusal::NoAttempt).await;
             }
         }
     }
 
+    fn is_out_of_reach(&self) -> bool {
+        self.state.serving().is_out_of_reach(&self.context.service)
+    }
+
     async fn place(&self, tried: &[TargetId]) -> Result<(PromptPlacement, JobGuard<'a>), Refusal> {
         let request = self.prompt_request(tried).ok_or(Refusal::NoTarget)?;
         place_prompt(self.state, request).await
@@ -140,9 +168,11 @@
         let max_answer_tokens = prompt.max_answer_tokens;
         let hint = prompt.answer_hint_tokens.unwrap_or(ASSUMED_ANSWER_TOKENS);
         let pause_limit_ms = context.route.pause_limit_ms.unwrap_or(MAX_EVENT_PAUSE_MS);
-        let (since, limit_ms) = match self.first_event_at {
-            Some(_) => (self.last_event_at, pause_limit_ms),
-            None => (context.arrived, context.route.objective_ms),
+        let has_begun = self.first_event_at.is_some() || self.is_resumed_for_peer();
+        let (since, limit_ms) = if has_begun {
+            (self.last_event_at, pause_limit_ms)
+        } else {
+            (context.arrived, context.route.objective_ms)
         };
         let passed_ms = now.since(since);
         let patience_ms = context.route.patience_ms.saturating_sub(passed_ms);
@@ -158,11 +188,17 @@
             pause_limit_ms,
             patience_ms: patience_ms.min(context.deadline.since(now)),
             excluded: tried.to_vec(),
-            is_resumed: answer.has_begun(),
+            is_resumed: answer.has_begun() || self.is_resumed_for_peer(),
             is_repeat: answer.progress().sends > 0,
         })
     }
 
+    /// Returns whether a peer has forwarded the request whose caller has a part of the stream already.
+    fn is_resumed_for_peer(&self) -> bool {
+        let note = self.context.forwarded.as_ref();
+        note.is_some_and(|note| note.is_resumed)
+    }
+
     fn record_engine_failure(&self, job: JobId) {
         let now = self.state.now();
         self.state.serving().record_prompt_failure(now, job);
@@ -178,7 +214,7 @@
 
     /// Passes on an engine's error. A status that promises that nothing ran, without the engine's
     /// confirmation, is replaced by 502.
-    async fn pass_on(&self, head: &ResponseHead, body: &[u8]) -> RequestEnd {
+    pub(super) async fn pass_on(&self, head: &ResponseHead, body: &[u8]) -> RequestEnd {
         if self.answer.has_begun() || NOT_RUN_STATUSES.contains(&head.status) {
             let message = "the engine failed";
             return RequestEnd::error(self.answer, 502, message, None).await;
--- a/crates/serving/src/catalog/route.rs
+++ b/crates/serving/src/catalog/route.rs
@@ -64,6 +64,12 @@
 }
 
 impl Route {
+    /// Returns the service of this name, if the route leads to it.
+    pub fn service(&self, name: &str) -> Option<&ServiceName> {
+        let mut services = self.shares.iter().map(|share| &share.service);
+        services.find(|service| &***service == name)
+    }
+
     /// Draws one of the services by weight; `draw` is a random number between 0 and 1. Returns `None` if
     /// there are none.
     pub fn draw_service(&self, draw: f64) -> Option<&ServiceName> {
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -5,6 +5,7 @@
         calls::{CallPicture, CallReport},
         names::{AccountId, FailureDomain, TargetId},
         quotas::{PermitRequest, PermitResponse},
+        reach::ReachStatement,
         relays::{FollowRequest, KnownState, RelayStatus},
         retries::Fingerprint,
         targets::{AddressTakeover, EvacuationChange, TargetChange, TargetLimit},
@@ -286,6 +287,9 @@
     /// Targets to which a connection failed, and engines that failed to help.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub unreachable: Vec<TargetId>,
+    /// Statements of instances of which services they can't reach.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub reach: Vec<ReachStatement>,
     /// Runs of targets that have announced that they leave.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<TargetId>,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,6 @@
 mod serving;
 
 pub use serving::{
-    CallPlacement, CallRequest, DecisionInputs, Heartbeat, HeartbeatReach, PromptPlacement,
-    PromptRequest, Recipients, Refusal, Serving, StoreRole, WantedLinks,
+    CallPlacement, CallRequest, DecisionInputs, ForwardPeer, Heartbeat, HeartbeatReach,
+    PromptPlacement, PromptRequest, Recipients, Refusal, Serving, StoreRole, WantedLinks,
 };
--- a/crates/serving/src/mechanism.rs
+++ b/crates/serving/src/mechanism.rs
@@ -42,6 +42,8 @@
     Hedging,
     /// Shares the results of calls to plain targets among all instances.
     SharedCalls,
+    /// Has peers serve requests whose targets this instance can't reach.
+    Forwarding,
 }
 
 /// Error for a name that is not the name of a mechanism.
@@ -51,7 +53,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order in which the documentation lists them.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::RefusalByWorth,
         Self::PriceOfTime,
         Self::Helpers,
@@ -70,6 +72,7 @@
         Self::SharedQuotas,
         Self::Hedging,
         Self::SharedCalls,
+        Self::Forwarding,
     ];
 
     /// Returns the mechanism's name on the command line.
@@ -93,6 +96,7 @@
             Self::SharedQuotas => "shared-quotas",
             Self::Hedging => "hedging",
             Self::SharedCalls => "shared-calls",
+            Self::Forwarding => "forwarding",
         }
     }
 
--- /dev/null
+++ b/crates/serving/src/reach/own_reach.rs
@@ -0,0 +1,90 @@
+use {
+    crate::names::{ServiceName, TargetId},
+    std::collections::{BTreeMap, HashMap},
+    whinlatch_core::MonoMs,
+};
+
+/// Targets of a service to which connections must fail, without one that succeeds, before the service counts as out of
+/// reach. Fewer may have crashed at the same time.
+const FAILED_TARGETS: usize = 3;
+/// Time for which a failed connection counts, in ms: longer than connections to three targets take to time out one
+/// after the other.
+const FAILURE_TTL_MS: u64 = 3_000;
+/// Time between two probes of a service that is out of reach, in ms.
+const PROBE_INTERVAL_MS: u64 = 250;
+
+/// Connections of this instance to the targets of one service.
+#[derive(Debug, Default)]
+struct ServiceReach {
+    /// Targets to which a connection failed since the last one that was opened, and when.
+    failed: HashMap<TargetId, MonoMs>,
+    is_out: bool,
+    probed_at: Option<MonoMs>,
+    /// Number of probes so far, by which targets take turns.
+    probes: usize,
+}
+
+/// The services whose targets this instance can't reach.
+///
+/// A service is out of reach after connections to several of its targets have failed in a row, and in reach again
+/// once one is opened. Only new connections count: those that were opened before may live on though no new one can be
+/// opened.
+#[derive(Debug, Default)]
+pub struct OwnReach {
+    services: BTreeMap<ServiceName, ServiceReach>,
+}
+
+impl OwnReach {
+    /// Records a connection to a target that was opened. Returns whether its service was out of reach.
+    pub fn record_connected(&mut self, service: &ServiceName) -> bool {
+        self.services
+            .remove(service)
+            .is_some_and(|reach| reach.is_out)
+    }
+
+    /// Records a connection to a target that failed; `targets` is the number of targets of its service. Returns whether
+    /// the service is out of reach since.
+    ///
+    /// While another service is out of reach, one failure is enough: it is likely that none can be reached.
+    pub fn record_failed(
+        &mut self,
+        now: MonoMs,
+        service: &ServiceName,
+        target: &TargetId,
+        targets: usize,
+    ) -> bool {
+        let is_other_out = self.services.values().any(|reach| reach.is_out);
+        let reach = self.services.entry(service.clone()).or_default();
+        reach.failed.retain(|_, at| now.since(*at) < FAILURE_TTL_MS);
+        reach.failed.insert(target.clone(), now);
+        let needed = if is_other_out { 1 } else { FAILED_TARGETS };
+        let was_out = reach.is_out;
+        reach.is_out |= reach.failed.len() >= needed.min(targets.max(1));
+        reach.is_out && !was_out
+    }
+
+    /// Returns whether a service is out of reach.
+    pub fn is_out(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|reach| reach.is_out)
+    }
+
+    /// Returns the services that are out of reach.
+    pub fn out_of_reach(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services
+            .iter()
+            .filter(|(_, reach)| reach.is_out)
+            .map(|(service, _)| service)
+    }
+
+    /// Returns the number of the probe of a service that is due, 0 for its first one; `None` if none is.
+    pub fn take_probe(&mut self, now: MonoMs, service: &ServiceName) -> Option<usize> {
+        let reach = self.services.entry(service.clone()).or_default();
+        let is_recent = |at| now.since(at) < PROBE_INTERVAL_MS;
+        if reach.probed_at.is_some_and(is_recent) {
+            return None;
+        }
+        reach.probed_at = Some(now);
+        reach.probes += 1;
+        Some(reach.probes - 1)
+    }
+}
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -11,12 +11,14 @@
 mod peers;
 mod prompts;
 mod quotas;
+mod reach;
 mod relaying;
 mod requests;
 
 pub use {
     members::{Heartbeat, HeartbeatReach, WantedLinks},
     news::Recipients,
+    reach::ForwardPeer,
     relaying::StoreRole,
     requests::{
         CallPlacement, CallRequest, DecisionInputs, PromptPlacement, PromptRequest, Refusal,
@@ -31,13 +33,14 @@
         fleet::{EngineGroup, EngineGroups, JobId, Member, Membership, PublishedText, hash},
         mechanism::DisabledMechanisms,
         quotas::{ColdLimitRule, QuotaTable},
-        reach::UnconfirmedFailures,
+        reach::{OwnReach, PeerReach, UnconfirmedFailures},
         relays::{FollowedRelays, Followers},
         retries::{CrashTracker, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
     },
     news::News,
     peers::PeerLag,
+    reach::ReachState,
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
@@ -63,6 +66,11 @@
     hedge_limit: HedgeLimit,
     /// Own failed connections that peers aren't told of yet.
     unconfirmed_failures: UnconfirmedFailures,
+    /// The services of which this instance reaches no target.
+    own_reach: OwnReach,
+    /// The services of which peers state to reach no target.
+    peer_reach: PeerReach,
+    reach: ReachState,
     fleet_calls: FleetCalls,
     /// When the last row of a hub's view of plain targets arrived; `None` if none ever has.
     call_picture_at: Option<MonoMs>,
@@ -120,6 +128,9 @@
             calls: CallLoads::default(),
             hedge_limit: HedgeLimit::default(),
             unconfirmed_failures: UnconfirmedFailures::default(),
+            own_reach: OwnReach::default(),
+            peer_reach: PeerReach::default(),
+            reach: ReachState::default(),
             fleet_calls: FleetCalls::default(),
             call_picture_at: None,
             notices: TargetNotices::default(),
@@ -186,19 +197,32 @@
     /// Callers store that many addresses and close connections to addresses that a later answer lacks.
     /// Where there are more, a caller therefore gets the same ones from every instance that it asks, and
     /// different callers get different ones, so that together they use all instances.
+    ///
+    /// Instances that reach no target are left out, since their callers are served through others, unless that would
+    /// leave less than half of all: the rest would get more than twice its callers within a second, and a statement
+    /// that is wrong because the targets themselves are gone would herd them.
     pub fn caller_addresses(
         &self,
         now: MonoMs,
         caller: IpAddr,
         max_addresses: usize,
     ) -> Vec<SocketAddr> {
-        let own = self.is_ready().then_some(self.own.caller_address);
-        let peers = self
-            .members
-            .live_members(now)
+        let own = self.own_member(now);
+        let peers = self.members.live_members(now);
+        let serving: Vec<&Member> = peers
+            .chain([&own])
             .filter(|member| member.ready && !member.leaving)
-            .map(|member| member.caller_address);
-        let mut addresses: Vec<SocketAddr> = own.into_iter().chain(peers).collect();
+            .collect();
+        let cut_off = self.cut_off_instances(now);
+        let in_reach = serving
+            .iter()
+            .filter(|member| !cut_off.contains(&member.peer_address));
+        let leaves_out_cut_off = in_reach.clone().count() >= serving.len().div_ceil(2);
+        let mut addresses: Vec<SocketAddr> = serving
+            .iter()
+            .filter(|member| !leaves_out_cut_off || !cut_off.contains(&member.peer_address))
+            .map(|member| member.caller_address)
+            .collect();
         if addresses.len() > max_addresses {
             let salt = hash(0, SocketAddr::new(caller, 0));
             addresses.sort_by_cached_key(|address| hash(salt, *address));
@@ -234,6 +258,7 @@
         self.notices
             .evict_expired(now, |id| targets.entry(id).is_some());
         self.quotas.evict_expired(now);
+        self.state_reach(now);
         self.update_call_view(now);
         confirmed
     }
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -14,9 +14,6 @@
     whinlatch_core::MonoMs,
 };
 
-/// An instance reports failed connections to at most the number of ready targets divided by this.
-const REPORTED_TARGETS_DIVISOR: usize = 4;
-
 impl Serving {
     /// Records that a request for a service has arrived, which adds to the service's retry budget. Called
     /// once per request, before any target is chosen.
@@ -113,33 +110,6 @@
         self.unconfirmed_failures.add(now, target);
     }
 
-    /// Records that a connection to a target was opened, and queues notices for all peers of other targets to which
-    /// one failed before.
-    pub fn record_connected(&mut self, now: MonoMs, target: &TargetId) {
-        self.calls.record_heard(now, target);
-        let confirmed = self.unconfirmed_failures.take_confirmed(now, target);
-        if !self.misses_many_targets(now) {
-            self.news.for_all().unreachable.extend(confirmed);
-        }
-    }
-
-    /// Returns whether connections to so many targets failed recently that the link of this instance is more likely at
-    /// fault than each of them.
-    fn misses_many_targets(&self, now: MonoMs) -> bool {
-        let ready = self.targets.all_ready();
-        let (mut all, mut missed) = (0, 0);
-        for entry in ready {
-            all += 1;
-            missed += usize::from(self.calls.has_failed_connection(now, &entry.id));
-        }
-        missed > (all / REPORTED_TARGETS_DIVISOR).max(1)
-    }
-
-    /// Records that a target has sent something to this instance, which counts more than what peers report of it.
-    pub fn record_heard(&mut self, now: MonoMs, target: &TargetId) {
-        self.calls.record_heard(now, target);
-    }
-
     /// Records that another target answered at the published address of a run, and queues a notice for all
     /// peers.
     pub fn record_takeover(&mut self, run: &TargetId) {
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -139,6 +139,7 @@
             heartbeat: Some(heartbeat),
             peers: self.members.addresses_to_report(now),
             leaving: self.targets.leaving(),
+            reach: self.reach_statements(now),
             limits: self.notices.limits(),
             ..roster_frame(roster, self.members.reads_rows(to))
         }
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -10,6 +10,7 @@
         },
         mechanism::Mechanism,
         names::TargetId,
+        reach::ReachStatement,
         relays::KnownState,
         retries::Fingerprint,
         targets::{AddressTakeover, PublishedChanges, TargetEntry, TargetLimit},
@@ -37,6 +38,7 @@
     crashes: Vec<Crash>,
     served: Vec<Fingerprint>,
     unreachable: Vec<TargetId>,
+    reach: Vec<ReachStatement>,
     leaving: Vec<TargetId>,
     limits: Vec<TargetLimit>,
     takeovers: Vec<AddressTakeover>,
@@ -191,6 +193,7 @@
             crashes: frame.crashes,
             served: frame.served,
             unreachable: frame.unreachable,
+            reach: frame.reach,
             leaving: frame.leaving,
             limits: frame.limits,
             takeovers: frame.takeovers,
@@ -285,6 +288,7 @@
     /// instances link to each other: such a request may arrive at any instance next, and any instance may
     /// have streams at such a target.
     fn apply_fleet_notices(&mut self, now: MonoMs, notices: FleetNotices) {
+        let own = self.own.peer_address;
         let new = FleetNotices {
             crashes: retain_new(notices.crashes, |crash| {
                 self.crashes.record_crash(now, crash)
@@ -295,6 +299,9 @@
             unreachable: retain_new(notices.unreachable, |id| {
                 self.calls.record_reported_unreachable(now, id)
             }),
+            reach: retain_new(notices.reach, |statement| {
+                statement.peer != own && self.peer_reach.apply(now, statement)
+            }),
             leaving: retain_new(notices.leaving, |run| self.targets.record_leaving(now, run)),
             limits: retain_new(notices.limits, |limit| {
                 self.notices.apply_peer_limit(now, limit)
@@ -308,6 +315,7 @@
             news.crashes.extend(new.crashes);
             news.served.extend(new.served);
             news.unreachable.extend(new.unreachable);
+            news.reach.extend(new.reach);
             news.leaving.extend(new.leaving);
             news.limits.extend(new.limits);
             news.takeovers.extend(new.takeovers);
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -319,12 +319,16 @@
             u32::try_from(counted).unwrap_or(u32::MAX)
         };
         let all = count(&|id| self.calls.is_unreachable(now, id));
-        let reported = count(&|id| self.calls.is_only_reported_unreachable(now, id));
+        let reported = count(&|id| {
+            !self.calls.has_failed_connection(now, id)
+                && self.calls.is_reported_unreachable(now, id)
+        });
         (all, reported)
     }
 
     /// Returns the ready engines of a group that may get a prompt. Unreachable ones are left out unless all
-    /// are unreachable.
+    /// are unreachable. Own failed connections say nothing while the whole service is out of reach here: peers may ask
+    /// this instance to choose.
     fn usable_engines(
         &self,
         now: MonoMs,
@@ -332,12 +336,17 @@
         request: &PromptRequest,
     ) -> Vec<TargetId> {
         let ready = self.candidate_engines(group, request);
+        let is_out_of_reach = self.is_out_of_reach(&request.service);
+        let is_passed_over = |id: &TargetId| {
+            if is_out_of_reach {
+                self.calls.is_reported_unreachable(now, id)
+            } else {
+                self.calls.is_unreachable(now, id)
+            }
+        };
         let reachable: Vec<TargetId> = ready
             .iter()
-            .filter(|id| {
-                !self.mechanisms.is_enabled(Mechanism::PassingOver)
-                    || !self.calls.is_unreachable(now, id)
-            })
+            .filter(|id| !self.mechanisms.is_enabled(Mechanism::PassingOver) || !is_passed_over(id))
             .map(|id| (*id).clone())
             .collect();
         if reachable.is_empty() {
@@ -347,8 +356,11 @@
     }
 
     /// Returns whether a stream should move to another engine: its own is unreachable, and another ready
-    /// engine of the service is not.
+    /// engine of the service is not, or a peer may reach one while this instance reaches none.
     pub fn should_move_stream(&self, now: MonoMs, engine: &TargetEntry) -> bool {
+        if self.is_out_of_reach(&engine.service) {
+            return self.has_forward_peer(now, &engine.service);
+        }
         let is_unreachable = |id: &str| self.calls.is_unreachable(now, id);
         is_unreachable(&engine.id)
             && self
--- a/crates/serving/src/targets/call_loads.rs
+++ b/crates/serving/src/targets/call_loads.rs
@@ -162,10 +162,10 @@
         load.is_some_and(|load| load.unreachable_until > now)
     }
 
-    /// Returns whether a target counts as unreachable by the word of peers alone.
-    pub fn is_only_reported_unreachable(&self, now: MonoMs, target: &str) -> bool {
+    /// Returns whether a target counts as unreachable by the word of peers.
+    pub fn is_reported_unreachable(&self, now: MonoMs, target: &str) -> bool {
         let load = self.by_target.get(target);
-        load.is_some_and(|load| load.is_unreachable(now) && load.unreachable_until <= now)
+        load.is_some_and(|load| load.reported_unreachable_until > now)
     }
 
     /// Counts a request as in flight.
