--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -147,7 +147,10 @@
     let now = state.now();
     match opened {
         Ok(connection) => {
-            state.serving().record_connected(now, &target.id);
+            let is_news = state.serving().record_connected(now, &target.id);
+            if is_news {
+                state.log_in_reach(&target.service);
+            }
             Ok(connection)
         }
         Err(fault) => {
--- a/crates/daemon/src/entry/forward/target_probe.rs
+++ b/crates/daemon/src/entry/forward/target_probe.rs
@@ -19,14 +19,8 @@
 }
 
 async fn probe(state: &EntryState, target: &TargetEntry) {
-    let was_out = state.serving().is_out_of_reach(&target.service);
-    let Ok(connection) = open_connection(state, target).await else {
-        return;
-    };
-    if was_out {
-        state.log_in_reach(&target.service);
+    if let Ok(connection) = open_connection(state, target).await {
+        let now = state.now();
+        state.pool.put(now, target.address, connection, None);
     }
-    state
-        .pool
-        .put(state.now(), target.address, connection, None);
 }
--- a/crates/serving/src/reach/own_reach.rs
+++ b/crates/serving/src/reach/own_reach.rs
@@ -16,30 +16,70 @@
 /// Connections of this instance to the targets of one service.
 #[derive(Debug, Default)]
 struct ServiceReach {
-    /// Targets to which a connection failed since the last one that was opened, and when.
+    /// Targets to which the last connection failed, and when.
     failed: HashMap<TargetId, MonoMs>,
+    /// When a connection to any of the targets was last opened, since the first one failed.
+    connected_at: Option<MonoMs>,
     is_out: bool,
     probed_at: Option<MonoMs>,
     /// Number of probes so far, by which targets take turns.
     probes: usize,
 }
 
+impl ServiceReach {
+    fn evict_expired(&mut self, now: MonoMs) {
+        self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL_MS);
+    }
+
+    /// Returns the number of targets to which a connection failed since one was opened to any.
+    fn failed_in_a_row(&self) -> usize {
+        let is_later = |at: &MonoMs| {
+            self.connected_at
+                .is_none_or(|connected_at| *at > connected_at)
+        };
+        self.failed.values().filter(|at| is_later(at)).count()
+    }
+
+    /// Returns whether the last connections to more than half of the targets failed.
+    fn misses_most(&self, targets: usize) -> bool {
+        2 * self.failed.len() > targets
+    }
+}
+
 /// The services whose targets this instance can't reach.
 ///
-/// A service is out of reach after connections to several of its targets have failed in a row, and in reach again
-/// once one is opened. Only new connections count: those that were opened before may live on though no new one can be
-/// opened.
+/// A service is out of reach after connections to several of its targets have failed in a row. It is in reach again once
+/// one is opened, unless those to most of the targets have failed a short time ago: the few that are left would get all
+/// requests. Only new connections count: those that were opened before may live on though no new one can be opened.
 #[derive(Debug, Default)]
 pub struct OwnReach {
     services: BTreeMap<ServiceName, ServiceReach>,
 }
 
 impl OwnReach {
-    /// Records a connection to a target that was opened. Returns whether its service was out of reach.
-    pub fn record_connected(&mut self, service: &ServiceName) -> bool {
-        self.services
-            .remove(service)
-            .is_some_and(|reach| reach.is_out)
+    /// Records a connection to a target that was opened; `targets` is the number of targets of its service. Returns
+    /// whether the service is in reach again.
+    pub fn record_connected(
+        &mut self,
+        now: MonoMs,
+        service: &ServiceName,
+        target: &TargetId,
+        targets: usize,
+    ) -> bool {
+        let Some(reach) = self.services.get_mut(service) else {
+            return false;
+        };
+        reach.evict_expired(now);
+        reach.failed.remove(target);
+        reach.connected_at = Some(now);
+        if reach.misses_most(targets) {
+            return false;
+        }
+        let was_out = std::mem::replace(&mut reach.is_out, false);
+        if reach.failed.is_empty() {
+            self.services.remove(service);
+        }
+        was_out
     }
 
     /// Records a connection to a target that failed; `targets` is the number of targets of its service. Returns whether
@@ -54,13 +94,15 @@
         targets: usize,
     ) -> bool {
         let is_other_out = self.services.values().any(|reach| reach.is_out);
+        let needed = if is_other_out { 1 } else { FAILED_TARGETS };
         let reach = self.services.entry(service.clone()).or_default();
-        reach.failed.retain(|_, at| now.since(*at) < FAILURE_TTL_MS);
+        reach.evict_expired(now);
         reach.failed.insert(target.clone(), now);
-        let needed = if is_other_out { 1 } else { FAILED_TARGETS };
-        let was_out = reach.is_out;
-        reach.is_out |= reach.failed.len() >= needed.min(targets.max(1));
-        reach.is_out && !was_out
+        if reach.is_out || reach.failed_in_a_row() < needed.min(targets.max(1)) {
+            return false;
+        }
+        reach.is_out = true;
+        true
     }
 
     /// Returns whether a service is out of reach.
--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -54,15 +54,20 @@
 impl Serving {
     /// Records that a connection to a target was opened. Queues notices for all peers of other targets to which one
     /// failed before.
-    pub fn record_connected(&mut self, now: MonoMs, target: &TargetId) {
+    ///
+    /// Returns whether the target's service is in reach again.
+    pub fn record_connected(&mut self, now: MonoMs, target: &TargetId) -> bool {
         self.calls.record_heard(now, target);
-        if let Some(entry) = self.targets.entry(target) {
-            self.own_reach.record_connected(&entry.service);
-        }
+        let is_in_reach = self.targets.entry(target).is_some_and(|entry| {
+            let targets = self.targets.ready(&entry.service).count();
+            self.own_reach
+                .record_connected(now, &entry.service, target, targets)
+        });
         let confirmed = self.unconfirmed_failures.take_confirmed(now, target);
-        if !self.misses_many_targets(now) {
+        if !confirmed.is_empty() && !self.misses_many_targets(now) {
             self.news.for_all().unreachable.extend(confirmed);
         }
+        is_in_reach
     }
 
     /// Records that no connection to a target could be opened. Returns whether its service is out of reach since.
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -32,6 +32,8 @@
 mod properties;
 #[path = "serving/quotas.rs"]
 mod quotas;
+#[path = "serving/reach.rs"]
+mod reach;
 #[path = "serving/relays.rs"]
 mod relays;
 #[path = "serving/removals.rs"]
