--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -102,8 +102,8 @@
     }
 }
 
-/// Records, for all instances, that a request seems to have crashed its target. Does nothing if `fault` is no
-/// crash.
+/// Records the end of an attempt by a fault: for all instances if the request seems to have crashed its target, and for
+/// this one if the connection broke.
 pub fn record_crash(
     state: &EntryState,
     context: &RequestContext,
@@ -111,11 +111,18 @@
     fault: &AttemptFault,
     was_reused: bool,
 ) {
+    let is_break = matches!(
+        fault,
+        AttemptFault::Broken(TargetFault::Io(_) | TargetFault::Closed)
+    );
+    let now = state.now();
+    let mut serving = state.serving();
     if fault.is_crash(was_reused) {
-        let now = state.now();
-        let mut serving = state.serving();
         serving.record_crash(now, context.fingerprint, &target.id);
     }
+    if is_break {
+        serving.record_break(now, &target.id);
+    }
 }
 
 /// Returns an idle connection to a target, or opens one.
--- a/crates/daemon/src/entry/engine_life.rs
+++ b/crates/daemon/src/entry/engine_life.rs
@@ -21,8 +21,8 @@
 const MAX_UNANSWERED_REPORTS: u32 = 2;
 
 /// Completes once the engine that is to answer a prompt is lost: it has restarted, or doesn't answer for its
-/// report. Reports are read only where the prompt holds memory elsewhere, the engine's entry is gone, or a
-/// connection to it failed at some instance.
+/// report, or this instance reaches no engine and a peer may. Reports are read only where the prompt holds memory
+/// elsewhere, the engine's entry is gone, or a connection to it failed at some instance.
 ///
 /// Guards against an engine that loses power while a prompt waits in its queue: no connection breaks, so the
 /// caller would wait until its deadline, and the memory reserved at helpers would be renewed for nobody.
@@ -35,6 +35,13 @@
             return;
         }
         let now = state.now();
+        if state.serving().is_out_of_reach(&engine.service) {
+            // Reports need a new connection, and would say nothing of the engine.
+            if state.serving().should_leave_service(now, &engine.service) {
+                return;
+            }
+            continue;
+        }
         let since_report_ms = now.since(reported_at);
         let is_suspect = unanswered > 0 || state.serving().may_be_gone(now, &engine.id);
         let is_due = is_suspect && since_report_ms >= SUSPECT_REPORT_INTERVAL_MS
--- a/crates/daemon/src/entry/plain_calls/call_guard.rs
+++ b/crates/daemon/src/entry/plain_calls/call_guard.rs
@@ -61,6 +61,13 @@
         });
     }
 
+    /// Records that no connection to the target could be opened, or that the target takes no requests any more.
+    pub fn record_not_sent(&self) {
+        self.record_end(|serving, now, target, _waited_ms| {
+            serving.record_call_not_sent(now, target);
+        });
+    }
+
     /// Records that the attempt is cancelled because another one succeeded, which took `winner_ms`.
     pub fn record_overtaken(&self, winner_ms: u64) {
         self.record_end(|serving, now, target, waited_ms| {
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -111,7 +111,7 @@
         guard.begin();
         let connection = request_connection(state, target)
             .await
-            .inspect_err(|_fault| guard.record_ended(true))?;
+            .inspect_err(|_fault| guard.record_not_sent())?;
         let now = state.now();
         let bytes = context.for_target(&TargetHead {
             left_ms: context.deadline.since(now),
--- a/crates/serving/src/reach/own_reach.rs
+++ b/crates/serving/src/reach/own_reach.rs
@@ -10,6 +10,9 @@
 /// Time for which a failed connection counts, in ms: longer than connections to three targets take to time out one
 /// after the other.
 const FAILURE_TTL_MS: u64 = 3_000;
+/// Silence of all open connections to a service that is out of reach, after which they are taken to be broken too, in
+/// ms: targets at work send something in some pass shorter than this.
+const SILENCE_MS: u64 = 700;
 /// Time between two probes of a service that is out of reach, in ms.
 const PROBE_INTERVAL_MS: u64 = 250;
 
@@ -20,7 +23,10 @@
     failed: HashMap<TargetId, MonoMs>,
     /// When a connection to any of the targets was last opened, since the first one failed.
     connected_at: Option<MonoMs>,
-    is_out: bool,
+    /// Since when the service is out of reach; `None` while it isn't.
+    out_since: Option<MonoMs>,
+    /// When a target last sent something over a connection that was opened before.
+    heard_at: Option<MonoMs>,
     probed_at: Option<MonoMs>,
     /// Number of probes so far, by which targets take turns.
     probes: usize,
@@ -75,7 +81,7 @@
         if reach.misses_most(targets) {
             return false;
         }
-        let was_out = std::mem::replace(&mut reach.is_out, false);
+        let was_out = reach.out_since.take().is_some();
         if reach.failed.is_empty() {
             self.services.remove(service);
         }
@@ -93,28 +99,48 @@
         target: &TargetId,
         targets: usize,
     ) -> bool {
-        let is_other_out = self.services.values().any(|reach| reach.is_out);
+        let is_other_out = self.out_of_reach().next().is_some();
         let needed = if is_other_out { 1 } else { FAILED_TARGETS };
         let reach = self.services.entry(service.clone()).or_default();
         reach.evict_expired(now);
         reach.failed.insert(target.clone(), now);
-        if reach.is_out || reach.failed_in_a_row() < needed.min(targets.max(1)) {
+        if reach.out_since.is_some() || reach.failed_in_a_row() < needed.min(targets.max(1)) {
             return false;
         }
-        reach.is_out = true;
+        reach.out_since = Some(now);
         true
     }
 
     /// Returns whether a service is out of reach.
     pub fn is_out(&self, service: &str) -> bool {
-        self.services.get(service).is_some_and(|reach| reach.is_out)
+        let reach = self.services.get(service);
+        reach.is_some_and(|reach| reach.out_since.is_some())
+    }
+
+    /// Records that a target of a service has sent something over an open connection.
+    pub fn record_heard(&mut self, now: MonoMs, service: &str) {
+        if let Some(reach) = self.services.get_mut(service) {
+            reach.heard_at = Some(now);
+        }
+    }
+
+    /// Returns whether the connections that were opened before a service got out of reach are silent as well, as far
+    /// as can be seen: no target has sent anything over them since.
+    pub fn are_old_connections_silent(&self, now: MonoMs, service: &str) -> bool {
+        let Some(reach) = self.services.get(service) else {
+            return false;
+        };
+        reach.out_since.is_some_and(|out_since| {
+            let is_heard = reach.heard_at.is_some_and(|heard_at| heard_at >= out_since);
+            !is_heard && now.since(out_since) >= SILENCE_MS
+        })
     }
 
     /// Returns the services that are out of reach.
     pub fn out_of_reach(&self) -> impl Iterator<Item = &ServiceName> {
         self.services
             .iter()
-            .filter(|(_, reach)| reach.is_out)
+            .filter(|(_, reach)| reach.out_since.is_some())
             .map(|(service, _)| service)
     }
 
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -33,7 +33,7 @@
         fleet::{EngineGroup, EngineGroups, JobId, Member, Membership, PublishedText, hash},
         mechanism::DisabledMechanisms,
         quotas::{ColdLimitRule, QuotaTable},
-        reach::{OwnReach, PeerReach, UnconfirmedFailures},
+        reach::{ConnectionBreaks, OwnReach, PeerReach, UnconfirmedFailures},
         relays::{FollowedRelays, Followers},
         retries::{CrashTracker, FleetBudget, FleetBudgetRule},
         targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
@@ -66,6 +66,7 @@
     hedge_limit: HedgeLimit,
     /// Own failed connections that peers aren't told of yet.
     unconfirmed_failures: UnconfirmedFailures,
+    breaks: ConnectionBreaks,
     /// The services of which this instance reaches no target.
     own_reach: OwnReach,
     /// The services of which peers state to reach no target.
@@ -128,6 +129,7 @@
             calls: CallLoads::default(),
             hedge_limit: HedgeLimit::default(),
             unconfirmed_failures: UnconfirmedFailures::default(),
+            breaks: ConnectionBreaks::default(),
             own_reach: OwnReach::default(),
             peer_reach: PeerReach::default(),
             reach: ReachState::default(),
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -76,6 +76,12 @@
         self.calls.record_withdrawn(target);
     }
 
+    /// Records that a call wasn't sent since no connection to its target could be opened. Peers aren't told: it says
+    /// more of the link of this instance than of the target.
+    pub fn record_call_not_sent(&mut self, now: MonoMs, target: &TargetId) {
+        self.calls.record_not_sent(now, target);
+    }
+
     /// Records the end of a call and the time that it took at its target, in ms.
     pub fn record_call_ended(
         &mut self,
@@ -150,8 +156,15 @@
         }
     }
 
-    /// Records that a target failed while it ran a request, and queues a notice for all peers.
+    /// Records that a target failed while it ran a request, and queues a notice for all peers. Has no effect if the link
+    /// of this instance is suspect.
+    ///
+    /// Guards against a request that counts as one which crashes its targets, because an instance that was cut off lost
+    /// its connections to several of them.
     pub fn record_crash(&mut self, now: MonoMs, fingerprint: Fingerprint, target: &TargetId) {
+        if self.is_link_suspect(now, target) {
+            return;
+        }
         let crash = Crash {
             fingerprint,
             target: target.clone(),
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -359,7 +359,7 @@
     /// engine of the service is not, or a peer may reach one while this instance reaches none.
     pub fn should_move_stream(&self, now: MonoMs, engine: &TargetEntry) -> bool {
         if self.is_out_of_reach(&engine.service) {
-            return self.has_forward_peer(now, &engine.service);
+            return self.should_leave_service(now, &engine.service);
         }
         let is_unreachable = |id: &str| self.calls.is_unreachable(now, id);
         is_unreachable(&engine.id)
@@ -382,8 +382,14 @@
         }
     }
 
-    /// Records that the engine that was to answer a prompt failed, and queues a notice for its deciders.
+    /// Records that the engine that was to answer a prompt failed, and queues a notice for its deciders. Has no effect if
+    /// the link of this instance is suspect.
     pub fn record_prompt_failure(&mut self, now: MonoMs, job: JobId) {
+        let placed = self.engines.job(job);
+        let engine = placed.and_then(|job| job.placed.engines.first());
+        if engine.is_some_and(|engine| self.is_link_suspect(now, engine)) {
+            return;
+        }
         for group in self.groups_of(job) {
             self.news.for_group(group).failed.push(job);
         }
@@ -402,7 +408,7 @@
     /// Records an event of an engine's stream, from which the ends of its passes are derived. Queues the
     /// engine's pace for the deciders if it has changed.
     pub fn record_stream_event(&mut self, now: MonoMs, engine: &TargetEntry) {
-        self.calls.record_heard(now, &engine.id);
+        self.record_heard(now, &engine.id);
         let Some(spec) = self.spec_of_service(&engine.service) else {
             return;
         };
--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -58,6 +58,7 @@
     /// Returns whether the target's service is in reach again.
     pub fn record_connected(&mut self, now: MonoMs, target: &TargetId) -> bool {
         self.calls.record_heard(now, target);
+        self.breaks.clear();
         let is_in_reach = self.targets.entry(target).is_some_and(|entry| {
             let targets = self.targets.ready(&entry.service).count();
             self.own_reach
@@ -72,6 +73,7 @@
 
     /// Records that no connection to a target could be opened. Returns whether its service is out of reach since.
     pub fn record_connection_failure(&mut self, now: MonoMs, target: &TargetId) -> bool {
+        self.breaks.record(now, target);
         let Some(service) = self
             .targets
             .entry(target)
@@ -83,9 +85,34 @@
         self.own_reach.record_failed(now, &service, target, targets)
     }
 
+    /// Records that a connection to a target broke while it ran a request.
+    pub fn record_break(&mut self, now: MonoMs, target: &TargetId) {
+        self.breaks.record(now, target);
+    }
+
+    /// Returns whether a failure at a target is more likely one of this instance's link: connections to others broke at
+    /// the same time, or none of its service can be reached.
+    pub fn is_link_suspect(&self, now: MonoMs, target: &TargetId) -> bool {
+        let service = self.targets.entry(target).map(|entry| &entry.service);
+        service.is_some_and(|service| self.is_out_of_reach(service))
+            || self.breaks.has_other(now, target)
+    }
+
     /// Records that a target has sent something to this instance, which counts more than what peers report of it.
     pub fn record_heard(&mut self, now: MonoMs, target: &TargetId) {
         self.calls.record_heard(now, target);
+        if let Some(entry) = self.targets.entry(target) {
+            self.own_reach.record_heard(now, &entry.service);
+        }
+    }
+
+    /// Returns whether what is at work at targets of a service should go on through a peer: none can be reached over new
+    /// connections, old ones are silent as well, and a peer may reach them.
+    ///
+    /// Guards against streams that are given up though their connections live on while new ones are refused.
+    pub fn should_leave_service(&self, now: MonoMs, service: &ServiceName) -> bool {
+        self.own_reach.are_old_connections_silent(now, service)
+            && self.has_forward_peer(now, service)
     }
 
     /// Returns whether connections to so many targets failed recently that the link of this instance is more likely at
--- a/crates/serving/src/targets/call_loads.rs
+++ b/crates/serving/src/targets/call_loads.rs
@@ -180,6 +180,15 @@
         }
     }
 
+    /// Records that a request wasn't sent since no connection could be opened. It counts as a failure here, and isn't
+    /// reported.
+    pub fn record_not_sent(&mut self, now: MonoMs, target: &str) {
+        self.record_withdrawn(target);
+        if let Some(load) = self.by_target.get_mut(target) {
+            load.failures.record(now, true);
+        }
+    }
+
     /// Records the end of a request; `failed` if the target didn't serve it. Only answers that didn't fail
     /// count towards the answer time.
     pub fn record_ended(&mut self, now: MonoMs, target: &str, took_ms: f64, failed: bool) {
--- a/crates/serving/tests/serving/cut_off.rs
+++ b/crates/serving/tests/serving/cut_off.rs
@@ -1,6 +1,10 @@
 //! Instances that are partitioned from all targets, and what others make of what they say.
 
-use {super::fleet_fixture::Fleet, std::net::SocketAddr, whinlatch_serving::names::TargetId};
+use {
+    super::{fixture::prompt_request, fleet_fixture::Fleet},
+    std::net::SocketAddr,
+    whinlatch_serving::names::TargetId,
+};
 
 /// Steps until the instances of a fleet know each other.
 const SETTLING_STEPS: usize = 12;
@@ -83,3 +87,25 @@
     assert!(!fleet.alive[&addresses[1]].is_unreachable(now, &lost));
     assert!(fleet.alive[&addresses[2]].is_unreachable(now, &lost));
 }
+
+/// Guards against requests that the whole fleet refuses as ones that crash their targets, since an instance that was cut
+/// off lost its connections to several targets while they ran.
+#[test]
+fn requests_that_a_cut_instance_loses_are_not_condemned() {
+    let mut fleet = Fleet::start(9);
+    fleet.steps(SETTLING_STEPS);
+    let addresses: Vec<SocketAddr> = fleet.alive.keys().copied().collect();
+    let now = fleet.now;
+    let request = prompt_request(5_000);
+    let cut = fleet.alive.get_mut(&addresses[0]).unwrap();
+
+    for (engine, at) in engines().iter().zip([0, 2, 4, 6]) {
+        cut.record_connection_failure(now + at, engine);
+        cut.record_crash(now + at, request.fingerprint, engine);
+    }
+    fleet.deliver_news();
+
+    let other = fleet.alive.get_mut(&addresses[1]).unwrap();
+    let admitted = other.admit_prompt(now + 10, &request);
+    assert!(admitted.is_ok(), "{admitted:?}");
+}
--- a/crates/serving/tests/serving/reach.rs
+++ b/crates/serving/tests/serving/reach.rs
@@ -2,6 +2,7 @@
 
 use {
     super::fixture::START,
+    whinlatch_core::MonoMs,
     whinlatch_serving::{
         names::{ServiceName, TargetId},
         reach::OwnReach,
@@ -87,3 +88,18 @@
 
     assert!(reach.is_out("calls"));
 }
+
+/// Guards against streams that are given up though only new connections are refused: old ones live on.
+#[test]
+fn open_connections_count_as_silent_only_if_no_target_sends_anything() {
+    let mut quiet = failing(0..3);
+    let mut alive = failing(0..3);
+    quiet.record_heard(MonoMs(START.0 - 1), "engines");
+    alive.record_heard(START + 100, "engines");
+
+    let at_once = quiet.are_old_connections_silent(START, "engines");
+    let later =
+        [&quiet, &alive].map(|reach| reach.are_old_connections_silent(START + 800, "engines"));
+
+    assert_eq!((at_once, later), (false, [true, false]));
+}
