--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -80,6 +80,14 @@
         )
     }
 
+    /// Returns whether the attempt ended before the request was sent, so that it never arrived at a target.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent(_) | Self::NotPermitted | Self::Leaving | Self::NoMemory(_)
+        )
+    }
+
     /// Returns whether the target is unreachable: no connection could be opened, sent bytes weren't
     /// acknowledged, or it answers nothing any more.
     pub fn is_unreachable(&self) -> bool {
--- a/crates/daemon/src/entry/plain_calls.rs
+++ b/crates/daemon/src/entry/plain_calls.rs
@@ -71,6 +71,7 @@
             Ok(received) => failure = Some(received),
             Err(fault) => {
                 record_failed_attempt(state, context, &target, &fault);
+                return_unsent_retry(state, context, answer, &fault);
                 unreached += u32::from(matches!(fault, AttemptFault::NotSent(_)));
                 if fault.may_have_run() && !is_idempotent {
                     let reason = fault.to_string();
@@ -111,6 +112,19 @@
     }
 }
 
+/// Returns a retry to the budget that wasn't sent. Guards against refusals for too many retries while none arrives at a
+/// target.
+pub fn return_unsent_retry(
+    state: &EntryState,
+    context: &RequestContext,
+    answer: &CallerAnswer<'_>,
+    fault: &AttemptFault,
+) {
+    if fault.is_unsent() && answer.progress().sends > 0 {
+        state.serving().return_retry(state.now(), &context.service);
+    }
+}
+
 /// Applies what a target's refusal reveals: that another target has taken over its address, or that a
 /// helper failed.
 fn record_not_run(state: &EntryState, target: &TargetEntry, not_run: &NotRun) {
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -13,7 +13,7 @@
         http::ResponseHead,
         job_guard::JobGuard,
         placing::place_prompt,
-        plain_calls::{MAX_UNREACHED, record_failed_attempt},
+        plain_calls::{MAX_UNREACHED, record_failed_attempt, return_unsent_retry},
         request_context::RequestContext,
         reservations::Reservations,
         target_connection::TargetConnection,
@@ -125,6 +125,7 @@
             self.record_engine_failure(placement.job);
             drop(guard);
             record_failed_attempt(self.state, self.context, &target, &fault);
+            return_unsent_retry(self.state, self.context, self.answer, &fault);
             tried.push(target.id);
             self.unreached += u32::from(matches!(fault, AttemptFault::NotSent(_)));
             if fault.may_have_run() {
--- a/crates/serving/src/retries/fleet_budget.rs
+++ b/crates/serving/src/retries/fleet_budget.rs
@@ -68,6 +68,12 @@
         true
     }
 
+    /// Returns a retry that was taken a moment ago and not sent.
+    pub fn return_retry(&mut self, now: MonoMs, service: &ServiceName) {
+        let slot = self.slot(now, service);
+        slot.retries = slot.retries.saturating_sub(1);
+    }
+
     fn slot(&mut self, now: MonoMs, service: &ServiceName) -> &mut Slot {
         let window_ms = self.rule.window_ms;
         let slots = self.by_service.entry(service.clone()).or_default();
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -71,6 +71,11 @@
         Ok(())
     }
 
+    /// Returns a retry of a service to the budget, which wasn't sent to the target that was chosen for it.
+    pub fn return_retry(&mut self, now: MonoMs, service: &ServiceName) {
+        self.budget.return_retry(now, service);
+    }
+
     /// Reverts the record of a call that wasn't sent after all.
     pub fn record_call_withdrawn(&mut self, target: &TargetId) {
         self.calls.record_withdrawn(target);
