--- a/crates/daemon/src/entry/target_pool.rs
+++ b/crates/daemon/src/entry/target_pool.rs
@@ -14,8 +14,9 @@
 /// Timeout for opening a connection to a target, in ms. Round trips take some 2 ms and targets accept
 /// within 1 ms; a target that is powered off is skipped while the caller still waits.
 const CONNECT_TIMEOUT_MS: u64 = 300;
-/// Time that bytes sent to a target may stay unacknowledged before the connection is taken as broken.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time that bytes sent to a target may stay unacknowledged before the connection is taken as broken. A target that was
+/// silent for a second acknowledges them after their third retransmission, 1.4 s after they were sent.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time up to which a connection is reused if the target's answer has no `Keep-Alive` timeout, in ms.
 const DEFAULT_KEEP_ALIVE_MS: u64 = 600;
 /// Time before the end of the target's `Keep-Alive` timeout at which a connection is no longer reused, in
