--- a/crates/serving/src/reach/peer_reach.rs
+++ b/crates/serving/src/reach/peer_reach.rs
@@ -6,7 +6,7 @@
 };
 
 /// Time for which a statement of a peer counts, in ms: some times the interval at which it is repeated.
-const STATEMENT_TTL_MS: u64 = 12_000;
+const STATEMENT_TTL_MS: u64 = 25_000;
 
 /// Statement of an instance of which services it can't reach.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +18,7 @@
     /// Number of the statement within the run; of two statements the one with the higher number holds.
     pub number: u64,
     /// The services of which it reaches no target; empty if it reaches all.
+    #[serde(rename = "out")]
     pub out_of_reach: Vec<ServiceName>,
 }
 
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -103,17 +103,19 @@
     }
 
     /// Returns the engines whose reports this instance should read for the fleet: those of the groups of
-    /// which it is the first decider.
+    /// which it is the first decider that isn't cut off from the targets.
     ///
     /// A report counts towards the limit of an engine that is short of capacity, which is better left to
     /// callers. An engine with a limit is therefore left out while answers have recently confirmed the
     /// limit.
     pub fn reported_engines(&self, now: MonoMs) -> Vec<TargetEntry> {
+        let cut_off = self.cut_off_instances(now);
         let groups: Vec<_> = (0..self.groups.count())
             .map(|number| self.groups.group(number))
             .filter(|group| {
                 let deciders = self.members.ranks().deciders(*group);
-                deciders.first() == Some(&self.own.peer_address)
+                let first = deciders.iter().find(|decider| !cut_off.contains(*decider));
+                first == Some(&self.own.peer_address)
             })
             .collect();
         self.targets
--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -21,7 +21,7 @@
 /// An instance reports failed connections to at most the number of ready targets divided by this.
 const REPORTED_TARGETS_DIVISOR: usize = 4;
 /// Time between two statements of the services that are out of reach, in ms; the first one follows with the next tick.
-const STATEMENT_INTERVAL_MS: u64 = 4_000;
+const STATEMENT_INTERVAL_MS: u64 = 10_000;
 /// Processor time, in thousandths of a core, for each request of a peer that may be in flight here.
 const CPU_MILLIS_PER_FORWARD: u32 = 4;
 /// Requests of peers that may be in flight at any instance, however small it is.
