--- a/crates/daemon/src/entry/forward/forward_send.rs
+++ b/crates/daemon/src/entry/forward/forward_send.rs
@@ -4,6 +4,7 @@
         clock::timeout,
         entry::{
             answers::CallerAnswer,
+            attempt::AttemptFault,
             decision_line::Decision,
             entry_state::EntryState,
             http::ResponseHead,
@@ -20,6 +21,9 @@
 
 /// Peers that are asked to take a request.
 const MAX_PEERS: usize = 2;
+/// Targets to which no connection could be opened, after which a request is served through a peer: the second one
+/// hardly has crashed by chance as well.
+const MAX_UNREACHED: u32 = 2;
 /// Status with which a peer says that it doesn't take a request, which hasn't run.
 pub const NOT_TAKEN: u16 = 421;
 /// Time between two checks whether a peer is alive, in ms.
@@ -63,7 +67,7 @@
     }
 }
 
-/// A request on its way through peers.
+/// The choice whether a request is sent to targets or to a peer, and its way through peers.
 #[derive(Debug)]
 pub struct Forward<'a> {
     state: &'a EntryState,
@@ -71,6 +75,10 @@
     answer: &'a CallerAnswer<'a>,
     /// Peer addresses of the instances that were asked.
     tried: Vec<SocketAddr>,
+    /// Whether no further peer takes the request.
+    is_over: bool,
+    /// Attempts for which no connection could be opened.
+    unreached: u32,
 }
 
 impl<'a> Forward<'a> {
@@ -85,23 +93,53 @@
             context,
             answer,
             tried: Vec::new(),
+            is_over: false,
+            unreached: 0,
         }
     }
 
-    /// Returns whether the request may be forwarded, after `runs` targets may have run it. One that came from a peer
-    /// is never forwarded again.
-    pub fn is_possible(&self, runs: u32) -> bool {
+    /// Records the fault of an attempt at a target.
+    pub fn record_fault(&mut self, fault: &AttemptFault) {
+        self.unreached += u32::from(matches!(fault, AttemptFault::NotSent(_)));
+    }
+
+    /// Returns whether the request is to be sent to a peer now, after `runs` targets may have run it.
+    pub fn is_due(&self, runs: u32) -> bool {
+        (self.unreached >= MAX_UNREACHED || self.is_out_of_reach()) && self.is_possible(runs)
+    }
+
+    /// Has the request be sent to a peer, where there is no other way left and some target couldn't be reached. Returns
+    /// whether that is possible.
+    pub fn resort_to_peer(&mut self, runs: u32) -> bool {
+        let is_possible = (self.unreached > 0 || self.is_out_of_reach()) && self.is_possible(runs);
+        if is_possible {
+            self.unreached = MAX_UNREACHED;
+        }
+        is_possible
+    }
+
+    /// Returns whether a further attempt at a target is of no use: one couldn't be reached, and none of the service is
+    /// in reach.
+    pub fn is_hopeless(&self) -> bool {
+        self.unreached > 0 && self.is_out_of_reach()
+    }
+
+    fn is_out_of_reach(&self) -> bool {
+        self.state.serving().is_out_of_reach(&self.context.service)
+    }
+
+    /// Returns whether the request may be sent to a peer. One that came from a peer never is.
+    fn is_possible(&self, runs: u32) -> bool {
         let route = &self.context.route;
         let may_repeat = runs == 0 || route.retry_policy.is_idempotent();
-        let is_possible = self.context.forwarded.is_none()
-            && self.tried.len() < MAX_PEERS
-            && may_repeat
-            && runs < route.max_attempts;
-        is_possible
+        let has_attempt = !self.is_over && may_repeat && runs < route.max_attempts;
+        let now = self.state.now();
+        has_attempt
+            && self.context.forwarded.is_none()
             && self
                 .state
                 .serving()
-                .has_forward_peer(self.state.now(), &self.context.service)
+                .has_forward_peer(now, &self.context.service)
     }
 
     /// Sends the request to a peer that takes it, and receives the head of its answer. `runs` targets may have run the
@@ -136,6 +174,7 @@
             self.answer.set_may_have_run(true);
             let answered = self.exchange(&peer, connection, &request).await;
             let (connection, head) = answered.map_err(|fault| {
+                self.is_over = self.tried.len() >= MAX_PEERS;
                 self.state.metrics.record_forward("broken");
                 ForwardFault::Broken(fault)
             })?;
@@ -157,6 +196,7 @@
                 forwarded.keep_connection(self.state);
             }
         }
+        self.is_over = true;
         Err(ForwardFault::NotTaken)
     }
 
--- a/crates/daemon/src/entry/plain_calls.rs
+++ b/crates/daemon/src/entry/plain_calls.rs
@@ -24,9 +24,6 @@
 
 /// Targets that are tried before the request fails.
 const MAX_TARGETS: usize = 4;
-/// Targets to which no connection could be opened, after which a request is served through a peer: the second one
-/// hardly has crashed by chance as well.
-pub const MAX_UNREACHED: u32 = 2;
 
 /// Serves a call: tries targets until one answers or the attempts are used up.
 pub async fn serve_call(
@@ -39,28 +36,22 @@
     let mut tried: Vec<TargetId> = Vec::new();
     let mut has_hedged = false;
     let mut forward = Forward::new(state, context, answer);
-    let mut unreached = 0;
     let mut failure: Option<CompleteAnswer> = None;
     state
         .serving()
         .record_hedgeable_call(&context.service, &context.route);
     loop {
-        let is_out_of_reach = state.serving().is_out_of_reach(&context.service);
-        if (is_out_of_reach || unreached >= MAX_UNREACHED)
-            && forward.is_possible(call.runs.count())
+        if forward.is_due(call.runs.count())
             && let Some(end) = call.serve_through_peer(&mut forward).await
         {
             return end;
         }
-        if is_out_of_reach && unreached > 0 {
+        if forward.is_hopeless() {
             return give_up(state, context, answer, Refusal::NoTarget, failure).await;
         }
         let placed = match call.place(&tried).await {
             Ok(placed) => placed,
-            Err(_) if unreached > 0 && forward.is_possible(call.runs.count()) => {
-                unreached = MAX_UNREACHED;
-                continue;
-            }
+            Err(_) if forward.resort_to_peer(call.runs.count()) => continue,
             Err(refusal) => return give_up(state, context, answer, refusal, failure).await,
         };
         let EndedAttempt { target, end } = call.attempt(placed, &mut has_hedged, &mut tried).await;
@@ -72,7 +63,7 @@
             Err(fault) => {
                 record_failed_attempt(state, context, &target, &fault);
                 return_unsent_retry(state, context, answer, &fault);
-                unreached += u32::from(matches!(fault, AttemptFault::NotSent(_)));
+                forward.record_fault(&fault);
                 if fault.may_have_run() && !is_idempotent {
                     let reason = fault.to_string();
                     return RequestEnd::error(answer, 502, &reason, None).await;
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -13,7 +13,7 @@
         http::ResponseHead,
         job_guard::JobGuard,
         placing::place_prompt,
-        plain_calls::{MAX_UNREACHED, record_failed_attempt, return_unsent_retry},
+        plain_calls::{record_failed_attempt, return_unsent_retry},
         request_context::RequestContext,
         reservations::Reservations,
         target_connection::TargetConnection,
@@ -66,8 +66,6 @@
     pub(super) last_event_at: MonoMs,
     /// Failed attempts that may have run at their engine.
     pub(super) runs: u32,
-    /// Failed attempts for which no connection could be opened.
-    unreached: u32,
 }
 
 /// Serves a prompt on a route that streams.
@@ -84,7 +82,6 @@
         first_event_at: None,
         last_event_at: state.now(),
         runs: context.runs_before(),
-        unreached: 0,
     };
     relay.run().await
 }
@@ -94,22 +91,17 @@
         let mut tried: Vec<TargetId> = Vec::new();
         let mut forward = Forward::new(self.state, self.context, self.answer);
         loop {
-            let is_out_of_reach = self.is_out_of_reach();
-            if (is_out_of_reach || self.unreached >= MAX_UNREACHED)
-                && forward.is_possible(self.runs)
+            if forward.is_due(self.runs)
                 && let Some(end) = self.serve_through_peer(&mut forward).await
             {
                 return end;
             }
-            if is_out_of_reach && self.unreached > 0 {
+            if forward.is_hopeless() {
                 return self.give_up(Refusal::NoTarget).await;
             }
             let (placement, guard) = match self.place(&tried).await {
                 Ok(placed) => placed,
-                Err(_) if self.unreached > 0 && forward.is_possible(self.runs) => {
-                    self.unreached = MAX_UNREACHED;
-                    continue;
-                }
+                Err(_) if forward.resort_to_peer(self.runs) => continue,
                 Err(refusal) => return self.give_up(refusal).await,
             };
             let target = placement.engine.clone();
@@ -127,7 +119,7 @@
             record_failed_attempt(self.state, self.context, &target, &fault);
             return_unsent_retry(self.state, self.context, self.answer, &fault);
             tried.push(target.id);
-            self.unreached += u32::from(matches!(fault, AttemptFault::NotSent(_)));
+            forward.record_fault(&fault);
             if fault.may_have_run() {
                 self.runs += 1;
             } else {
@@ -140,20 +132,12 @@
             let is_over = self.runs >= self.context.route.max_attempts
                 || self.answer.progress().sends > self.context.route.max_attempts
                 || tried.len() >= MAX_TARGETS;
-            let may_forward =
-                forward.is_possible(self.runs) && (self.unreached > 0 || self.is_out_of_reach());
-            if is_over && may_forward && may_retry {
-                self.unreached = MAX_UNREACHED;
-            } else if is_over || !may_retry {
+            if !may_retry || is_over && !forward.resort_to_peer(self.runs) {
                 return self.give_up(Refusal::NoAttempt).await;
             }
         }
     }
 
-    fn is_out_of_reach(&self) -> bool {
-        self.state.serving().is_out_of_reach(&self.context.service)
-    }
-
     async fn place(&self, tried: &[TargetId]) -> Result<(PromptPlacement, JobGuard<'a>), Refusal> {
         let request = self.prompt_request(tried).ok_or(Refusal::NoTarget)?;
         place_prompt(self.state, request).await
--- a/crates/daemon/tests/entry/cut_off.rs
+++ b/crates/daemon/tests/entry/cut_off.rs
@@ -155,6 +155,21 @@
     assert_eq!(answer.status, 503);
 }
 
+/// Guards against a request that is offered to the same peer again and again, which reaches no target either.
+#[async_std::test]
+async fn a_request_is_refused_when_all_instances_are_cut_off() {
+    let plain = target("p-1", Behaviour::Serve("printed"));
+    let fleet = cut_fleet(Cut::Refused, &[], &[&plain]).await;
+    plain.stop_listening();
+    let call = CallerRequest::new("GET", format!("{SAFE_PREFIX}listing"));
+    let other = Caller::connect(fleet.other.settings().caller_address).exchange(&call);
+
+    let first = fleet.exchange(&call);
+    let second = fleet.exchange(&call);
+
+    assert_eq!([other.status, first.status, second.status], [503, 503, 503]);
+}
+
 /// Guards against a second run of a call that may have run: the peer sent it, and the target broke off.
 #[async_std::test]
 async fn a_call_that_may_have_run_through_a_peer_is_not_sent_again() {
