--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -143,8 +143,7 @@
 ) -> Result<TargetConnection, AttemptFault> {
     // Connections that were opened before a partition may be silent, so they aren't used during it.
     let is_out_of_reach = state.serving().is_out_of_reach(&target.service);
-    let idle = state.pool.take(state.now(), target.address);
-    if let Some(connection) = idle.filter(|_| !is_out_of_reach) {
+    if !is_out_of_reach && let Some(connection) = state.pool.take(state.now(), target.address) {
         return Ok(connection);
     }
     open_connection(state, target).await
--- a/crates/serving/src/reach/own_reach.rs
+++ b/crates/serving/src/reach/own_reach.rs
@@ -81,11 +81,7 @@
         if reach.misses_most(targets) {
             return false;
         }
-        let was_out = reach.out_since.take().is_some();
-        if reach.failed.is_empty() {
-            self.services.remove(service);
-        }
-        was_out
+        reach.out_since.take().is_some()
     }
 
     /// Records a connection to a target that failed; `targets` is the number of targets of its service. Returns whether
@@ -144,11 +140,23 @@
             .map(|(service, _)| service)
     }
 
-    /// Returns the number of the probe of a service that is due, 0 for its first one; `None` if none is.
+    /// Returns the number of the probe of a service that is due, 0 for its first one; `None` if none is. Services that
+    /// are in reach are probed once for each time that another one gets out of reach.
     pub fn take_probe(&mut self, now: MonoMs, service: &ServiceName) -> Option<usize> {
+        let last_out = self
+            .services
+            .values()
+            .filter_map(|reach| reach.out_since)
+            .max()?;
         let reach = self.services.entry(service.clone()).or_default();
-        let is_recent = |at| now.since(at) < PROBE_INTERVAL_MS;
-        if reach.probed_at.is_some_and(is_recent) {
+        let was_probed = |at: MonoMs| {
+            if reach.out_since.is_some() {
+                now.since(at) < PROBE_INTERVAL_MS
+            } else {
+                at >= last_out
+            }
+        };
+        if reach.probed_at.is_some_and(was_probed) {
             return None;
         }
         reach.probed_at = Some(now);
--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -65,7 +65,8 @@
                 .record_connected(now, &entry.service, target, targets)
         });
         let confirmed = self.unconfirmed_failures.take_confirmed(now, target);
-        if !confirmed.is_empty() && !self.misses_many_targets(now) {
+        // What failed while the service was out of reach says nothing of the targets.
+        if !is_in_reach && !confirmed.is_empty() && !self.misses_many_targets(now) {
             self.news.for_all().unreachable.extend(confirmed);
         }
         is_in_reach
@@ -142,6 +143,7 @@
         if self.own_reach.out_of_reach().next().is_none() {
             return Vec::new();
         }
+        let run = self.own.run as usize;
         let services: Vec<ServiceName> = match &self.configuration {
             Some(configuration) => configuration.service_names().cloned().collect(),
             None => Vec::new(),
@@ -155,8 +157,8 @@
             ready.sort_by(|left, right| left.id.cmp(&right.id));
             if let Some(number) = self.own_reach.take_probe(now, &service) {
                 // Instances begin with different targets.
-                let first = self.own.run as usize % ready.len();
-                targets.push(ready[(first + number) % ready.len()].clone());
+                let index = run.wrapping_add(number) % ready.len();
+                targets.push(ready[index].clone());
             }
         }
         targets
--- a/crates/serving/tests/serving/reach.rs
+++ b/crates/serving/tests/serving/reach.rs
@@ -103,3 +103,25 @@
 
     assert_eq!((at_once, later), (false, [true, false]));
 }
+
+/// Guards against connections to a sound service that are opened over and over while another service is out of reach.
+#[test]
+fn a_service_in_reach_is_probed_once_while_another_is_out_of_reach() {
+    let mut reach = failing(0..3);
+    let calls: ServiceName = "calls".into();
+    let mut probes = [0, 0];
+
+    for ms in (0..2_000).step_by(50) {
+        let now = START + ms;
+        if reach.take_probe(now, &engines()).is_some() {
+            probes[0] += 1;
+            reach.record_failed(now, &engines(), &target(probes[0]), TARGETS);
+        }
+        if reach.take_probe(now, &calls).is_some() {
+            probes[1] += 1;
+            reach.record_connected(now, &calls, &"p-1".into(), 3);
+        }
+    }
+
+    assert_eq!(probes, [8, 1]);
+}
