--- a/crates/daemon/src/entry/forward/forward_send.rs
+++ b/crates/daemon/src/entry/forward/forward_send.rs
@@ -28,6 +28,8 @@
 pub const NOT_TAKEN: u16 = 421;
 /// Time between two checks whether a peer is alive, in ms.
 const LIFE_CHECK_INTERVAL_MS: u64 = 250;
+/// Time within which a peer that has died is known to be gone, in ms: its links broke with the connection.
+const DEATH_TIMEOUT_MS: u64 = 700;
 /// Time for which a connection to a peer is reused, in ms: peers keep idle connections of callers for seconds.
 const KEEP_ALIVE_MS: u64 = 2_000;
 
@@ -38,8 +40,13 @@
     #[error("no peer takes the request")]
     NotTaken,
     /// The connection to the peer broke, so that the request may have run.
-    #[error("the peer didn't answer: {0}")]
-    Broken(TargetFault),
+    #[error("the peer didn't answer: {fault}")]
+    Broken {
+        /// The peer.
+        peer: ForwardPeer,
+        /// How the connection broke.
+        fault: TargetFault,
+    },
 }
 
 /// The begin of an answer that comes through a peer.
@@ -176,7 +183,7 @@
             let (connection, head) = answered.map_err(|fault| {
                 self.is_over = self.tried.len() >= MAX_PEERS;
                 self.state.metrics.record_forward("broken");
-                ForwardFault::Broken(fault)
+                ForwardFault::Broken { peer, fault }
             })?;
             let is_sealed = TargetResponse::read(head.status, head.pairs()).is_sealed;
             let mut forwarded = ForwardedHead {
@@ -200,6 +207,19 @@
         Err(ForwardFault::NotTaken)
     }
 
+    /// Returns how many targets may have run the request at a peer to which the connection broke.
+    ///
+    /// A peer that has died was most likely at its first target. One that lives has given up, after as many targets as
+    /// the route allows.
+    pub async fn runs_at(&self, peer: &ForwardPeer) -> u32 {
+        let gone = until_peer_is_gone(self.state, peer);
+        let died = timeout(self.state.clock.as_ref(), DEATH_TIMEOUT_MS, gone).await;
+        match died {
+            Some(()) => 1,
+            None => self.context.route.max_attempts,
+        }
+    }
+
     /// Returns a connection to a peer. What runs once at most goes over a new one, on which the peer can't have closed
     /// its side already.
     async fn connection(&self, peer: &ForwardPeer) -> io::Result<TargetConnection> {
--- a/crates/daemon/src/entry/forwarded_stream.rs
+++ b/crates/daemon/src/entry/forwarded_stream.rs
@@ -13,6 +13,7 @@
         pin_mut,
     },
     std::io,
+    whinlatch_serving::ForwardPeer,
 };
 
 /// End of a stream that came through a peer.
@@ -37,8 +38,11 @@
         let forwarded = match forward.send(self.runs, last_event_id).await {
             Ok(forwarded) => forwarded,
             Err(ForwardFault::NotTaken) => return None,
-            Err(ForwardFault::Broken(_)) => return self.record_broken_forward().await,
+            Err(ForwardFault::Broken { peer, .. }) => {
+                return self.record_broken_forward(forward, &peer).await;
+            }
         };
+        let peer = *forwarded.guard.peer();
         self.answer.record_framing(forwarded.head.framing);
         if !forwarded.head.is_success() {
             return Some(self.pass_on_peer_failure(forwarded).await);
@@ -46,14 +50,18 @@
         match self.relay_from_peer(forwarded).await {
             Ok(PeerStreamEnd::Complete) => Some(RequestEnd::answered(200)),
             Ok(PeerStreamEnd::CallerGone) => Some(RequestEnd::caller_gone()),
-            Err(_broken) => self.record_broken_forward().await,
+            Err(_broken) => self.record_broken_forward(forward, &peer).await,
         }
     }
 
     /// Records that the connection to a peer broke, which has sent the prompt to an engine. Returns the end of the
     /// request if that can't be tried again.
-    async fn record_broken_forward(&mut self) -> Option<RequestEnd> {
-        self.runs += 1;
+    async fn record_broken_forward(
+        &mut self,
+        forward: &Forward<'_>,
+        peer: &ForwardPeer,
+    ) -> Option<RequestEnd> {
+        self.runs += forward.runs_at(peer).await;
         self.answer.record_send();
         self.answer
             .record_partial_event(self.splitter.partial_event_bytes());
@@ -94,7 +102,8 @@
         let mut has_begun = false;
         loop {
             let progress = self.receive_from_peer(&mut forwarded, &mut decoder).await?;
-            let events = self.take_events(progress, true);
+            let is_stream = has_begun || head.is_event_stream() != Some(false);
+            let events = self.take_events(progress, is_stream);
             if !events.is_empty() {
                 has_begun = true;
                 self.record_arrival(self.state.now());
--- a/crates/daemon/src/entry/plain_calls.rs
+++ b/crates/daemon/src/entry/plain_calls.rs
@@ -46,7 +46,7 @@
         {
             return end;
         }
-        if forward.is_hopeless() {
+        if forward.is_hopeless() || call.runs.count() >= context.route.max_attempts {
             return give_up(state, context, answer, Refusal::NoTarget, failure).await;
         }
         let placed = match call.place(&tried).await {
--- a/crates/daemon/src/entry/plain_calls/forwarded_call.rs
+++ b/crates/daemon/src/entry/plain_calls/forwarded_call.rs
@@ -17,17 +17,22 @@
     pub async fn serve_through_peer(&self, forward: &mut Forward<'_>) -> Option<RequestEnd> {
         let (context, answer) = (self.context, self.answer);
         let last_event_id = context.caller.last_event_id;
-        let fault = match forward.send(self.runs.count(), last_event_id).await {
-            Ok(forwarded) => match self.pass_on_from_peer(forwarded).await {
-                Ok(end) => return Some(end),
-                Err(fault) => fault,
-            },
+        let (peer, fault) = match forward.send(self.runs.count(), last_event_id).await {
+            Ok(forwarded) => {
+                let peer = *forwarded.guard.peer();
+                match self.pass_on_from_peer(forwarded).await {
+                    Ok(end) => return Some(end),
+                    Err(fault) => (peer, fault),
+                }
+            }
             Err(ForwardFault::NotTaken) => return None,
-            Err(ForwardFault::Broken(fault)) => fault,
+            Err(ForwardFault::Broken { peer, fault }) => (peer, fault),
         };
-        self.runs.add();
         answer.record_send();
         if context.route.retry_policy.is_idempotent() {
+            for _ in 0..forward.runs_at(&peer).await {
+                self.runs.add();
+            }
             return None;
         }
         let reason = format!("the peer didn't answer: {fault}");
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -96,7 +96,7 @@
             {
                 return end;
             }
-            if forward.is_hopeless() {
+            if forward.is_hopeless() || self.runs >= self.context.route.max_attempts {
                 return self.give_up(Refusal::NoTarget).await;
             }
             let (placement, guard) = match self.place(&tried).await {
