--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -22,6 +22,9 @@
 const REPORTED_TARGETS_DIVISOR: usize = 4;
 /// Time between two statements of the services that are out of reach, in ms; the first one follows with the next tick.
 const STATEMENT_INTERVAL_MS: u64 = 10_000;
+/// Shortest time between two statements, in ms. Guards against an instance at the edge of its reach, each of whose
+/// statements goes to all others.
+const MIN_STATEMENT_INTERVAL_MS: u64 = 3_000;
 /// Processor time, in thousandths of a core, for each request of a peer that may be in flight here.
 const CPU_MILLIS_PER_FORWARD: u32 = 4;
 /// Requests of peers that may be in flight at any instance, however small it is.
@@ -168,8 +171,17 @@
     pub(super) fn state_reach(&mut self, now: MonoMs) {
         self.peer_reach.evict_expired(now);
         let out_of_reach = self.services_out_of_reach();
-        let is_due = now.since(self.reach.stated_at) >= STATEMENT_INTERVAL_MS;
-        if out_of_reach == self.reach.stated && (out_of_reach.is_empty() || !is_due) {
+        let has_changed = out_of_reach != self.reach.stated;
+        if !has_changed && out_of_reach.is_empty() {
+            return;
+        }
+        let interval_ms = if has_changed {
+            MIN_STATEMENT_INTERVAL_MS
+        } else {
+            STATEMENT_INTERVAL_MS
+        };
+        let has_stated = self.reach.last_number > 0;
+        if has_stated && now.since(self.reach.stated_at) < interval_ms {
             return;
         }
         self.reach.stated.clone_from(&out_of_reach);
@@ -188,9 +200,14 @@
         }
     }
 
-    /// Returns the statements that begin a link: this instance's own, and those of peers that lack some services.
+    /// Returns the statements that begin a link: this instance's own, and, from a hub, those of peers that lack some
+    /// services.
     pub(super) fn reach_statements(&self, now: MonoMs) -> Vec<ReachStatement> {
-        let mut statements = self.peer_reach.to_pass_on(now);
+        let mut statements = if self.is_hub() {
+            self.peer_reach.to_pass_on(now)
+        } else {
+            Vec::new()
+        };
         if self.reach.last_number > 0 {
             statements.push(self.own_reach_statement());
         }
--- a/crates/serving/tests/serving/cut_off.rs
+++ b/crates/serving/tests/serving/cut_off.rs
@@ -251,3 +251,42 @@
     let second = reader(&fleet).unwrap();
     assert_ne!(first, second);
 }
+
+/// Guards against a storm of statements from instances whose service goes in and out of reach several times a second.
+#[test]
+fn an_instance_at_the_edge_of_its_reach_states_that_seldom() {
+    let mut fleet = Fleet::start(9);
+    fleet.steps(SETTLING_STEPS);
+    let unstable = *fleet.alive.keys().next().unwrap();
+    let last_number = Rc::new(Cell::new(0));
+    let seen = Rc::clone(&last_number);
+    fleet.on_sent = Box::new(move |_from, frame| {
+        let own = frame
+            .reach
+            .iter()
+            .filter(|statement| statement.peer == unstable);
+        let newest = own.map(|statement| statement.number).max().unwrap_or(0);
+        seen.set(seen.get().max(newest));
+    });
+
+    for step in 0..40 {
+        let now = fleet.now;
+        let serving = fleet.alive.get_mut(&unstable).unwrap();
+        for engine in engines() {
+            if step % 2 == 0 {
+                serving.record_connection_failure(now, &engine);
+            } else {
+                serving.record_connected(now, &engine);
+            }
+        }
+        fleet.step();
+        fleet.deliver_news();
+    }
+
+    // Ten seconds, and one statement in three of them at most.
+    assert!(
+        (1..=4).contains(&last_number.get()),
+        "{}",
+        last_number.get()
+    );
+}
