--- a/crates/serving/src/reach/own_reach.rs
+++ b/crates/serving/src/reach/own_reach.rs
@@ -140,6 +140,14 @@
             .map(|(service, _)| service)
     }
 
+    /// Returns the services that have been out of reach for some time, in ms.
+    pub fn out_of_reach_for(&self, now: MonoMs, ms: u64) -> impl Iterator<Item = &ServiceName> {
+        self.services
+            .iter()
+            .filter(move |(_, reach)| reach.out_since.is_some_and(|since| now.since(since) >= ms))
+            .map(|(service, _)| service)
+    }
+
     /// Returns the number of the probe of a service that is due, 0 for its first one; `None` if none is. Services that
     /// are in reach are probed once for each time that another one gets out of reach.
     pub fn take_probe(&mut self, now: MonoMs, service: &ServiceName) -> Option<usize> {
--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -22,6 +22,8 @@
 const REPORTED_TARGETS_DIVISOR: usize = 4;
 /// Time between two statements of the services that are out of reach, in ms; the first one follows with the next tick.
 const STATEMENT_INTERVAL_MS: u64 = 10_000;
+/// Time for which a service must be out of reach before it is stated, in ms.
+const MIN_OUTAGE_MS: u64 = 1_000;
 /// Shortest time between two statements, in ms. Guards against an instance at the edge of its reach, each of whose
 /// statements goes to all others.
 const MIN_STATEMENT_INTERVAL_MS: u64 = 3_000;
@@ -170,7 +172,8 @@
     /// Queues a statement of the services that are out of reach, if it differs from the last one or is to be repeated.
     pub(super) fn state_reach(&mut self, now: MonoMs) {
         self.peer_reach.evict_expired(now);
-        let out_of_reach = self.services_out_of_reach();
+        let lasting = self.own_reach.out_of_reach_for(now, MIN_OUTAGE_MS);
+        let out_of_reach: Vec<ServiceName> = lasting.cloned().collect();
         let has_changed = out_of_reach != self.reach.stated;
         if !has_changed && out_of_reach.is_empty() {
             return;
