--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -2,12 +2,14 @@
 
 use {
     super::{
+        decision_line::Decision,
         entry_state::EntryState,
         http::{BodyFault, ResponseHead},
         request_context::RequestContext,
         target_connection::{TargetConnection, TargetFault},
     },
     std::{io, net::SocketAddr},
+    whinlatch_core::MonoMs,
     whinlatch_platform::TargetResponse,
     whinlatch_serving::targets::TargetEntry,
 };
@@ -67,6 +69,15 @@
     pub at_fault: Option<SocketAddr>,
 }
 
+/// How and when an attempt was sent.
+#[derive(Debug, Clone, Copy)]
+pub struct SentAttempt {
+    /// Whether an earlier request was answered on its connection.
+    pub was_reused: bool,
+    /// When it was sent.
+    pub at: MonoMs,
+}
+
 impl AttemptFault {
     /// Returns whether the target may have run the request.
     pub fn may_have_run(&self) -> bool {
@@ -117,20 +128,39 @@
     context: &RequestContext,
     target: &TargetEntry,
     fault: &AttemptFault,
-    was_reused: bool,
+    sent: SentAttempt,
 ) {
     let is_break = matches!(
         fault,
         AttemptFault::Broken(TargetFault::Io(_) | TargetFault::Closed)
     );
     let now = state.now();
-    let mut serving = state.serving();
-    if fault.is_crash(was_reused) {
-        serving.record_crash(now, context.fingerprint, &target.id);
-    }
-    if is_break {
-        serving.record_break(now, &target.id);
-    }
+    let verdict = {
+        let mut serving = state.serving();
+        let is_suspect = serving.is_link_suspect(now, &target.id);
+        let is_crash = fault.is_crash(sent.was_reused);
+        if is_crash {
+            serving.record_crash(now, context.fingerprint, &target.id);
+        }
+        if is_break {
+            serving.record_break(now, &target.id);
+        }
+        match (is_crash, is_break) {
+            (true, _) if is_suspect => "link_suspect",
+            (true, _) => "counted",
+            (false, true) => "reused_connection",
+            (false, false) => return,
+        }
+    };
+    state.metrics.record_break(verdict);
+    state.log(&Decision::Break {
+        request: context.caller.request_id.clone(),
+        target: target.id.to_string(),
+        fingerprint: context.fingerprint_text(),
+        reused: sent.was_reused,
+        ran_ms: now.since(sent.at),
+        verdict,
+    });
 }
 
 /// Returns an idle connection to a target, or opens one.
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -271,6 +271,23 @@
         /// Whether the target may have run the request.
         may_have_run: bool,
     },
+    /// A connection broke while its target may have run a request, which may have crashed the target.
+    Break {
+        /// Id of the request.
+        request: String,
+        /// Id of the target's run.
+        target: String,
+        /// Hash that is the same for all retries of a request; `None` for a request without a body, which
+        /// can't be distinguished from others.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<String>,
+        /// Whether an earlier request was answered on the connection.
+        reused: bool,
+        /// Time since the request was sent, in ms.
+        ran_ms: u64,
+        /// What was made of it.
+        verdict: &'static str,
+    },
     /// A request ended.
     Ended {
         /// Id of the request.
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -1,7 +1,7 @@
 use {
     prometheus::{
         Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
-        IntGauge, Opts, Registry, TextEncoder,
+        IntGauge, Opts, Registry, TextEncoder, core::Collector, proto::MetricFamily,
     },
     whinlatch_serving::targets::TargetNotice,
 };
@@ -46,6 +46,7 @@
     registry: Registry,
     requests: IntCounterVec,
     attempts_failed: IntCounterVec,
+    breaks: IntCounterVec,
     notices: IntCounterVec,
     hedges: IntCounterVec,
     forwards: IntCounterVec,
@@ -97,6 +98,11 @@
                 "Attempts that failed.",
                 &["may_have_run"],
             )?,
+            breaks: counter_vec(
+                "whinlatch_entry_breaks_total",
+                "Connections that broke while their target may have run a request, by what was made of it.",
+                &["verdict"],
+            )?,
             notices: counter_vec(
                 "whinlatch_entry_notices_total",
                 "Answers in which a target reports a limit, a pause or its leaving.",
@@ -173,6 +179,7 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry
             .register(Box::new(self.attempts_failed.clone()))?;
+        self.registry.register(Box::new(self.breaks.clone()))?;
         self.registry.register(Box::new(self.notices.clone()))?;
         self.registry.register(Box::new(self.hedges.clone()))?;
         self.registry.register(Box::new(self.forwards.clone()))?;
@@ -247,6 +254,21 @@
         self.attempts_failed.with_label_values(&[label]).inc();
     }
 
+    /// Counts a connection that broke under a request; `verdict` is a label.
+    pub fn record_break(&self, verdict: &str) {
+        self.breaks.with_label_values(&[verdict]).inc();
+    }
+
+    /// Returns the number of breaks that were counted, whatever their verdict.
+    pub fn judged_breaks(&self) -> u64 {
+        let families = self.breaks.collect();
+        families
+            .iter()
+            .flat_map(MetricFamily::get_metric)
+            .map(|metric| metric.get_counter().get_value() as u64)
+            .sum()
+    }
+
     /// Counts what a target reports about itself in an answer, by kind.
     pub fn record_notice(&self, notice: &TargetNotice) {
         let kinds = [
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -2,7 +2,7 @@
     super::{
         super::{
             answers::{CallerAnswer, NOT_RUN_STATUSES},
-            attempt::{AttemptFault, record_crash, request_connection, send_request},
+            attempt::{AttemptFault, SentAttempt, record_crash, request_connection, send_request},
             decision_line::Decision,
             entry_state::EntryState,
             event_splitter::ends_inside_event,
@@ -148,7 +148,10 @@
         guard: &CallGuard<'_>,
         prepared: PreparedCall,
     ) -> Result<CompleteAnswer, AttemptFault> {
-        let was_reused = prepared.connection.is_reused;
+        let sent = SentAttempt {
+            was_reused: prepared.connection.is_reused,
+            at: self.state.now(),
+        };
         let received = self.send_and_receive(guard, prepared).await;
         let is_served = received
             .as_ref()
@@ -158,7 +161,7 @@
             if !fault.may_have_run() {
                 self.runs.remove();
             }
-            record_crash(self.state, self.context, guard.target(), fault, was_reused);
+            record_crash(self.state, self.context, guard.target(), fault, sent);
         }
         received
     }
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -132,6 +132,12 @@
         self.state.serving().is_unreachable(now, target)
     }
 
+    /// Returns the number of connections that broke under a request and of which it is decided what that says of the
+    /// request.
+    pub fn judged_breaks(&self) -> u64 {
+        self.state.metrics.judged_breaks()
+    }
+
     /// Returns whether the store is considered lost: its last call failed.
     pub fn is_store_lost(&self) -> bool {
         self.state.serving().is_store_lost()
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answers::{CallerAnswer, NOT_RUN_STATUSES},
-        attempt::{AttemptFault, record_crash, request_connection, send_request},
+        attempt::{AttemptFault, SentAttempt, record_crash, request_connection, send_request},
         decision_line::Decision,
         engine_life::until_engine_is_lost,
         entry_state::EntryState,
@@ -214,7 +214,10 @@
         let state = self.state;
         let reservations = Reservations::reserve(state, placement).await?;
         let connection = request_connection(state, &placement.engine).await?;
-        let was_reused = connection.is_reused;
+        let sent = SentAttempt {
+            was_reused: connection.is_reused,
+            at: state.now(),
+        };
         let request = self.request(placement, &reservations);
         self.log_sent(placement);
         self.answer.set_may_have_run(true);
@@ -233,7 +236,7 @@
         self.answer
             .record_partial_event(self.splitter.partial_event_bytes());
         if let Err(fault) = &end {
-            record_crash(state, self.context, &placement.engine, fault, was_reused);
+            record_crash(state, self.context, &placement.engine, fault, sent);
         }
         end
     }
