--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -16,6 +16,7 @@
 mod forward;
 mod forwarded_stream;
 mod http;
+mod inquiries;
 mod job_guard;
 mod links;
 mod memory_hold;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -11,7 +11,7 @@
     std::{io, net::SocketAddr},
     whinlatch_core::MonoMs,
     whinlatch_platform::TargetResponse,
-    whinlatch_serving::targets::TargetEntry,
+    whinlatch_serving::{BrokenAttempt, targets::TargetEntry},
 };
 
 /// Answers to other requests that are skipped before the connection is closed.
@@ -104,62 +104,90 @@
     pub fn is_unreachable(&self) -> bool {
         match self {
             Self::NotSent(_) | Self::Lost => true,
-            Self::Broken(TargetFault::Io(fault)) => fault.kind() == io::ErrorKind::TimedOut,
+            Self::Broken(TargetFault::Io(fault) | TargetFault::Unanswered(fault)) => {
+                fault.kind() == io::ErrorKind::TimedOut
+            }
             _ => false,
         }
     }
 
-    /// Returns whether the request seems to have crashed the target. A break of a reused connection doesn't
-    /// count, since the target may just have closed it while idle.
-    fn is_crash(&self, was_reused: bool) -> bool {
-        match self {
-            Self::Broken(TargetFault::Io(_) | TargetFault::Closed) => !was_reused,
-            Self::Broken(TargetFault::Body(fault)) => *fault == BodyFault::Truncated,
-            Self::Broken(TargetFault::InsideEvent) => true,
-            _ => false,
+    /// Returns what the fault shows of a connection that broke under a request; `None` if none did.
+    fn broken_connection(&self) -> Option<BrokenConnection> {
+        let Self::Broken(fault) = self else {
+            return None;
+        };
+        match fault {
+            TargetFault::Io(fault) if fault.kind() == io::ErrorKind::TimedOut => {
+                Some(BrokenConnection::Ambiguous)
+            }
+            TargetFault::Unanswered(_) => Some(BrokenConnection::Ambiguous),
+            TargetFault::Io(_) | TargetFault::Closed | TargetFault::InsideEvent => {
+                Some(BrokenConnection::BrokenOff)
+            }
+            TargetFault::Body(fault) => {
+                (*fault == BodyFault::Truncated).then_some(BrokenConnection::BrokenOff)
+            }
+            TargetFault::Head(_) => None,
         }
     }
+
+    /// Returns whether the connection itself broke, which may be due to the link of this instance.
+    fn is_connection_lost(&self) -> bool {
+        matches!(
+            self,
+            Self::Broken(TargetFault::Io(_) | TargetFault::Closed | TargetFault::Unanswered(_))
+        )
+    }
+}
+
+/// What the end of a connection shows of the target that was running a request on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BrokenConnection {
+    /// The target broke off its work.
+    BrokenOff,
+    /// It may have closed an idle connection, or it can't be reached.
+    Ambiguous,
 }
 
 /// Records the end of an attempt by a fault: for all instances if the request seems to have crashed its target, and for
 /// this one if the connection broke.
-pub fn record_crash(
+pub fn record_broken_attempt(
     state: &EntryState,
     context: &RequestContext,
     target: &TargetEntry,
     fault: &AttemptFault,
     sent: SentAttempt,
 ) {
-    let is_break = matches!(
-        fault,
-        AttemptFault::Broken(TargetFault::Io(_) | TargetFault::Closed)
-    );
+    let Some(broken) = fault.broken_connection() else {
+        return;
+    };
     let now = state.now();
     let verdict = {
         let mut serving = state.serving();
-        let is_suspect = serving.is_link_suspect(now, &target.id);
-        let is_crash = fault.is_crash(sent.was_reused);
-        if is_crash {
-            serving.record_crash(now, context.fingerprint, &target.id);
-        }
-        if is_break {
+        let verdict = serving.record_broken_attempt(
+            now,
+            &BrokenAttempt {
+                target: &target.id,
+                fingerprint: context.fingerprint,
+                sent_at: sent.at,
+                is_proven: broken == BrokenConnection::BrokenOff,
+            },
+        );
+        if fault.is_connection_lost() {
             serving.record_break(now, &target.id);
         }
-        match (is_crash, is_break) {
-            (true, _) if is_suspect => "link_suspect",
-            (true, _) => "counted",
-            (false, true) => "reused_connection",
-            (false, false) => return,
-        }
+        verdict
     };
-    state.metrics.record_break(verdict);
+    if verdict.is_final() {
+        state.metrics.record_break(verdict);
+    }
     state.log(&Decision::Break {
         request: context.caller.request_id.clone(),
         target: target.id.to_string(),
         fingerprint: context.fingerprint_text(),
         reused: sent.was_reused,
         ran_ms: now.since(sent.at),
-        verdict,
+        verdict: verdict.name(),
     });
 }
 
@@ -252,6 +280,9 @@
             continue;
         }
         state.apply_notice(sent_at, &target.id, &answer.notice);
+        if !answer.is_misdirected {
+            state.serving().record_survived(&target.id, sent_at);
+        }
         if answer.is_not_run {
             return Err(AttemptFault::NotRun(NotRun {
                 status: head.status,
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -3,7 +3,7 @@
         Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
         IntGauge, Opts, Registry, TextEncoder, core::Collector, proto::MetricFamily,
     },
-    whinlatch_serving::targets::TargetNotice,
+    whinlatch_serving::{retries::BreakVerdict, targets::TargetNotice},
 };
 
 /// Buckets of durations, in seconds: from a small service call to the longest deadline.
@@ -254,9 +254,9 @@
         self.attempts_failed.with_label_values(&[label]).inc();
     }
 
-    /// Counts a connection that broke under a request; `verdict` is a label.
-    pub fn record_break(&self, verdict: &str) {
-        self.breaks.with_label_values(&[verdict]).inc();
+    /// Counts a connection that broke under a request, by the final verdict on it.
+    pub fn record_break(&self, verdict: BreakVerdict) {
+        self.breaks.with_label_values(&[verdict.name()]).inc();
     }
 
     /// Returns the number of breaks that were counted, whatever their verdict.
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -2,7 +2,9 @@
     super::{
         super::{
             answers::{CallerAnswer, NOT_RUN_STATUSES},
-            attempt::{AttemptFault, SentAttempt, record_crash, request_connection, send_request},
+            attempt::{
+                AttemptFault, SentAttempt, record_broken_attempt, request_connection, send_request,
+            },
             decision_line::Decision,
             entry_state::EntryState,
             event_splitter::ends_inside_event,
@@ -161,7 +163,7 @@
             if !fault.may_have_run() {
                 self.runs.remove();
             }
-            record_crash(self.state, self.context, guard.target(), fault, sent);
+            record_broken_attempt(self.state, self.context, guard.target(), fault, sent);
         }
         received
     }
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -3,7 +3,9 @@
 use {
     super::{
         answers::{CallerAnswer, NOT_RUN_STATUSES},
-        attempt::{AttemptFault, SentAttempt, record_crash, request_connection, send_request},
+        attempt::{
+            AttemptFault, SentAttempt, record_broken_attempt, request_connection, send_request,
+        },
         decision_line::Decision,
         engine_life::until_engine_is_lost,
         entry_state::EntryState,
@@ -236,7 +238,7 @@
         self.answer
             .record_partial_event(self.splitter.partial_event_bytes());
         if let Err(fault) = &end {
-            record_crash(state, self.context, &placement.engine, fault, sent);
+            record_broken_attempt(state, self.context, &placement.engine, fault, sent);
         }
         end
     }
--- a/crates/daemon/src/entry/target_connection.rs
+++ b/crates/daemon/src/entry/target_connection.rs
@@ -24,6 +24,10 @@
     /// The connection ended before the answer did.
     #[error("the target closed the connection before its answer was whole")]
     Closed,
+    /// A connection that was used before ended before anything of the answer arrived. The target may have closed it while
+    /// it was idle.
+    #[error("a reused connection ended before the target began to answer: {0}")]
+    Unanswered(io::Error),
     /// The head isn't that of an HTTP answer.
     #[error("the target's answer isn't HTTP: {0}")]
     Head(#[from] HeadFault),
@@ -49,6 +53,8 @@
     stream: GuardedStream,
     input: Input,
     is_unusable: bool,
+    /// Whether anything was received since the last request was sent.
+    has_received: bool,
     /// Whether an earlier request was answered on it.
     pub is_reused: bool,
 }
@@ -60,6 +66,7 @@
             stream,
             input: Input::default(),
             is_unusable: false,
+            has_received: false,
             is_reused: false,
         }
     }
@@ -82,14 +89,17 @@
     /// and the connection isn't reused.
     ///
     /// # Errors
-    /// [`TargetFault::Closed`] if the target closed the connection without an answer, or [`TargetFault::Io`].
+    /// [`TargetFault::Unanswered`], [`TargetFault::Closed`] or [`TargetFault::Io`].
     pub async fn send(&mut self, bytes: &[u8]) -> Result<(), TargetFault> {
+        self.has_received = false;
         let mut left = bytes;
         while !left.is_empty() {
-            match poll_fn(|context| self.poll_send(context, left)).await? {
+            let sent = poll_fn(|context| self.poll_send(context, left)).await;
+            match sent.map_err(|fault| self.before_answer(fault))? {
                 Sent::Bytes(count) => left = &left[count..],
                 Sent::Answered => {
                     self.is_unusable = true;
+                    self.has_received = true;
                     return Ok(());
                 }
             }
@@ -188,9 +198,27 @@
     }
 
     async fn fill(&mut self) -> Result<(), TargetFault> {
-        match self.input.fill(self.stream.inner()).await? {
-            0 => Err(TargetFault::Closed),
-            _ => Ok(()),
+        let filled = match self.input.fill(self.stream.inner()).await {
+            Ok(0) => Err(TargetFault::Closed),
+            Ok(_) => Ok(()),
+            Err(fault) => Err(TargetFault::Io(fault)),
+        };
+        filled.map_err(|fault| self.before_answer(fault))?;
+        self.has_received = true;
+        Ok(())
+    }
+
+    /// Returns the fault of a connection that ended, told apart if nothing of the answer has arrived on a reused one.
+    fn before_answer(&self, fault: TargetFault) -> TargetFault {
+        if !self.is_reused || self.has_received {
+            return fault;
+        }
+        match fault {
+            TargetFault::Closed => {
+                TargetFault::Unanswered(io::Error::from(io::ErrorKind::UnexpectedEof))
+            }
+            TargetFault::Io(fault) => TargetFault::Unanswered(fault),
+            other => other,
         }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 mod serving;
 
 pub use serving::{
-    CallPlacement, CallRequest, DecisionInputs, ForwardPeer, Heartbeat, HeartbeatReach,
-    PromptPlacement, PromptRequest, Recipients, Refusal, Serving, StoreRole, WantedLinks,
+    BrokenAttempt, CallPlacement, CallRequest, DecisionInputs, ForwardPeer, Heartbeat,
+    HeartbeatReach, Inquiry, PromptPlacement, PromptRequest, Recipients, Refusal, Serving,
+    StoreRole, WantedLinks,
 };
--- a/crates/serving/src/retries.rs
+++ b/crates/serving/src/retries.rs
@@ -1,9 +1,13 @@
 //! Retries of requests: the fleet's retry budget, and detection of requests that crash their targets.
 
+mod break_verdict;
 mod crash_tracker;
 mod fleet_budget;
+mod unexplained_breaks;
 
 pub use {
+    break_verdict::BreakVerdict,
     crash_tracker::{CrashTracker, Fingerprint},
     fleet_budget::{FleetBudget, FleetBudgetRule},
+    unexplained_breaks::{UnexplainedBreak, UnexplainedBreaks},
 };
--- /dev/null
+++ b/crates/serving/src/retries/unexplained_breaks.rs
@@ -0,0 +1,143 @@
+use {
+    super::Fingerprint,
+    crate::names::TargetId,
+    std::collections::{HashMap, HashSet},
+    whinlatch_core::MonoMs,
+};
+
+/// Time from a break until its target is asked for, in ms: a link that fails has broken the connections to other targets
+/// by then as well.
+const INQUIRY_DELAY_MS: u64 = 100;
+/// Time between two inquiries for one target, in ms.
+const INQUIRY_INTERVAL_MS: u64 = 250;
+/// Inquiries for one target. What they don't explain is left to the store and to peers.
+const MAX_INQUIRIES: u32 = 4;
+/// Time for which a break waits for an explanation, in ms: longer than the entry of a target that has died stays.
+const RETENTION_MS: u64 = 8_000;
+/// Limit for the number of breaks that wait.
+const MAX_BREAKS: usize = 512;
+/// Time after a break within which a connection that opens shows that the target lives, in ms. Later, another target may
+/// have taken over its address.
+const SAME_RUN_MS: u64 = 1_500;
+
+/// A connection that broke under a request, for a reason that isn't known yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnexplainedBreak {
+    /// The request that its target may have been running.
+    pub fingerprint: Fingerprint,
+    /// When the request was sent.
+    pub sent_at: MonoMs,
+    /// When the connection broke.
+    pub broke_at: MonoMs,
+}
+
+#[derive(Debug, Default)]
+struct BrokenTarget {
+    breaks: Vec<UnexplainedBreak>,
+    /// Number of inquiries so far, and when the last one began.
+    inquiries: u32,
+    inquired_at: Option<MonoMs>,
+}
+
+impl BrokenTarget {
+    fn is_inquiry_due(&self, now: MonoMs) -> bool {
+        let is_settled = self
+            .breaks
+            .iter()
+            .any(|broken| now.since(broken.broke_at) >= INQUIRY_DELAY_MS);
+        let is_paused = self
+            .inquired_at
+            .is_some_and(|at| now.since(at) < INQUIRY_INTERVAL_MS);
+        is_settled && !is_paused && self.inquiries < MAX_INQUIRIES
+    }
+}
+
+/// Connections that broke under requests, until it is known whether their target has died.
+///
+/// A break can be due to the request, if it crashed its target, to the target, which may close an idle connection just
+/// then, or to the link of this instance. Only the target's fate tells: one that lives wasn't crashed by the request.
+#[derive(Debug, Default)]
+pub struct UnexplainedBreaks {
+    targets: HashMap<TargetId, BrokenTarget>,
+}
+
+impl UnexplainedBreaks {
+    /// Adds a break. Returns `false` if too many wait already.
+    pub fn add(&mut self, target: &TargetId, broken: UnexplainedBreak) -> bool {
+        if self.len() >= MAX_BREAKS {
+            return false;
+        }
+        let entry = self.targets.entry(target.clone()).or_default();
+        entry.breaks.push(broken);
+        true
+    }
+
+    fn len(&self) -> usize {
+        self.targets
+            .values()
+            .map(|target| target.breaks.len())
+            .sum()
+    }
+
+    /// Returns whether no break waits for an explanation.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Returns the targets of which breaks wait.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetId> {
+        self.targets.keys()
+    }
+
+    /// Returns the targets to which a connection should be opened now, to find out whether they live.
+    pub fn take_inquiries(&mut self, now: MonoMs) -> Vec<TargetId> {
+        let due = self
+            .targets
+            .iter_mut()
+            .filter(|(_, target)| target.is_inquiry_due(now));
+        due.map(|(id, target)| {
+            target.inquiries += 1;
+            target.inquired_at = Some(now);
+            id.clone()
+        })
+        .collect()
+    }
+
+    /// Removes and returns the breaks of a target that has died.
+    pub fn take_died(&mut self, target: &str) -> Vec<UnexplainedBreak> {
+        let died = self.targets.remove(target);
+        died.map(|target| target.breaks).unwrap_or_default()
+    }
+
+    /// Removes the breaks that a target has survived, since it answered a request that was sent at `sent_at`. Returns
+    /// their number.
+    pub fn remove_survived(&mut self, target: &str, sent_at: MonoMs) -> usize {
+        self.remove(target, |broken| broken.broke_at <= sent_at)
+    }
+
+    /// Removes the breaks that a target has survived, since a connection to it was opened. Returns their number.
+    pub fn remove_connected(&mut self, now: MonoMs, target: &str) -> usize {
+        self.remove(target, |broken| now.since(broken.broke_at) < SAME_RUN_MS)
+    }
+
+    fn remove(&mut self, target: &str, is_removed: impl Fn(&UnexplainedBreak) -> bool) -> usize {
+        let Some(entry) = self.targets.get_mut(target) else {
+            return 0;
+        };
+        let before = entry.breaks.len();
+        entry.breaks.retain(|broken| !is_removed(broken));
+        let removed = before - entry.breaks.len();
+        if entry.breaks.is_empty() {
+            self.targets.remove(target);
+        }
+        removed
+    }
+
+    /// Removes breaks that nothing has explained. Returns their number.
+    pub fn evict_expired(&mut self, now: MonoMs) -> usize {
+        let ids: HashSet<TargetId> = self.targets.keys().cloned().collect();
+        ids.iter()
+            .map(|id| self.remove(id, |broken| now.since(broken.broke_at) >= RETENTION_MS))
+            .sum()
+    }
+}
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -3,6 +3,7 @@
 mod call_view;
 mod calls;
 mod configured;
+mod crashes;
 mod first_read;
 mod hedges;
 mod members;
@@ -16,6 +17,7 @@
 mod requests;
 
 pub use {
+    crashes::{BrokenAttempt, Inquiry},
     members::{Heartbeat, HeartbeatReach, WantedLinks},
     news::Recipients,
     reach::ForwardPeer,
@@ -35,7 +37,7 @@
         quotas::{ColdLimitRule, QuotaTable},
         reach::{ConnectionBreaks, OwnReach, PeerReach, UnconfirmedFailures},
         relays::{FollowedRelays, Followers},
-        retries::{CrashTracker, FleetBudget, FleetBudgetRule},
+        retries::{BreakVerdict, CrashTracker, FleetBudget, FleetBudgetRule, UnexplainedBreaks},
         targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
     },
     news::News,
@@ -82,6 +84,10 @@
     members: Membership,
     budget: FleetBudget,
     crashes: CrashTracker,
+    /// Breaks under requests that wait for the fate of their targets.
+    unexplained: UnexplainedBreaks,
+    /// Final verdicts on such breaks that aren't logged yet.
+    break_verdicts: Vec<BreakVerdict>,
     groups: EngineGroups,
     /// Groups in which peers were asked to choose engines for a prompt of this instance.
     requested_groups: HashMap<JobId, Vec<EngineGroup>>,
@@ -142,6 +148,8 @@
             members: Membership::default(),
             budget: FleetBudget::new(rule),
             crashes: CrashTracker::default(),
+            unexplained: UnexplainedBreaks::default(),
+            break_verdicts: Vec::new(),
             groups: EngineGroups::default(),
             requested_groups: HashMap::new(),
             news: News::default(),
@@ -248,6 +256,7 @@
         }
         self.members.evict_expired(now);
         self.crashes.evict_expired(now);
+        self.settle_breaks(now);
         self.update_ranks(now);
         self.resize_groups(now);
         self.tick_relays(now);
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -1,10 +1,9 @@
-//! Calls of plain services, admission of requests of all kinds, and the record of crashes.
+//! Calls of plain services, and the admission of requests of all kinds.
 
 use {
     super::{CallPlacement, CallRequest, Refusal, Serving},
     crate::{
         calls::CallOutcome,
-        fleet::Crash,
         mechanism::Mechanism,
         names::{ServiceName, TargetId},
         retries::Fingerprint,
@@ -152,30 +151,4 @@
             .published_entry(entry.name())
             .is_some_and(|published| entry.started_before(published))
     }
-
-    /// Records that a target served a request. If a target had crashed on it before, the request is no longer
-    /// suspected, and a notice is queued for all peers.
-    pub fn record_served(&mut self, fingerprint: Fingerprint) {
-        if self.crashes.record_served(fingerprint) {
-            self.news.for_all().served.push(fingerprint);
-        }
-    }
-
-    /// Records that a target failed while it ran a request, and queues a notice for all peers. Has no effect if the link
-    /// of this instance is suspect.
-    ///
-    /// Guards against a request that counts as one which crashes its targets, because an instance that was cut off lost
-    /// its connections to several of them.
-    pub fn record_crash(&mut self, now: MonoMs, fingerprint: Fingerprint, target: &TargetId) {
-        if self.is_link_suspect(now, target) {
-            return;
-        }
-        let crash = Crash {
-            fingerprint,
-            target: target.clone(),
-        };
-        if self.crashes.record_crash(now, &crash) {
-            self.news.for_all().crashes.push(crash);
-        }
-    }
 }
--- /dev/null
+++ b/crates/serving/src/serving/crashes.rs
@@ -0,0 +1,180 @@
+//! Breaks under requests: whether the request has crashed its target, the target has closed the connection, or the link
+//! of this instance is broken.
+
+use {
+    super::Serving,
+    crate::{
+        fleet::Crash,
+        names::TargetId,
+        retries::{BreakVerdict, Fingerprint, UnexplainedBreak},
+        targets::TargetEntry,
+    },
+    whinlatch_core::MonoMs,
+};
+
+/// Other targets to which connections are opened beside one that may have died, to find out whether the link of this
+/// instance works.
+const WITNESSES: usize = 3;
+
+/// A connection that broke while its target may have been running a request.
+#[derive(Debug, Clone, Copy)]
+pub struct BrokenAttempt<'a> {
+    /// Run of the target.
+    pub target: &'a TargetId,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// When the request was sent.
+    pub sent_at: MonoMs,
+    /// Whether the break itself shows that the target broke off its work: it had begun to answer, or it closed a
+    /// connection that was opened for the request.
+    pub is_proven: bool,
+}
+
+/// A target that may have died, and others to which connections show whether the link of this instance works.
+#[derive(Debug, Clone)]
+pub struct Inquiry {
+    /// The target.
+    pub target: TargetEntry,
+    /// The others, drawn at random; none if there are no others.
+    pub witnesses: Vec<TargetEntry>,
+}
+
+impl Serving {
+    /// Records that a connection broke under a request. It counts against the request at once if the break itself shows
+    /// that the target broke off its work, and later if the target turns out to have died.
+    pub fn record_broken_attempt(
+        &mut self,
+        now: MonoMs,
+        attempt: &BrokenAttempt<'_>,
+    ) -> BreakVerdict {
+        if attempt.is_proven && !self.is_link_suspect(now, attempt.target) {
+            self.record_crash(now, attempt.fingerprint, attempt.target);
+            return BreakVerdict::Counted;
+        }
+        let broken = UnexplainedBreak {
+            fingerprint: attempt.fingerprint,
+            sent_at: attempt.sent_at,
+            broke_at: now,
+        };
+        if self.unexplained.add(attempt.target, broken) {
+            BreakVerdict::Unexplained
+        } else {
+            self.record_verdict(BreakVerdict::Unsolved, 1);
+            BreakVerdict::Unsolved
+        }
+    }
+
+    /// Records that a target failed while it ran a request, and queues a notice for all peers. Has no effect if the link
+    /// of this instance is suspect.
+    ///
+    /// Guards against a request that counts as one which crashes its targets, because an instance that was cut off lost
+    /// its connections to several of them.
+    pub fn record_crash(&mut self, now: MonoMs, fingerprint: Fingerprint, target: &TargetId) {
+        if self.is_link_suspect(now, target) {
+            return;
+        }
+        self.count_crash(now, fingerprint, target);
+    }
+
+    fn count_crash(&mut self, now: MonoMs, fingerprint: Fingerprint, target: &TargetId) {
+        let crash = Crash {
+            fingerprint,
+            target: target.clone(),
+        };
+        if self.crashes.record_crash(now, &crash) {
+            self.news.for_all().crashes.push(crash);
+        }
+    }
+
+    /// Records that a target served a request. If a target had crashed on it before, the request is no longer
+    /// suspected, and a notice is queued for all peers.
+    pub fn record_served(&mut self, fingerprint: Fingerprint) {
+        if self.crashes.record_served(fingerprint) {
+            self.news.for_all().served.push(fingerprint);
+        }
+    }
+
+    /// Records that a target answered a request that was sent at `sent_at`, so that it has survived the breaks before.
+    pub fn record_survived(&mut self, target: &TargetId, sent_at: MonoMs) {
+        let survived = self.unexplained.remove_survived(target, sent_at);
+        self.record_verdict(BreakVerdict::Survived, survived);
+    }
+
+    /// Returns the targets to which a connection should be opened now, since connections to them broke for a reason that
+    /// isn't known. There are none while a target's service is out of reach.
+    pub fn take_inquiries(&mut self, now: MonoMs) -> Vec<Inquiry> {
+        if self.unexplained.is_empty() {
+            return Vec::new();
+        }
+        let due = self.unexplained.take_inquiries(now);
+        let mut inquiries = Vec::new();
+        for id in due {
+            let Some(target) = self.targets.entry(&id).cloned() else {
+                continue;
+            };
+            if !self.is_out_of_reach(&target.service) {
+                let witnesses = self.draw_witnesses(&id);
+                inquiries.push(Inquiry { target, witnesses });
+            }
+        }
+        inquiries
+    }
+
+    /// Draws other targets at random. None is left out for breaks of its own: those that are left would be the ones that
+    /// an instance still reaches which is cut off from all others.
+    fn draw_witnesses(&mut self, target: &TargetId) -> Vec<TargetEntry> {
+        let others = self.targets.all_ready();
+        let mut others: Vec<TargetEntry> = others
+            .filter(|other| other.id != *target)
+            .cloned()
+            .collect();
+        self.rng.shuffle(&mut others);
+        others.truncate(WITNESSES);
+        others
+    }
+
+    /// Applies what came of an inquiry. `opened` is the number of witnesses to which a connection opened. The breaks at a
+    /// target that lives count against no request; those at one that is gone do if the link of this instance works.
+    pub fn record_inquiry(&mut self, now: MonoMs, inquiry: &Inquiry, lives: bool, opened: usize) {
+        let target = &inquiry.target.id;
+        if lives {
+            let survived = self.unexplained.remove_connected(now, target);
+            self.record_verdict(BreakVerdict::Survived, survived);
+        } else if 2 * opened > inquiry.witnesses.len() {
+            self.confirm_breaks(now, target);
+        }
+    }
+
+    /// Counts the breaks at a target that has died against the requests that it was running.
+    pub(super) fn confirm_breaks(&mut self, now: MonoMs, target: &TargetId) {
+        let breaks = self.unexplained.take_died(target);
+        self.record_verdict(BreakVerdict::Died, breaks.len());
+        for broken in breaks {
+            self.count_crash(now, broken.fingerprint, target);
+        }
+    }
+
+    /// Counts the breaks at targets whose entries are gone, and gives up those that nothing has explained.
+    pub(super) fn settle_breaks(&mut self, now: MonoMs) {
+        let ids = self.unexplained.targets();
+        let gone: Vec<TargetId> = ids
+            .filter(|id| self.targets.entry(id).is_none())
+            .cloned()
+            .collect();
+        for target in gone {
+            self.confirm_breaks(now, &target);
+        }
+        let expired = self.unexplained.evict_expired(now);
+        self.record_verdict(BreakVerdict::Unsolved, expired);
+    }
+
+    fn record_verdict(&mut self, verdict: BreakVerdict, breaks: usize) {
+        self.break_verdicts
+            .extend(std::iter::repeat_n(verdict, breaks));
+    }
+
+    /// Returns the final verdicts on breaks that were unexplained, since the last call.
+    pub fn take_break_verdicts(&mut self) -> Vec<BreakVerdict> {
+        std::mem::take(&mut self.break_verdicts)
+    }
+}
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -310,6 +310,10 @@
                 self.targets.apply_takeover(entry)
             }),
         };
+        // A peer has seen these targets die.
+        for crash in &new.crashes {
+            self.confirm_breaks(now, &crash.target);
+        }
         if self.is_hub() {
             let news = self.news.for_all();
             news.crashes.extend(new.crashes);
