--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -4,7 +4,7 @@
     super::{
         decision_line::Decision,
         entry_state::EntryState,
-        http::{BodyFault, ResponseHead},
+        http::{BodyFault, Framing, ResponseHead},
         request_context::RequestContext,
         target_connection::{TargetConnection, TargetFault},
     },
@@ -191,6 +191,24 @@
     });
 }
 
+/// Records a complete answer, which clears the request of having crashed targets unless only the end of the connection
+/// tells that it is complete.
+pub fn record_answer(
+    state: &EntryState,
+    context: &RequestContext,
+    target: &TargetEntry,
+    head: &ResponseHead,
+    sent: SentAttempt,
+) {
+    let fingerprint = context.fingerprint;
+    let mut serving = state.serving();
+    if head.framing == Framing::UntilClose {
+        serving.record_unproven_answer(state.now(), fingerprint, &target.id, sent.at);
+    } else if head.is_success() {
+        serving.record_served(fingerprint);
+    }
+}
+
 /// Returns an idle connection to a target, or opens one.
 ///
 /// # Errors
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -64,11 +64,6 @@
         }
     }
 
-    /// Returns whether a target's answer was passed on completely and its status is a success.
-    fn is_success(&self) -> bool {
-        self.outcome == "answered" && self.status < 300
-    }
-
     /// The caller closed its connection.
     pub fn caller_gone() -> Self {
         Self {
@@ -246,11 +241,7 @@
             retry_after_ms,
         }) => return RequestEnd::error(answer, status, &message, retry_after_ms).await,
     };
-    let ended = serve(state, stream, input, &context, answer).await;
-    if ended.is_success() {
-        state.serving().record_served(context.fingerprint);
-    }
-    ended
+    serve(state, stream, input, &context, answer).await
 }
 
 /// Serves until the answer is complete, the caller disconnects or the deadline is near. In the last two
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -3,7 +3,8 @@
         super::{
             answers::{CallerAnswer, NOT_RUN_STATUSES},
             attempt::{
-                AttemptFault, SentAttempt, record_broken_attempt, request_connection, send_request,
+                AttemptFault, SentAttempt, record_answer, record_broken_attempt,
+                request_connection, send_request,
             },
             decision_line::Decision,
             entry_state::EntryState,
@@ -159,11 +160,15 @@
             .as_ref()
             .is_ok_and(|received| received.head.status < 500);
         guard.record_ended(!is_served);
-        if let Err(fault) = &received {
-            if !fault.may_have_run() {
-                self.runs.remove();
+        let (state, context, target) = (self.state, self.context, guard.target());
+        match &received {
+            Ok(answer) => record_answer(state, context, target, &answer.head, sent),
+            Err(fault) => {
+                if !fault.may_have_run() {
+                    self.runs.remove();
+                }
+                record_broken_attempt(state, context, target, fault, sent);
             }
-            record_broken_attempt(self.state, self.context, guard.target(), fault, sent);
         }
         received
     }
--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -56,7 +56,7 @@
                     return Ok(StreamEnd::CallerGone);
                 }
                 self.return_to_pool(placement, connection, &head);
-                return Ok(StreamEnd::Complete);
+                return Ok(StreamEnd::Complete(head));
             }
         }
     }
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -4,7 +4,8 @@
     super::{
         answers::{CallerAnswer, NOT_RUN_STATUSES},
         attempt::{
-            AttemptFault, SentAttempt, record_broken_attempt, request_connection, send_request,
+            AttemptFault, SentAttempt, record_answer, record_broken_attempt, request_connection,
+            send_request,
         },
         decision_line::Decision,
         engine_life::until_engine_is_lost,
@@ -48,8 +49,8 @@
 
 /// End of the last attempt of a stream.
 pub(super) enum StreamEnd {
-    /// All events were passed on.
-    Complete,
+    /// All events of the answer with this head were passed on.
+    Complete(ResponseHead),
     /// The engine answered with an error status.
     Failure(ResponseHead, Vec<u8>),
     /// The caller disconnected before the end.
@@ -108,7 +109,7 @@
             };
             let target = placement.engine.clone();
             let fault = match self.attempt(&placement).await {
-                Ok(StreamEnd::Complete) => return RequestEnd::answered(200),
+                Ok(StreamEnd::Complete(_)) => return RequestEnd::answered(200),
                 Ok(StreamEnd::CallerGone) => return RequestEnd::caller_gone(),
                 Ok(StreamEnd::Failure(head, body)) => {
                     self.record_engine_failure(placement.job);
@@ -237,8 +238,11 @@
         };
         self.answer
             .record_partial_event(self.splitter.partial_event_bytes());
-        if let Err(fault) = &end {
-            record_broken_attempt(state, self.context, &placement.engine, fault, sent);
+        let (context, engine) = (self.context, &placement.engine);
+        match &end {
+            Ok(StreamEnd::Complete(head)) => record_answer(state, context, engine, head, sent),
+            Ok(StreamEnd::Failure(..) | StreamEnd::CallerGone) => {}
+            Err(fault) => record_broken_attempt(state, context, engine, fault, sent),
         }
         end
     }
--- a/crates/serving/src/retries/unexplained_breaks.rs
+++ b/crates/serving/src/retries/unexplained_breaks.rs
@@ -8,6 +8,11 @@
 /// Time from a break until its target is asked for, in ms: a link that fails has broken the connections to other targets
 /// by then as well.
 const INQUIRY_DELAY_MS: u64 = 100;
+/// Time from an answer that only the end of its connection bounds until its target is asked for, in ms: a target in use
+/// answers another request by then.
+const WHOLE_INQUIRY_DELAY_MS: u64 = 1_000;
+/// Time within which connections to a target end that has crashed, in ms.
+const CRASH_SPREAD_MS: u64 = 300;
 /// Time between two inquiries for one target, in ms.
 const INQUIRY_INTERVAL_MS: u64 = 250;
 /// Inquiries for one target. What they don't explain is left to the store and to peers.
@@ -16,24 +21,42 @@
 const RETENTION_MS: u64 = 8_000;
 /// Limit for the number of breaks that wait.
 const MAX_BREAKS: usize = 512;
+/// Limit for that number from which on answers that look whole aren't added.
+const MAX_WHOLE: usize = 256;
 /// Time after a break within which a connection that opens shows that the target lives, in ms. Later, another target may
 /// have taken over its address.
 const SAME_RUN_MS: u64 = 1_500;
 
-/// A connection that broke under a request, for a reason that isn't known yet.
+/// A connection that ended under a request, for a reason that isn't known yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UnexplainedBreak {
     /// The request that its target may have been running.
     pub fingerprint: Fingerprint,
     /// When the request was sent.
     pub sent_at: MonoMs,
-    /// When the connection broke.
+    /// When the connection ended.
     pub broke_at: MonoMs,
+    /// Whether the answer looks whole, since nothing but the end of its connection bounds it. A target that crashes ends
+    /// it in the same way.
+    pub looks_whole: bool,
+}
+
+impl UnexplainedBreak {
+    fn is_settled(&self, now: MonoMs) -> bool {
+        let delay_ms = if self.looks_whole {
+            WHOLE_INQUIRY_DELAY_MS
+        } else {
+            INQUIRY_DELAY_MS
+        };
+        now.since(self.broke_at) >= delay_ms
+    }
 }
 
 #[derive(Debug, Default)]
 struct BrokenTarget {
     breaks: Vec<UnexplainedBreak>,
+    /// Whether no connection to the target could be opened since, so that it is asked for at once.
+    is_unreachable: bool,
     /// Number of inquiries so far, and when the last one began.
     inquiries: u32,
     inquired_at: Option<MonoMs>,
@@ -41,14 +64,11 @@
 
 impl BrokenTarget {
     fn is_inquiry_due(&self, now: MonoMs) -> bool {
-        let is_settled = self
-            .breaks
-            .iter()
-            .any(|broken| now.since(broken.broke_at) >= INQUIRY_DELAY_MS);
+        let is_settled = self.breaks.iter().any(|broken| broken.is_settled(now));
         let is_paused = self
             .inquired_at
             .is_some_and(|at| now.since(at) < INQUIRY_INTERVAL_MS);
-        is_settled && !is_paused && self.inquiries < MAX_INQUIRIES
+        (is_settled || self.is_unreachable) && !is_paused && self.inquiries < MAX_INQUIRIES
     }
 }
 
@@ -64,7 +84,12 @@
 impl UnexplainedBreaks {
     /// Adds a break. Returns `false` if too many wait already.
     pub fn add(&mut self, target: &TargetId, broken: UnexplainedBreak) -> bool {
-        if self.len() >= MAX_BREAKS {
+        let max = if broken.looks_whole {
+            MAX_WHOLE
+        } else {
+            MAX_BREAKS
+        };
+        if self.len() >= max {
             return false;
         }
         let entry = self.targets.entry(target.clone()).or_default();
@@ -89,6 +114,13 @@
         self.targets.keys()
     }
 
+    /// Records that no connection to a target could be opened.
+    pub fn record_unreachable(&mut self, target: &str) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.is_unreachable = true;
+        }
+    }
+
     /// Returns the targets to which a connection should be opened now, to find out whether they live.
     pub fn take_inquiries(&mut self, now: MonoMs) -> Vec<TargetId> {
         let due = self
@@ -103,6 +135,22 @@
         .collect()
     }
 
+    /// Removes and returns the ends that go with a crash of their target, which is known from another request: all breaks,
+    /// and the answers that ended at the same time.
+    pub fn take_crashed(&mut self, now: MonoMs, target: &str) -> Vec<UnexplainedBreak> {
+        let Some(entry) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        let is_related = |broken: &mut UnexplainedBreak| {
+            !broken.looks_whole || now.since(broken.broke_at) < CRASH_SPREAD_MS
+        };
+        let related = entry.breaks.extract_if(.., is_related).collect();
+        if entry.breaks.is_empty() {
+            self.targets.remove(target);
+        }
+        related
+    }
+
     /// Removes and returns the breaks of a target that has died.
     pub fn take_died(&mut self, target: &str) -> Vec<UnexplainedBreak> {
         let died = self.targets.remove(target);
@@ -110,12 +158,12 @@
     }
 
     /// Removes the breaks that a target has survived, since it answered a request that was sent at `sent_at`. Returns
-    /// their number.
+    /// the number of those that didn't look whole, as the next two functions do.
     pub fn remove_survived(&mut self, target: &str, sent_at: MonoMs) -> usize {
         self.remove(target, |broken| broken.broke_at <= sent_at)
     }
 
-    /// Removes the breaks that a target has survived, since a connection to it was opened. Returns their number.
+    /// Removes the breaks that a target has survived, since a connection to it was opened.
     pub fn remove_connected(&mut self, now: MonoMs, target: &str) -> usize {
         self.remove(target, |broken| now.since(broken.broke_at) < SAME_RUN_MS)
     }
@@ -124,16 +172,15 @@
         let Some(entry) = self.targets.get_mut(target) else {
             return 0;
         };
-        let before = entry.breaks.len();
-        entry.breaks.retain(|broken| !is_removed(broken));
-        let removed = before - entry.breaks.len();
+        let removed = entry.breaks.extract_if(.., |broken| is_removed(broken));
+        let removed = removed.filter(|broken| !broken.looks_whole).count();
         if entry.breaks.is_empty() {
             self.targets.remove(target);
         }
         removed
     }
 
-    /// Removes breaks that nothing has explained. Returns their number.
+    /// Removes breaks that nothing has explained.
     pub fn evict_expired(&mut self, now: MonoMs) -> usize {
         let ids: HashSet<TargetId> = self.targets.keys().cloned().collect();
         ids.iter()
--- a/crates/serving/src/serving/crashes.rs
+++ b/crates/serving/src/serving/crashes.rs
@@ -49,12 +49,14 @@
     ) -> BreakVerdict {
         if attempt.is_proven && !self.is_link_suspect(now, attempt.target) {
             self.record_crash(now, attempt.fingerprint, attempt.target);
+            self.confirm_related(now, attempt.target);
             return BreakVerdict::Counted;
         }
         let broken = UnexplainedBreak {
             fingerprint: attempt.fingerprint,
             sent_at: attempt.sent_at,
             broke_at: now,
+            looks_whole: false,
         };
         if self.unexplained.add(attempt.target, broken) {
             BreakVerdict::Unexplained
@@ -64,6 +66,28 @@
         }
     }
 
+    /// Records an answer of which nothing but the end of its connection tells that it is whole. It counts against the
+    /// request if the target turns out to have died, and else says nothing of it.
+    ///
+    /// Guards against a request that crashes its targets and is taken for served each time: a process that crashes closes
+    /// its connections too.
+    pub fn record_unproven_answer(
+        &mut self,
+        now: MonoMs,
+        fingerprint: Fingerprint,
+        target: &TargetId,
+        sent_at: MonoMs,
+    ) {
+        let ended = UnexplainedBreak {
+            fingerprint,
+            sent_at,
+            broke_at: now,
+            looks_whole: true,
+        };
+        // If too many wait, nothing is known of this one.
+        let _added = self.unexplained.add(target, ended);
+    }
+
     /// Records that a target failed while it ran a request, and queues a notice for all peers. Has no effect if the link
     /// of this instance is suspect.
     ///
@@ -145,9 +169,22 @@
         }
     }
 
+    /// Counts the breaks that go with a crash which another request or a peer has shown.
+    pub(super) fn confirm_related(&mut self, now: MonoMs, target: &TargetId) {
+        let related = self.unexplained.take_crashed(now, target);
+        self.record_verdict(BreakVerdict::Died, related.len());
+        for broken in related {
+            self.count_crash(now, broken.fingerprint, target);
+        }
+    }
+
     /// Counts the breaks at a target that has died against the requests that it was running.
-    pub(super) fn confirm_breaks(&mut self, now: MonoMs, target: &TargetId) {
-        let breaks = self.unexplained.take_died(target);
+    fn confirm_breaks(&mut self, now: MonoMs, target: &TargetId) {
+        let mut breaks = self.unexplained.take_died(target);
+        // One that leaves ends after its last answers.
+        if !self.takes_requests(target) {
+            breaks.retain(|broken| !broken.looks_whole);
+        }
         self.record_verdict(BreakVerdict::Died, breaks.len());
         for broken in breaks {
             self.count_crash(now, broken.fingerprint, target);
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -312,7 +312,7 @@
         };
         // A peer has seen these targets die.
         for crash in &new.crashes {
-            self.confirm_breaks(now, &crash.target);
+            self.confirm_related(now, &crash.target);
         }
         if self.is_hub() {
             let news = self.news.for_all();
--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -80,6 +80,7 @@
     /// Records that no connection to a target could be opened. Returns whether its service is out of reach since.
     pub fn record_connection_failure(&mut self, now: MonoMs, target: &TargetId) -> bool {
         self.breaks.record(now, target);
+        self.unexplained.record_unreachable(target);
         let Some(service) = self
             .targets
             .entry(target)
