--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -201,11 +201,12 @@
     sent: SentAttempt,
 ) {
     let fingerprint = context.fingerprint;
+    let now = state.now();
     let mut serving = state.serving();
     if head.framing == Framing::UntilClose {
-        serving.record_unproven_answer(state.now(), fingerprint, &target.id, sent.at);
+        serving.record_unproven_answer(now, fingerprint, &target.id, sent.at);
     } else if head.is_success() {
-        serving.record_served(fingerprint);
+        serving.record_served(now, fingerprint);
     }
 }
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -12,8 +12,8 @@
 pub use {
     engine_groups::{EngineGroup, EngineGroups},
     frame::{
-        CatchUpRequest, Crash, EnginePace, Frame, FrameKind, HeartbeatFrame, JobId, Member,
-        PlacedPrompt, Placement, PlacementRequest, PlacementResponse, PublishedText,
+        CatchUpRequest, Condemnation, Crash, EnginePace, Frame, FrameKind, HeartbeatFrame, JobId,
+        Member, PlacedPrompt, Placement, PlacementRequest, PlacementResponse, PublishedText,
         ReservedMemory,
     },
     known_member::KnownMember,
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -100,6 +100,17 @@
     pub target: TargetId,
 }
 
+/// A request that is kept from targets, since several have failed while they ran it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condemnation {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Number of targets that failed.
+    pub targets: u32,
+    /// Time since the last one failed, in ms.
+    pub age_ms: u64,
+}
+
 /// A prompt that was sent to engines, with the load that it is expected to cause.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlacedPrompt {
@@ -305,6 +316,9 @@
     /// Targets that failed while they ran a request.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
+    /// Requests that are kept from targets: those of which the receiver may not have heard all crashes.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub condemned: Vec<Condemnation>,
     /// Fingerprints of requests that failed with a target before and have been served since.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub served: Vec<Fingerprint>,
--- a/crates/serving/src/retries/crash_tracker.rs
+++ b/crates/serving/src/retries/crash_tracker.rs
@@ -1,6 +1,12 @@
 use {
-    crate::{fleet::Crash, names::TargetId},
-    std::collections::{HashMap, HashSet},
+    crate::{
+        fleet::{Condemnation, Crash},
+        names::TargetId,
+    },
+    std::{
+        cmp::Reverse,
+        collections::{HashMap, HashSet},
+    },
     whinlatch_core::MonoMs,
 };
 
@@ -18,17 +24,42 @@
 /// Time for which a failure counts, in ms: callers retry within their deadline of about ten seconds, and
 /// again with their next attempt.
 const CRASH_RETENTION_MS: u64 = 60_000;
+/// Limit for the number of requests of which crashes are remembered.
+const MAX_RECORDS: usize = 4_096;
+/// Limit for the number of targets that are remembered for one request; more make no difference.
+const MAX_TARGETS: usize = 16;
+/// Limit for the number of requests that one frame states to be poison.
+const MAX_STATED: usize = 64;
 
 #[derive(Debug)]
 struct CrashRecord {
     targets: HashSet<TargetId>,
+    /// Number of targets by the word of peers, which may have seen crashes that this instance hasn't heard of.
+    stated_targets: usize,
     last_crash_at: MonoMs,
 }
 
 impl CrashRecord {
+    fn new(now: MonoMs) -> Self {
+        Self {
+            targets: HashSet::new(),
+            stated_targets: 0,
+            last_crash_at: now,
+        }
+    }
+
+    /// Returns the number of targets that failed.
+    fn count(&self) -> usize {
+        self.targets.len().max(self.stated_targets)
+    }
+
+    fn is_poison(&self) -> bool {
+        self.count() >= POISON_TARGETS
+    }
+
     /// Returns the time for which the request is kept from targets, in ms; 0 while it isn't poison.
     fn quarantine_ms(&self) -> u64 {
-        match self.targets.len().checked_sub(POISON_TARGETS) {
+        match self.count().checked_sub(POISON_TARGETS) {
             None => 0,
             Some(further) => INITIAL_QUARANTINE_MS << further.min(MAX_DOUBLINGS),
         }
@@ -44,29 +75,86 @@
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     records: HashMap<Fingerprint, CrashRecord>,
+    /// When requests were last cleared that had been suspected.
+    cleared: HashMap<Fingerprint, MonoMs>,
 }
 
 impl CrashTracker {
     /// Records a failure that was seen here or reported by a peer. Returns whether it is new.
     pub fn record_crash(&mut self, now: MonoMs, crash: &Crash) -> bool {
-        let record = self
-            .records
-            .entry(crash.fingerprint)
-            .or_insert(CrashRecord {
-                targets: HashSet::new(),
-                last_crash_at: now,
-            });
-        let is_new = record.targets.insert(crash.target.clone());
+        let record = self.record(now, crash.fingerprint);
+        let is_new =
+            record.targets.len() < MAX_TARGETS && record.targets.insert(crash.target.clone());
         if is_new {
             record.last_crash_at = now;
         }
         is_new
     }
 
+    /// Returns the record of a request, a new one if there is none. If there are too many, the one whose last crash is
+    /// longest ago gives way, of those that aren't poison if there are any.
+    fn record(&mut self, now: MonoMs, fingerprint: Fingerprint) -> &mut CrashRecord {
+        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
+            let oldest = self
+                .records
+                .iter()
+                .min_by_key(|(_, record)| (record.is_poison(), record.last_crash_at));
+            let oldest = oldest.map(|(oldest, _)| *oldest);
+            if let Some(oldest) = oldest {
+                self.records.remove(&oldest);
+            }
+        }
+        self.records
+            .entry(fingerprint)
+            .or_insert_with(|| CrashRecord::new(now))
+    }
+
+    /// Records what a peer states of a request that is poison. Returns whether it is news.
+    pub fn apply_condemnation(&mut self, now: MonoMs, stated: &Condemnation) -> bool {
+        let last_crash_at = MonoMs(now.0.saturating_sub(stated.age_ms));
+        let cleared_at = self.cleared.get(&stated.fingerprint);
+        if cleared_at.is_some_and(|at| *at >= last_crash_at) {
+            return false;
+        }
+        let targets = (stated.targets as usize).min(MAX_TARGETS);
+        let record = self.record(now, stated.fingerprint);
+        if record.count() >= targets {
+            return false;
+        }
+        record.last_crash_at = last_crash_at;
+        record.stated_targets = targets;
+        true
+    }
+
+    /// Returns what there is to state of a request; `None` unless it is poison.
+    pub fn condemnation(&self, now: MonoMs, fingerprint: Fingerprint) -> Option<Condemnation> {
+        let record = self.records.get(&fingerprint)?;
+        record.is_poison().then(|| Condemnation {
+            fingerprint,
+            targets: record.count() as u32,
+            age_ms: now.since(record.last_crash_at),
+        })
+    }
+
+    /// Returns what there is to state of all requests that are poison, the latest ones if they are many.
+    pub fn condemnations(&self, now: MonoMs) -> Vec<Condemnation> {
+        let fingerprints = self.records.keys();
+        let mut stated: Vec<Condemnation> = fingerprints
+            .filter_map(|fingerprint| self.condemnation(now, *fingerprint))
+            .collect();
+        stated.sort_by_key(|stated| (stated.age_ms, Reverse(stated.targets)));
+        stated.truncate(MAX_STATED);
+        stated
+    }
+
     /// Records that a target served the request, here or at a peer, so that it didn't cause the earlier
     /// failures. Returns whether there were any.
-    pub fn record_served(&mut self, fingerprint: Fingerprint) -> bool {
-        self.records.remove(&fingerprint).is_some()
+    pub fn record_served(&mut self, now: MonoMs, fingerprint: Fingerprint) -> bool {
+        let was_suspected = self.records.remove(&fingerprint).is_some();
+        if was_suspected && self.cleared.len() < MAX_RECORDS {
+            self.cleared.insert(fingerprint, now);
+        }
+        was_suspected
     }
 
     /// Returns whether a request is to be kept from targets now.
@@ -78,6 +166,8 @@
 
     /// Removes records that have expired.
     pub fn evict_expired(&mut self, now: MonoMs) {
+        self.cleared
+            .retain(|_, cleared_at| now.since(*cleared_at) < CRASH_RETENTION_MS);
         self.records.retain(|_, record| {
             now.since(record.last_crash_at) < CRASH_RETENTION_MS + record.quarantine_ms()
         });
--- a/crates/serving/src/serving/crashes.rs
+++ b/crates/serving/src/serving/crashes.rs
@@ -4,7 +4,7 @@
 use {
     super::Serving,
     crate::{
-        fleet::Crash,
+        fleet::{Condemnation, Crash},
         names::TargetId,
         retries::{BreakVerdict, Fingerprint, UnexplainedBreak},
         targets::TargetEntry,
@@ -105,15 +105,35 @@
             fingerprint,
             target: target.clone(),
         };
-        if self.crashes.record_crash(now, &crash) {
+        if self.apply_crash(now, &crash) {
             self.news.for_all().crashes.push(crash);
         }
     }
 
+    /// Records a crash that was seen here or by a peer, and queues a statement for all peers if the request is poison
+    /// since: they may not have heard of all crashes. Returns whether the crash is new.
+    pub(super) fn apply_crash(&mut self, now: MonoMs, crash: &Crash) -> bool {
+        let was_poison = self.crashes.condemnation(now, crash.fingerprint).is_some();
+        let is_new = self.crashes.record_crash(now, crash);
+        if !was_poison && let Some(stated) = self.crashes.condemnation(now, crash.fingerprint) {
+            self.news.for_all().condemned.push(stated);
+        }
+        is_new
+    }
+
+    /// Returns the statements that begin a link: those of all requests that are poison. In a large fleet only hubs make
+    /// them, since each instance has links to all of these.
+    pub(super) fn condemnations_to_greet_with(&self, now: MonoMs) -> Vec<Condemnation> {
+        if self.members.is_large() && !self.is_hub() {
+            return Vec::new();
+        }
+        self.crashes.condemnations(now)
+    }
+
     /// Records that a target served a request. If a target had crashed on it before, the request is no longer
     /// suspected, and a notice is queued for all peers.
-    pub fn record_served(&mut self, fingerprint: Fingerprint) {
-        if self.crashes.record_served(fingerprint) {
+    pub fn record_served(&mut self, now: MonoMs, fingerprint: Fingerprint) {
+        if self.crashes.record_served(now, fingerprint) {
             self.news.for_all().served.push(fingerprint);
         }
     }
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -127,8 +127,8 @@
             .collect()
     }
 
-    /// Returns the first frame of a link to a peer: the state of this instance, the addresses of peers, the
-    /// targets that leave or have a limit, and the roster, which is empty unless this instance is a hub.
+    /// Returns the first frame of a link to a peer: the state of this instance, the addresses of peers, requests that are
+    /// poison, the targets that leave or have a limit, and the roster, which is empty unless this instance is a hub.
     pub fn greeting(&self, now: MonoMs, to: SocketAddr, requests_link: bool) -> Frame {
         let mut requests = self.follow_requests(now).into_iter();
         let heartbeat = HeartbeatFrame {
@@ -140,6 +140,7 @@
             member: Some(self.own_member(now)),
             heartbeat: Some(heartbeat),
             peers: self.members.addresses_to_report(now),
+            condemned: self.condemnations_to_greet_with(now),
             leaving: self.targets.leaving(),
             reach: self.reach_statements(now),
             limits: self.notices.limits(),
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -5,8 +5,8 @@
     crate::{
         catalog::{Configuration, EngineSpec},
         fleet::{
-            CatchUpRequest, Crash, EnginePace, Frame, HeartbeatFrame, JobId, Member, PlacedPrompt,
-            Roster,
+            CatchUpRequest, Condemnation, Crash, EnginePace, Frame, HeartbeatFrame, JobId, Member,
+            PlacedPrompt, Roster,
         },
         mechanism::Mechanism,
         names::TargetId,
@@ -36,6 +36,7 @@
 /// Notices that a hub passes on to all instances.
 struct FleetNotices {
     crashes: Vec<Crash>,
+    condemned: Vec<Condemnation>,
     served: Vec<Fingerprint>,
     unreachable: Vec<TargetId>,
     reach: Vec<ReachStatement>,
@@ -191,6 +192,7 @@
         changes.targets.extend(self.confirm_settled_removals(now));
         let notices = FleetNotices {
             crashes: frame.crashes,
+            condemned: frame.condemned,
             served: frame.served,
             unreachable: frame.unreachable,
             reach: frame.reach,
@@ -290,11 +292,12 @@
     fn apply_fleet_notices(&mut self, now: MonoMs, notices: FleetNotices) {
         let own = self.own.peer_address;
         let new = FleetNotices {
-            crashes: retain_new(notices.crashes, |crash| {
-                self.crashes.record_crash(now, crash)
+            crashes: retain_new(notices.crashes, |crash| self.apply_crash(now, crash)),
+            condemned: retain_new(notices.condemned, |stated| {
+                self.crashes.apply_condemnation(now, stated)
             }),
             served: retain_new(notices.served, |request| {
-                self.crashes.record_served(*request)
+                self.crashes.record_served(now, *request)
             }),
             unreachable: retain_new(notices.unreachable, |id| {
                 self.calls.record_reported_unreachable(now, id)
@@ -317,6 +320,7 @@
         if self.is_hub() {
             let news = self.news.for_all();
             news.crashes.extend(new.crashes);
+            news.condemned.extend(new.condemned);
             news.served.extend(new.served);
             news.unreachable.extend(new.unreachable);
             news.reach.extend(new.reach);
--- a/crates/serving/tests/serving/fleet_fixture.rs
+++ b/crates/serving/tests/serving/fleet_fixture.rs
@@ -347,6 +347,7 @@
     /// Replaces an instance by a run that has just started at its address.
     pub fn restart(&mut self, address: SocketAddr, run: u64) {
         self.kill(address);
+        self.links.retain(|(_, to)| *to != address);
         let own = Member {
             failure_domain: domain(0).as_str().into(),
             ..member(run, address.port() - 1)
