--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -98,6 +98,20 @@
     pub fingerprint: Fingerprint,
     /// The run of the target that failed.
     pub target: TargetId,
+    /// Time for which it had the request when it failed, in ms.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub ran_ms: u64,
+    /// Time since it failed, in ms.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub age_ms: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// A request that is kept from targets, since several have failed while they ran it.
--- a/crates/serving/src/retries.rs
+++ b/crates/serving/src/retries.rs
@@ -9,5 +9,5 @@
     break_verdict::BreakVerdict,
     crash_tracker::{CrashTracker, Fingerprint},
     fleet_budget::{FleetBudget, FleetBudgetRule},
-    unexplained_breaks::{UnexplainedBreak, UnexplainedBreaks},
+    unexplained_breaks::{BrokenRun, UnexplainedBreaks},
 };
--- a/crates/serving/src/retries/crash_tracker.rs
+++ b/crates/serving/src/retries/crash_tracker.rs
@@ -3,10 +3,7 @@
         fleet::{Condemnation, Crash},
         names::TargetId,
     },
-    std::{
-        cmp::Reverse,
-        collections::{HashMap, HashSet},
-    },
+    std::{cmp::Reverse, collections::HashMap},
     whinlatch_core::MonoMs,
 };
 
@@ -15,6 +12,9 @@
 
 /// Number of targets that must fail while they run a request before the request counts as poison.
 const POISON_TARGETS: usize = 3;
+/// Number of these that must have failed one after the other, each while it had the request only after the one before
+/// had failed.
+const POISON_ROUNDS: usize = 2;
 /// Time from the last failure until a poison request is tried again, in ms; doubles with each further
 /// target that fails. A caller has given up its retries by then, so that a trial rarely costs a target, and
 /// a request that only happened to be running when targets failed is served again.
@@ -31,9 +31,16 @@
 /// Limit for the number of requests that one frame states to be poison.
 const MAX_STATED: usize = 64;
 
+/// Time for which a target had a request until it failed.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    sent_at: MonoMs,
+    failed_at: MonoMs,
+}
+
 #[derive(Debug)]
 struct CrashRecord {
-    targets: HashSet<TargetId>,
+    targets: HashMap<TargetId, Run>,
     /// Number of targets by the word of peers, which may have seen crashes that this instance hasn't heard of.
     stated_targets: usize,
     last_crash_at: MonoMs,
@@ -42,7 +49,7 @@
 impl CrashRecord {
     fn new(now: MonoMs) -> Self {
         Self {
-            targets: HashSet::new(),
+            targets: HashMap::new(),
             stated_targets: 0,
             last_crash_at: now,
         }
@@ -53,16 +60,33 @@
         self.targets.len().max(self.stated_targets)
     }
 
+    /// Returns the largest number of targets that had the request one after the other.
+    fn rounds(&self) -> usize {
+        let mut runs: Vec<&Run> = self.targets.values().collect();
+        runs.sort_by_key(|run| run.failed_at);
+        let mut last_failed_at = None;
+        let mut rounds = 0;
+        for run in runs {
+            if last_failed_at.is_none_or(|at| run.sent_at >= at) {
+                last_failed_at = Some(run.failed_at);
+                rounds += 1;
+            }
+        }
+        rounds
+    }
+
     fn is_poison(&self) -> bool {
-        self.count() >= POISON_TARGETS
+        self.stated_targets >= POISON_TARGETS
+            || self.targets.len() >= POISON_TARGETS && self.rounds() >= POISON_ROUNDS
     }
 
     /// Returns the time for which the request is kept from targets, in ms; 0 while it isn't poison.
     fn quarantine_ms(&self) -> u64 {
-        match self.count().checked_sub(POISON_TARGETS) {
-            None => 0,
-            Some(further) => INITIAL_QUARANTINE_MS << further.min(MAX_DOUBLINGS),
+        if !self.is_poison() {
+            return 0;
         }
+        let further = self.count() - POISON_TARGETS;
+        INITIAL_QUARANTINE_MS << further.min(MAX_DOUBLINGS)
     }
 }
 
@@ -70,8 +94,9 @@
 ///
 /// Keeps a request that crashes every target from spreading while its caller retries it at any instance:
 /// after `POISON_TARGETS` targets it is sent to no other. Targets are counted, not failures, because one
-/// target that loses power fails all requests with the same fingerprint that it has in flight. A request
-/// that any target has served is not poison, however often it failed before.
+/// target that loses power fails all requests with the same fingerprint that it has in flight. Targets that had the
+/// request at the same time may have lost power together, so that at least one must have got it after another had
+/// failed. A request that any target has served is not poison, however often it failed before.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     records: HashMap<Fingerprint, CrashRecord>,
@@ -82,11 +107,15 @@
 impl CrashTracker {
     /// Records a failure that was seen here or reported by a peer. Returns whether it is new.
     pub fn record_crash(&mut self, now: MonoMs, crash: &Crash) -> bool {
-        let record = self.record(now, crash.fingerprint);
+        let failed_at = MonoMs(now.0.saturating_sub(crash.age_ms));
+        let record = self.record(failed_at, crash.fingerprint);
         let is_new =
-            record.targets.len() < MAX_TARGETS && record.targets.insert(crash.target.clone());
+            record.targets.len() < MAX_TARGETS && !record.targets.contains_key(&crash.target);
         if is_new {
-            record.last_crash_at = now;
+            let sent_at = MonoMs(failed_at.0.saturating_sub(crash.ran_ms));
+            let run = Run { sent_at, failed_at };
+            record.targets.insert(crash.target.clone(), run);
+            record.last_crash_at = record.last_crash_at.max(failed_at);
         }
         is_new
     }
--- a/crates/serving/src/retries/unexplained_breaks.rs
+++ b/crates/serving/src/retries/unexplained_breaks.rs
@@ -29,7 +29,7 @@
 
 /// A connection that ended under a request, for a reason that isn't known yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct UnexplainedBreak {
+pub struct BrokenRun {
     /// The request that its target may have been running.
     pub fingerprint: Fingerprint,
     /// When the request was sent.
@@ -41,7 +41,7 @@
     pub looks_whole: bool,
 }
 
-impl UnexplainedBreak {
+impl BrokenRun {
     fn is_settled(&self, now: MonoMs) -> bool {
         let delay_ms = if self.looks_whole {
             WHOLE_INQUIRY_DELAY_MS
@@ -54,7 +54,7 @@
 
 #[derive(Debug, Default)]
 struct BrokenTarget {
-    breaks: Vec<UnexplainedBreak>,
+    breaks: Vec<BrokenRun>,
     /// Whether no connection to the target could be opened since, so that it is asked for at once.
     is_unreachable: bool,
     /// Number of inquiries so far, and when the last one began.
@@ -83,7 +83,7 @@
 
 impl UnexplainedBreaks {
     /// Adds a break. Returns `false` if too many wait already.
-    pub fn add(&mut self, target: &TargetId, broken: UnexplainedBreak) -> bool {
+    pub fn add(&mut self, target: &TargetId, broken: BrokenRun) -> bool {
         let max = if broken.looks_whole {
             MAX_WHOLE
         } else {
@@ -137,11 +137,11 @@
 
     /// Removes and returns the ends that go with a crash of their target, which is known from another request: all breaks,
     /// and the answers that ended at the same time.
-    pub fn take_crashed(&mut self, now: MonoMs, target: &str) -> Vec<UnexplainedBreak> {
+    pub fn take_crashed(&mut self, now: MonoMs, target: &str) -> Vec<BrokenRun> {
         let Some(entry) = self.targets.get_mut(target) else {
             return Vec::new();
         };
-        let is_related = |broken: &mut UnexplainedBreak| {
+        let is_related = |broken: &mut BrokenRun| {
             !broken.looks_whole || now.since(broken.broke_at) < CRASH_SPREAD_MS
         };
         let related = entry.breaks.extract_if(.., is_related).collect();
@@ -152,7 +152,7 @@
     }
 
     /// Removes and returns the breaks of a target that has died.
-    pub fn take_died(&mut self, target: &str) -> Vec<UnexplainedBreak> {
+    pub fn take_died(&mut self, target: &str) -> Vec<BrokenRun> {
         let died = self.targets.remove(target);
         died.map(|target| target.breaks).unwrap_or_default()
     }
@@ -168,7 +168,7 @@
         self.remove(target, |broken| now.since(broken.broke_at) < SAME_RUN_MS)
     }
 
-    fn remove(&mut self, target: &str, is_removed: impl Fn(&UnexplainedBreak) -> bool) -> usize {
+    fn remove(&mut self, target: &str, is_removed: impl Fn(&BrokenRun) -> bool) -> usize {
         let Some(entry) = self.targets.get_mut(target) else {
             return 0;
         };
--- a/crates/serving/src/serving/crashes.rs
+++ b/crates/serving/src/serving/crashes.rs
@@ -6,7 +6,7 @@
     crate::{
         fleet::{Condemnation, Crash},
         names::TargetId,
-        retries::{BreakVerdict, Fingerprint, UnexplainedBreak},
+        retries::{BreakVerdict, BrokenRun, Fingerprint},
         targets::TargetEntry,
     },
     whinlatch_core::MonoMs,
@@ -47,17 +47,17 @@
         now: MonoMs,
         attempt: &BrokenAttempt<'_>,
     ) -> BreakVerdict {
-        if attempt.is_proven && !self.is_link_suspect(now, attempt.target) {
-            self.record_crash(now, attempt.fingerprint, attempt.target);
-            self.confirm_related(now, attempt.target);
-            return BreakVerdict::Counted;
-        }
-        let broken = UnexplainedBreak {
+        let broken = BrokenRun {
             fingerprint: attempt.fingerprint,
             sent_at: attempt.sent_at,
             broke_at: now,
             looks_whole: false,
         };
+        if attempt.is_proven && !self.is_link_suspect(now, attempt.target) {
+            self.count_crash(now, &broken, attempt.target);
+            self.confirm_related(now, attempt.target);
+            return BreakVerdict::Counted;
+        }
         if self.unexplained.add(attempt.target, broken) {
             BreakVerdict::Unexplained
         } else {
@@ -78,7 +78,7 @@
         target: &TargetId,
         sent_at: MonoMs,
     ) {
-        let ended = UnexplainedBreak {
+        let ended = BrokenRun {
             fingerprint,
             sent_at,
             broke_at: now,
@@ -97,13 +97,21 @@
         if self.is_link_suspect(now, target) {
             return;
         }
-        self.count_crash(now, fingerprint, target);
+        let broken = BrokenRun {
+            fingerprint,
+            sent_at: now,
+            broke_at: now,
+            looks_whole: false,
+        };
+        self.count_crash(now, &broken, target);
     }
 
-    fn count_crash(&mut self, now: MonoMs, fingerprint: Fingerprint, target: &TargetId) {
+    fn count_crash(&mut self, now: MonoMs, broken: &BrokenRun, target: &TargetId) {
         let crash = Crash {
-            fingerprint,
+            fingerprint: broken.fingerprint,
             target: target.clone(),
+            ran_ms: broken.broke_at.since(broken.sent_at),
+            age_ms: now.since(broken.broke_at),
         };
         if self.apply_crash(now, &crash) {
             self.news.for_all().crashes.push(crash);
@@ -194,7 +202,7 @@
         let related = self.unexplained.take_crashed(now, target);
         self.record_verdict(BreakVerdict::Died, related.len());
         for broken in related {
-            self.count_crash(now, broken.fingerprint, target);
+            self.count_crash(now, &broken, target);
         }
     }
 
@@ -207,7 +215,7 @@
         }
         self.record_verdict(BreakVerdict::Died, breaks.len());
         for broken in breaks {
-            self.count_crash(now, broken.fingerprint, target);
+            self.count_crash(now, &broken, target);
         }
     }
 
--- a/crates/serving/tests/serving/crashing_requests.rs
+++ b/crates/serving/tests/serving/crashing_requests.rs
@@ -133,6 +133,34 @@
     assert!(!is_refused(&mut serving, now, &request));
 }
 
+/// Guards against a popular request that all instances refuse, since three targets lost power together while they ran
+/// it.
+#[test]
+fn a_request_that_targets_ran_when_they_lost_power_together_is_not_refused() {
+    for count in [9, 62] {
+        let (mut fleet, addresses) = settled(count);
+        let request = prompt_request(5_000);
+        let now = fleet.now;
+
+        let engines = ["e-00", "e-01", "e-02"].map(TargetId::from);
+        for (number, (address, target)) in (0..).zip(addresses.iter().zip(&engines)) {
+            let serving = fleet.alive.get_mut(address).unwrap();
+            let attempt = BrokenAttempt {
+                target,
+                fingerprint: request.fingerprint,
+                sent_at: now + 20 * number,
+                is_proven: true,
+            };
+            // Notices of the same moment arrive up to some ten ms apart.
+            serving.record_broken_attempt(now + 100 + 10 * number, &attempt);
+            fleet.now = now + 100 + 20 * number;
+            fleet.deliver_news();
+        }
+
+        assert_eq!(admitting(&mut fleet, &request).len(), addresses.len());
+    }
+}
+
 /// Guards against requests that are condemned by an instance which reaches neither their targets nor others.
 #[test]
 fn breaks_at_an_instance_that_reaches_few_targets_count_against_no_request() {
--- a/crates/serving/tests/serving/retries.rs
+++ b/crates/serving/tests/serving/retries.rs
@@ -14,6 +14,8 @@
     Crash {
         fingerprint,
         target: target.into(),
+        ran_ms: 0,
+        age_ms: 0,
     }
 }
 
