--- a/crates/serving/src/retries/crash_tracker.rs
+++ b/crates/serving/src/retries/crash_tracker.rs
@@ -186,6 +186,12 @@
         was_suspected
     }
 
+    /// Returns whether a request has crashed so many targets that it is sent again in trials only.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(CrashRecord::is_poison)
+    }
+
     /// Returns whether a request is to be kept from targets now.
     pub fn is_poison(&self, now: MonoMs, fingerprint: Fingerprint) -> bool {
         self.records
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -59,8 +59,9 @@
         fingerprint: Fingerprint,
         is_repeat: bool,
     ) -> Result<(), Refusal> {
-        let refuses_poison = self.mechanisms.is_enabled(Mechanism::Poison);
-        if refuses_poison && self.crashes.is_poison(now, fingerprint) {
+        if self.mechanisms.is_enabled(Mechanism::Poison)
+            && self.is_kept_from_targets(now, fingerprint, is_repeat)
+        {
             return Err(Refusal::Poison);
         }
         let instances = self.members.peak_size();
--- a/crates/serving/src/serving/crashes.rs
+++ b/crates/serving/src/serving/crashes.rs
@@ -10,12 +10,16 @@
         targets::TargetEntry,
     },
     whinlatch_core::MonoMs,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Other targets to which connections are opened beside one that may have died, to find out whether the link of this
 /// instance works.
 const WITNESSES: usize = 3;
 
+/// Longest time by which an instance delays the trial of a request, in ms.
+const MAX_TRIAL_DELAY_MS: u64 = 10_000;
+
 /// A connection that broke while its target may have been running a request.
 #[derive(Debug, Clone, Copy)]
 pub struct BrokenAttempt<'a> {
@@ -138,6 +142,23 @@
         self.crashes.condemnations(now)
     }
 
+    /// Returns whether a request is to be kept from targets, since it has crashed several. After some time it is sent once
+    /// more, as a trial, and not repeated then. Each instance waits a little longer by a time of its own, so that few have
+    /// begun when the first trial has shown whether the request still crashes its target.
+    pub(super) fn is_kept_from_targets(
+        &self,
+        now: MonoMs,
+        fingerprint: Fingerprint,
+        is_repeat: bool,
+    ) -> bool {
+        if !self.crashes.is_suspect(fingerprint) {
+            return false;
+        }
+        let draw = xxh3_64_with_seed(&fingerprint.to_le_bytes(), self.own.run);
+        let delayed = MonoMs(now.0.saturating_sub(draw % MAX_TRIAL_DELAY_MS));
+        is_repeat || self.crashes.is_poison(delayed, fingerprint)
+    }
+
     /// Records that a target served a request. If a target had crashed on it before, the request is no longer
     /// suspected, and a notice is queued for all peers.
     pub fn record_served(&mut self, now: MonoMs, fingerprint: Fingerprint) {
--- a/crates/serving/tests/serving/crashing_requests.rs
+++ b/crates/serving/tests/serving/crashing_requests.rs
@@ -17,6 +17,10 @@
 const SETTLING_STEPS: usize = 12;
 /// Run of an instance that starts during a test.
 const NEW_RUN: u64 = 9_999;
+/// Steps for which a request is kept from all targets after its third crash: twenty seconds.
+const QUARANTINE_STEPS: usize = 81;
+/// Copies of a request that arrive at the same moment.
+const COPIES: usize = 9;
 
 /// Has a request crash three engines, each at another instance and after the one before.
 fn crash_three(fleet: &mut Fleet, addresses: &[SocketAddr], request: &PromptRequest) {
@@ -133,6 +137,47 @@
     assert!(!is_refused(&mut serving, now, &request));
 }
 
+/// Guards against a request that is tried again by many instances at once, each of which decides by itself that it has
+/// been kept from targets for long enough.
+#[test]
+fn a_request_that_crashes_targets_is_tried_again_by_few_instances() {
+    for count in [9, 62] {
+        let (mut fleet, addresses) = settled(count);
+        let request = prompt_request(5_000);
+        crash_three(&mut fleet, &addresses, &request);
+        fleet.steps(QUARANTINE_STEPS);
+
+        // Copies arrive at these instances at the same moment.
+        let admitted = admitting(&mut fleet, &request);
+        let tried = addresses.iter().take(COPIES);
+        let tried = tried.filter(|address| admitted.contains(address));
+
+        // Operators excuse three.
+        let tried = tried.count();
+        assert!(tried <= 3, "{count}: {tried}");
+        fleet.steps(QUARANTINE_STEPS / 2);
+        let admitted = admitting(&mut fleet, &request).len();
+        assert_eq!(admitted, addresses.len(), "{count}");
+    }
+}
+
+/// Guards against a second crash in each trial of a request that has crashed targets before.
+#[test]
+fn a_request_that_crashed_targets_is_sent_once_in_a_trial() {
+    let (mut fleet, addresses) = settled(9);
+    let request = prompt_request(5_000);
+    let repeat = PromptRequest {
+        is_repeat: true,
+        ..request.clone()
+    };
+    crash_three(&mut fleet, &addresses, &request);
+
+    fleet.steps(2 * QUARANTINE_STEPS);
+
+    assert_eq!(admitting(&mut fleet, &request).len(), addresses.len());
+    assert!(admitting(&mut fleet, &repeat).is_empty());
+}
+
 /// Guards against a popular request that all instances refuse, since three targets lost power together while they ran
 /// it.
 #[test]
