--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -185,6 +185,7 @@
         request: context.caller.request_id.clone(),
         target: target.id.to_string(),
         fingerprint: context.fingerprint_text(),
+        parts: context.part_texts(),
         reused: sent.was_reused,
         ran_ms: now.since(sent.at),
         verdict: verdict.name(),
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -281,6 +281,9 @@
         /// can't be distinguished from others.
         #[serde(skip_serializing_if = "Option::is_none")]
         fingerprint: Option<String>,
+        /// Ids of the parts of the prompt that other prompts may share.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<String>,
         /// Whether an earlier request was answered on the connection.
         reused: bool,
         /// Time since the request was sent, in ms.
--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -67,6 +67,12 @@
         (!self.body.is_empty()).then(|| format!("{:016x}", self.fingerprint))
     }
 
+    /// Returns the ids of the parts of the prompt that other prompts may share, for the log.
+    pub fn part_texts(&self) -> Vec<String> {
+        let parts = self.caller.shared_parts.iter();
+        parts.map(ToString::to_string).collect()
+    }
+
     /// Returns the bytes of the request to a target: the caller's method, path, headers and body, and the
     /// headers that this system adds.
     pub fn for_target(&self, own: &TargetHead<'_>) -> Vec<u8> {
--- a/crates/serving/src/names.rs
+++ b/crates/serving/src/names.rs
@@ -68,6 +68,17 @@
     FailureDomain
 }
 
+/// Id of a part of a prompt. Prompts that begin alike share parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{:x}", self.0)
+    }
+}
+
 /// Short id of a client account, which frames between instances carry in place of its name.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
