--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -6,6 +6,8 @@
 mod bad_input;
 #[path = "entry/calls.rs"]
 mod calls;
+#[path = "entry/crashing_parts.rs"]
+mod crashing_parts;
 #[path = "entry/crashing_requests.rs"]
 mod crashing_requests;
 #[path = "entry/cut_off.rs"]
