--- a/crates/serving/src/retries/crash_tracker.rs
+++ b/crates/serving/src/retries/crash_tracker.rs
@@ -146,11 +146,11 @@
             return false;
         }
         let targets = (stated.targets as usize).min(MAX_TARGETS);
-        let record = self.record(now, stated.fingerprint);
-        if record.count() >= targets {
+        let record = self.record(last_crash_at, stated.fingerprint);
+        if record.is_poison() && record.count() >= targets {
             return false;
         }
-        record.last_crash_at = last_crash_at;
+        record.last_crash_at = record.last_crash_at.max(last_crash_at);
         record.stated_targets = targets;
         true
     }
--- a/crates/serving/tests/serving/retries.rs
+++ b/crates/serving/tests/serving/retries.rs
@@ -159,6 +159,31 @@
     assert!(crashes.is_poison(START + 10_000, 7));
 }
 
+/// Guards against a statement without effect at instances that know as many crashes, but not their order.
+#[test]
+fn a_statement_counts_though_as_many_crashes_are_known() {
+    let mut crashes = CrashTracker::default();
+    for target in ["i-1", "i-2", "i-3"] {
+        let at_once = Crash {
+            ran_ms: 100,
+            ..crash(7, target)
+        };
+        crashes.record_crash(START, &at_once);
+    }
+    let stated = Condemnation {
+        fingerprint: 7,
+        targets: 3,
+        age_ms: 10,
+    };
+
+    let before = crashes.is_poison(START, 7);
+    let is_news = crashes.apply_condemnation(START, &stated);
+    let is_news_again = crashes.apply_condemnation(START, &stated);
+
+    assert_eq!((before, is_news, is_news_again), (false, true, false));
+    assert!(crashes.is_poison(START, 7));
+}
+
 /// Guards against a request that stays refused since an instance which hasn't heard that it was served says so again.
 #[test]
 fn a_statement_from_before_a_request_was_served_has_no_effect() {
