--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -11,7 +11,7 @@
     std::{io, net::SocketAddr},
     whinlatch_core::MonoMs,
     whinlatch_platform::TargetResponse,
-    whinlatch_serving::{BrokenAttempt, targets::TargetEntry},
+    whinlatch_serving::{BrokenAttempt, SOUND_EVENTS, names::SharedParts, targets::TargetEntry},
 };
 
 /// Answers to other requests that are skipped before the connection is closed.
@@ -150,14 +150,21 @@
 }
 
 /// Records the end of an attempt by a fault: for all instances if the request seems to have crashed its target, and for
-/// this one if the connection broke.
+/// this one if the connection broke. `events` is the number of events that had arrived.
 pub fn record_broken_attempt(
     state: &EntryState,
     context: &RequestContext,
     target: &TargetEntry,
     fault: &AttemptFault,
     sent: SentAttempt,
+    events: u64,
 ) {
+    let none = SharedParts::default();
+    let parts = if events < SOUND_EVENTS {
+        &context.caller.shared_parts
+    } else {
+        &none
+    };
     let Some(broken) = fault.broken_connection() else {
         return;
     };
@@ -169,6 +176,7 @@
             &BrokenAttempt {
                 target: &target.id,
                 fingerprint: context.fingerprint,
+                parts,
                 sent_at: sent.at,
                 is_proven: broken == BrokenConnection::BrokenOff,
             },
@@ -192,8 +200,8 @@
     });
 }
 
-/// Records a complete answer, which clears the request of having crashed targets unless only the end of the connection
-/// tells that it is complete.
+/// Records a complete answer, which clears the request and the parts of its prompt of having crashed targets unless only
+/// the end of the connection tells that it is complete.
 pub fn record_answer(
     state: &EntryState,
     context: &RequestContext,
@@ -205,9 +213,11 @@
     let now = state.now();
     let mut serving = state.serving();
     if head.framing == Framing::UntilClose {
-        serving.record_unproven_answer(now, fingerprint, &target.id, sent.at);
+        let parts = &context.caller.shared_parts;
+        serving.record_unproven_answer(now, fingerprint, parts, &target.id, sent.at);
     } else if head.is_success() {
         serving.record_served(now, fingerprint);
+        serving.record_sound_parts(now, &context.caller.shared_parts);
     }
 }
 
--- a/crates/daemon/src/entry/forwarded_stream.rs
+++ b/crates/daemon/src/entry/forwarded_stream.rs
@@ -31,10 +31,7 @@
         &mut self,
         forward: &mut Forward<'_>,
     ) -> Option<RequestEnd> {
-        let last_event_id = self
-            .splitter
-            .last_id()
-            .or(self.context.caller.last_event_id);
+        let last_event_id = self.last_event_id();
         let forwarded = match forward.send(self.runs, last_event_id).await {
             Ok(forwarded) => forwarded,
             Err(ForwardFault::NotTaken) => return None,
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -77,6 +77,7 @@
         CallRequest {
             service: &self.context.service,
             fingerprint: self.context.fingerprint,
+            parts: &self.context.caller.shared_parts,
             tried,
             is_repeat: self.answer.progress().sends > 0,
         }
@@ -167,7 +168,7 @@
                 if !fault.may_have_run() {
                     self.runs.remove();
                 }
-                record_broken_attempt(state, context, target, fault, sent);
+                record_broken_attempt(state, context, target, fault, sent, 0);
             }
         }
         received
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -140,6 +140,11 @@
         self.state.metrics.judged_breaks()
     }
 
+    /// Returns whether connections broke under requests of whose targets it isn't known yet whether they have died.
+    pub fn has_unexplained_breaks(&self) -> bool {
+        self.state.serving().has_unexplained_breaks()
+    }
+
     /// Returns whether the store is considered lost: its last call failed.
     pub fn is_store_lost(&self) -> bool {
         self.state.serving().is_store_lost()
--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -15,7 +15,7 @@
     },
     std::io,
     whinlatch_core::MonoMs,
-    whinlatch_serving::{PromptPlacement, targets::TargetEntry},
+    whinlatch_serving::{PromptPlacement, SOUND_EVENTS, targets::TargetEntry},
 };
 
 /// Silence of an engine after which its reachability is checked, in ms. Longer than the longest pass
@@ -140,6 +140,9 @@
                 serving.record_first_event(now, placement.job);
             }
             serving.record_stream_event(now, &placement.engine);
+            if self.attempt_events() >= SOUND_EVENTS {
+                serving.record_sound_parts(now, &self.context.caller.shared_parts);
+            }
         }
         self.record_arrival(now);
     }
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -69,6 +69,8 @@
     pub(super) last_event_at: MonoMs,
     /// Failed attempts that may have run at their engine.
     pub(super) runs: u32,
+    /// Id of the event after which the current attempt goes on.
+    attempt_begins_after: u64,
 }
 
 /// Serves a prompt on a route that streams.
@@ -85,6 +87,7 @@
         first_event_at: None,
         last_event_at: state.now(),
         runs: context.runs_before(),
+        attempt_begins_after: 0,
     };
     relay.run().await
 }
@@ -169,6 +172,7 @@
             account: AccountId::of(context.account.as_ref()),
             priority: context.priority,
             fingerprint: context.fingerprint,
+            parts: Arc::clone(&context.caller.shared_parts),
             prompt_tokens: prompt.prompt_tokens,
             answer_tokens: hint.min(max_answer_tokens.max(1)),
             max_answer_tokens,
@@ -221,6 +225,7 @@
             was_reused: connection.is_reused,
             at: state.now(),
         };
+        self.attempt_begins_after = self.last_event_id().unwrap_or(0);
         let request = self.request(placement, &reservations);
         self.log_sent(placement);
         self.answer.set_may_have_run(true);
@@ -242,7 +247,9 @@
         match &end {
             Ok(StreamEnd::Complete(head)) => record_answer(state, context, engine, head, sent),
             Ok(StreamEnd::Failure(..) | StreamEnd::CallerGone) => {}
-            Err(fault) => record_broken_attempt(state, context, engine, fault, sent),
+            Err(fault) => {
+                record_broken_attempt(state, context, engine, fault, sent, self.attempt_events());
+            }
         }
         end
     }
@@ -269,14 +276,25 @@
             .await
     }
 
+    /// Returns the id of the last event that the caller has, if it has any.
+    pub(super) fn last_event_id(&self) -> Option<u64> {
+        let received = self.splitter.last_id();
+        received.or(self.context.caller.last_event_id)
+    }
+
+    /// Returns the number of events that have arrived in the current attempt.
+    pub(super) fn attempt_events(&self) -> u64 {
+        let last = self.last_event_id().unwrap_or(0);
+        last.saturating_sub(self.attempt_begins_after)
+    }
+
     fn request(&self, placement: &PromptPlacement, reservations: &Reservations<'_>) -> Vec<u8> {
         let helpers = reservations.entries(&placement.helpers);
-        let resumed = self.splitter.last_id();
         self.context.for_target(&TargetHead {
             left_ms: self.context.deadline.since(self.state.now()),
             target: placement.engine.name(),
             account: self.context.account.as_deref(),
-            last_event_id: resumed.or(self.context.caller.last_event_id),
+            last_event_id: self.last_event_id(),
             helpers: &helpers,
             rank: None,
         })
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -13,8 +13,8 @@
     engine_groups::{EngineGroup, EngineGroups},
     frame::{
         CatchUpRequest, Condemnation, Crash, EnginePace, Frame, FrameKind, HeartbeatFrame, JobId,
-        Member, PlacedPrompt, Placement, PlacementRequest, PlacementResponse, PublishedText,
-        ReservedMemory,
+        Member, PartCrash, PlacedPrompt, Placement, PlacementRequest, PlacementResponse,
+        PublishedText, ReservedMemory, SoundPart,
     },
     known_member::KnownMember,
     membership::{Membership, hash},
--- a/crates/serving/src/fleet/frame.rs
+++ b/crates/serving/src/fleet/frame.rs
@@ -3,7 +3,7 @@
     crate::{
         DecisionInputs, PromptRequest, Refusal,
         calls::{CallPicture, CallReport},
-        names::{AccountId, FailureDomain, TargetId},
+        names::{AccountId, FailureDomain, PartId, TargetId},
         quotas::{PermitRequest, PermitResponse},
         reach::ReachStatement,
         relays::{FollowRequest, KnownState, RelayStatus},
@@ -114,15 +114,52 @@
     *number == 0
 }
 
-/// A request that is kept from targets, since several have failed while they ran it.
+/// A request, or a part of prompts, that is kept from targets, since several have failed while they ran it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condemnation {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request, or id of the part.
     pub fingerprint: Fingerprint,
     /// Number of targets that failed.
     pub targets: u32,
     /// Time since the last one failed, in ms.
     pub age_ms: u64,
+    /// Time from the first failure to the last one, in ms.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub span_ms: u64,
+}
+
+/// An engine that failed while it began to answer a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// The parts of the prompt that may have caused it.
+    pub parts: Vec<PartId>,
+    /// The run of the engine that failed.
+    pub target: TargetId,
+    /// Time for which it had the prompt when it failed, in ms.
+    pub ran_ms: u64,
+    /// Time since it failed, in ms.
+    pub age_ms: u64,
+}
+
+impl PartCrash {
+    /// Returns the crash as one of a single part.
+    pub fn of_part(&self, part: PartId) -> Crash {
+        Crash {
+            fingerprint: part.0,
+            target: self.target.clone(),
+            ran_ms: self.ran_ms,
+            age_ms: self.age_ms,
+        }
+    }
+}
+
+/// A part with which an answer went on well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoundPart {
+    /// The part.
+    pub part: PartId,
+    /// Time since then, in ms.
+    pub age_ms: u64,
 }
 
 /// A prompt that was sent to engines, with the load that it is expected to cause.
@@ -333,6 +370,15 @@
     /// Requests that are kept from targets: those of which the receiver may not have heard all crashes.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub condemned: Vec<Condemnation>,
+    /// Engines that failed while they began to answer prompts.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub part_crashes: Vec<PartCrash>,
+    /// Parts of prompts that are kept from engines.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub condemned_parts: Vec<Condemnation>,
+    /// Parts of which others say that they crash engines, and with which answers went on well.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub sound_parts: Vec<SoundPart>,
     /// Fingerprints of requests that failed with a target before and have been served since.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub served: Vec<Fingerprint>,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -21,6 +21,6 @@
 
 pub use serving::{
     BrokenAttempt, CallPlacement, CallRequest, DecisionInputs, ForwardPeer, Heartbeat,
-    HeartbeatReach, Inquiry, PromptPlacement, PromptRequest, Recipients, Refusal, Serving,
-    StoreRole, WantedLinks,
+    HeartbeatReach, Inquiry, PromptPlacement, PromptRequest, Recipients, Refusal, SOUND_EVENTS,
+    Serving, StoreRole, WantedLinks,
 };
--- a/crates/serving/src/names.rs
+++ b/crates/serving/src/names.rs
@@ -79,6 +79,9 @@
     }
 }
 
+/// The parts of a prompt that other prompts may share.
+pub type SharedParts = Arc<[PartId]>;
+
 /// Short id of a client account, which frames between instances carry in place of its name.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
--- a/crates/serving/src/retries.rs
+++ b/crates/serving/src/retries.rs
@@ -3,11 +3,13 @@
 mod break_verdict;
 mod crash_tracker;
 mod fleet_budget;
+mod part_tracker;
 mod unexplained_breaks;
 
 pub use {
     break_verdict::BreakVerdict,
-    crash_tracker::{CrashTracker, Fingerprint},
+    crash_tracker::{CrashLimits, CrashTracker, Fingerprint},
     fleet_budget::{FleetBudget, FleetBudgetRule},
+    part_tracker::{PartTracker, StatementEffect},
     unexplained_breaks::{BrokenRun, UnexplainedBreaks},
 };
--- a/crates/serving/src/retries/crash_tracker.rs
+++ b/crates/serving/src/retries/crash_tracker.rs
@@ -10,15 +10,26 @@
 /// Hash of account, path and body; equal for a request that its caller retries.
 pub type Fingerprint = u64;
 
-/// Number of targets that must fail while they run a request before the request counts as poison.
-const POISON_TARGETS: usize = 3;
-/// Number of these that must have failed one after the other, each while it had the request only after the one before
-/// had failed.
-const POISON_ROUNDS: usize = 2;
-/// Time from the last failure until a poison request is tried again, in ms; doubles with each further
-/// target that fails. A caller has given up its retries by then, so that a trial rarely costs a target, and
-/// a request that only happened to be running when targets failed is served again.
-const INITIAL_QUARANTINE_MS: u64 = 20_000;
+/// When what targets ran counts as poison, and for how long it is kept from targets then.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashLimits {
+    /// Number of targets that must fail.
+    pub targets: usize,
+    /// Number of these that must have failed one after the other, each while it had the request only after the one
+    /// before had failed.
+    pub rounds: usize,
+    /// Time from the last failure until it is tried again, in ms; doubles with each further target that fails. A caller
+    /// has given up its retries by then, so that a trial rarely costs a target, and what only happened to be running when
+    /// targets failed is served again.
+    pub initial_quarantine_ms: u64,
+}
+
+/// The limits for requests.
+const REQUEST_LIMITS: CrashLimits = CrashLimits {
+    targets: 3,
+    rounds: 2,
+    initial_quarantine_ms: 20_000,
+};
 /// Maximum number of doublings of that time, which is about ten minutes then.
 const MAX_DOUBLINGS: usize = 5;
 /// Time for which a failure counts, in ms: callers retry within their deadline of about ten seconds, and
@@ -75,36 +86,67 @@
         rounds
     }
 
-    fn is_poison(&self) -> bool {
-        self.stated_targets >= POISON_TARGETS
-            || self.targets.len() >= POISON_TARGETS && self.rounds() >= POISON_ROUNDS
+    fn is_poison(&self, limits: CrashLimits) -> bool {
+        self.stated_targets >= limits.targets
+            || self.targets.len() >= limits.targets && self.rounds() >= limits.rounds
     }
 
     /// Returns the time for which the request is kept from targets, in ms; 0 while it isn't poison.
-    fn quarantine_ms(&self) -> u64 {
-        if !self.is_poison() {
+    fn quarantine_ms(&self, limits: CrashLimits) -> u64 {
+        if !self.is_poison(limits) {
             return 0;
         }
-        let further = self.count() - POISON_TARGETS;
-        INITIAL_QUARANTINE_MS << further.min(MAX_DOUBLINGS)
+        let further = self.count() - limits.targets;
+        limits.initial_quarantine_ms << further.min(MAX_DOUBLINGS)
+    }
+
+    /// Returns when the first of the targets failed that are known here.
+    fn first_crash_at(&self) -> MonoMs {
+        let failed = self.targets.values().map(|run| run.failed_at);
+        failed.min().unwrap_or(self.last_crash_at)
+    }
+
+    /// Removes the failures up to a time. Returns whether any is left.
+    fn clear_until(&mut self, at: MonoMs) -> bool {
+        self.targets.retain(|_, run| run.failed_at > at);
+        if self.last_crash_at <= at {
+            self.stated_targets = 0;
+        }
+        self.count() > 0
     }
 }
 
 /// Counts, over all instances, the targets that failed while they ran the same request.
 ///
 /// Keeps a request that crashes every target from spreading while its caller retries it at any instance:
-/// after `POISON_TARGETS` targets it is sent to no other. Targets are counted, not failures, because one
+/// after a few targets it is sent to no other. Targets are counted, not failures, because one
 /// target that loses power fails all requests with the same fingerprint that it has in flight. Targets that had the
 /// request at the same time may have lost power together, so that at least one must have got it after another had
 /// failed. A request that any target has served is not poison, however often it failed before.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CrashTracker {
+    limits: CrashLimits,
     records: HashMap<Fingerprint, CrashRecord>,
     /// When requests were last cleared that had been suspected.
     cleared: HashMap<Fingerprint, MonoMs>,
 }
 
+impl Default for CrashTracker {
+    fn default() -> Self {
+        Self::new(REQUEST_LIMITS)
+    }
+}
+
 impl CrashTracker {
+    /// Returns a tracker that knows no failures.
+    pub fn new(limits: CrashLimits) -> Self {
+        Self {
+            limits,
+            records: HashMap::new(),
+            cleared: HashMap::new(),
+        }
+    }
+
     /// Records a failure that was seen here or reported by a peer. Returns whether it is new.
     pub fn record_crash(&mut self, now: MonoMs, crash: &Crash) -> bool {
         let failed_at = MonoMs(now.0.saturating_sub(crash.age_ms));
@@ -124,10 +166,11 @@
     /// longest ago gives way, of those that aren't poison if there are any.
     fn record(&mut self, now: MonoMs, fingerprint: Fingerprint) -> &mut CrashRecord {
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
+            let limits = self.limits;
             let oldest = self
                 .records
                 .iter()
-                .min_by_key(|(_, record)| (record.is_poison(), record.last_crash_at));
+                .min_by_key(|(_, record)| (record.is_poison(limits), record.last_crash_at));
             let oldest = oldest.map(|(oldest, _)| *oldest);
             if let Some(oldest) = oldest {
                 self.records.remove(&oldest);
@@ -146,8 +189,9 @@
             return false;
         }
         let targets = (stated.targets as usize).min(MAX_TARGETS);
+        let limits = self.limits;
         let record = self.record(last_crash_at, stated.fingerprint);
-        if record.is_poison() && record.count() >= targets {
+        if record.is_poison(limits) && record.count() >= targets {
             return false;
         }
         record.last_crash_at = record.last_crash_at.max(last_crash_at);
@@ -158,10 +202,11 @@
     /// Returns what there is to state of a request; `None` unless it is poison.
     pub fn condemnation(&self, now: MonoMs, fingerprint: Fingerprint) -> Option<Condemnation> {
         let record = self.records.get(&fingerprint)?;
-        record.is_poison().then(|| Condemnation {
+        record.is_poison(self.limits).then(|| Condemnation {
             fingerprint,
             targets: record.count() as u32,
             age_ms: now.since(record.last_crash_at),
+            span_ms: record.last_crash_at.since(record.first_crash_at()),
         })
     }
 
@@ -186,25 +231,44 @@
         was_suspected
     }
 
+    /// Removes the failures up to a time at which a target ran what was suspected and went on. Returns whether there were
+    /// any.
+    pub fn clear_until(&mut self, at: MonoMs, fingerprint: Fingerprint) -> bool {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return false;
+        };
+        let before = record.count();
+        let is_left = record.clear_until(at);
+        let has_changed = record.count() < before;
+        if !is_left {
+            self.records.remove(&fingerprint);
+        }
+        if has_changed && self.cleared.len() < MAX_RECORDS {
+            self.cleared.insert(fingerprint, at);
+        }
+        has_changed
+    }
+
     /// Returns whether a request has crashed so many targets that it is sent again in trials only.
     pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         let record = self.records.get(&fingerprint);
-        record.is_some_and(CrashRecord::is_poison)
+        record.is_some_and(|record| record.is_poison(self.limits))
     }
 
     /// Returns whether a request is to be kept from targets now.
     pub fn is_poison(&self, now: MonoMs, fingerprint: Fingerprint) -> bool {
-        self.records
-            .get(&fingerprint)
-            .is_some_and(|record| now.since(record.last_crash_at) < record.quarantine_ms())
+        self.records.get(&fingerprint).is_some_and(|record| {
+            now.since(record.last_crash_at) < record.quarantine_ms(self.limits)
+        })
     }
 
     /// Removes records that have expired.
     pub fn evict_expired(&mut self, now: MonoMs) {
+        let limits = self.limits;
         self.cleared
             .retain(|_, cleared_at| now.since(*cleared_at) < CRASH_RETENTION_MS);
         self.records.retain(|_, record| {
-            now.since(record.last_crash_at) < CRASH_RETENTION_MS + record.quarantine_ms()
+            now.since(record.last_crash_at) < CRASH_RETENTION_MS + record.quarantine_ms(limits)
         });
     }
 }
--- a/crates/serving/src/retries/unexplained_breaks.rs
+++ b/crates/serving/src/retries/unexplained_breaks.rs
@@ -1,6 +1,6 @@
 use {
     super::Fingerprint,
-    crate::names::TargetId,
+    crate::names::{SharedParts, TargetId},
     std::collections::{HashMap, HashSet},
     whinlatch_core::MonoMs,
 };
@@ -30,8 +30,10 @@
 /// A connection that ended under a request, for a reason that isn't known yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenRun {
-    /// The request that its target may have been running.
-    pub fingerprint: Fingerprint,
+    /// The request that its target may have been running; `None` if the break was counted against it already.
+    pub fingerprint: Option<Fingerprint>,
+    /// Parts of the prompt that others may share; none once the answer had gone on well for some time.
+    pub parts: SharedParts,
     /// When the request was sent.
     pub sent_at: MonoMs,
     /// When the connection ended.
@@ -42,6 +44,11 @@
 }
 
 impl BrokenRun {
+    /// Returns whether the verdict on it is the first one on its request.
+    fn has_verdict(&self) -> bool {
+        !self.looks_whole && self.fingerprint.is_some()
+    }
+
     fn is_settled(&self, now: MonoMs) -> bool {
         let delay_ms = if self.looks_whole {
             WHOLE_INQUIRY_DELAY_MS
@@ -142,7 +149,7 @@
             return Vec::new();
         };
         let is_related = |broken: &mut BrokenRun| {
-            !broken.looks_whole || now.since(broken.broke_at) < CRASH_SPREAD_MS
+            broken.has_verdict() || now.since(broken.broke_at) < CRASH_SPREAD_MS
         };
         let related = entry.breaks.extract_if(.., is_related).collect();
         if entry.breaks.is_empty() {
@@ -158,7 +165,7 @@
     }
 
     /// Removes the breaks that a target has survived, since it answered a request that was sent at `sent_at`. Returns
-    /// the number of those that didn't look whole, as the next two functions do.
+    /// the number of those on which this is the first verdict, as the next two functions do.
     pub fn remove_survived(&mut self, target: &str, sent_at: MonoMs) -> usize {
         self.remove(target, |broken| broken.broke_at <= sent_at)
     }
@@ -173,7 +180,7 @@
             return 0;
         };
         let removed = entry.breaks.extract_if(.., |broken| is_removed(broken));
-        let removed = removed.filter(|broken| !broken.looks_whole).count();
+        let removed = removed.filter(BrokenRun::has_verdict).count();
         if entry.breaks.is_empty() {
             self.targets.remove(target);
         }
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -9,6 +9,7 @@
 mod members;
 mod news;
 mod notices;
+mod parts;
 mod peers;
 mod prompts;
 mod quotas;
@@ -20,6 +21,7 @@
     crashes::{BrokenAttempt, Inquiry},
     members::{Heartbeat, HeartbeatReach, WantedLinks},
     news::Recipients,
+    parts::SOUND_EVENTS,
     reach::ForwardPeer,
     relaying::StoreRole,
     requests::{
@@ -37,7 +39,10 @@
         quotas::{ColdLimitRule, QuotaTable},
         reach::{ConnectionBreaks, OwnReach, PeerReach, UnconfirmedFailures},
         relays::{FollowedRelays, Followers},
-        retries::{BreakVerdict, CrashTracker, FleetBudget, FleetBudgetRule, UnexplainedBreaks},
+        retries::{
+            BreakVerdict, CrashTracker, FleetBudget, FleetBudgetRule, PartTracker,
+            UnexplainedBreaks,
+        },
         targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
     },
     news::News,
@@ -84,6 +89,7 @@
     members: Membership,
     budget: FleetBudget,
     crashes: CrashTracker,
+    parts: PartTracker,
     /// Breaks under requests that wait for the fate of their targets.
     unexplained: UnexplainedBreaks,
     /// Final verdicts on such breaks that aren't logged yet.
@@ -148,6 +154,7 @@
             members: Membership::default(),
             budget: FleetBudget::new(rule),
             crashes: CrashTracker::default(),
+            parts: PartTracker::default(),
             unexplained: UnexplainedBreaks::default(),
             break_verdicts: Vec::new(),
             groups: EngineGroups::default(),
@@ -256,7 +263,9 @@
         }
         self.members.evict_expired(now);
         self.crashes.evict_expired(now);
+        self.parts.evict_expired(now);
         self.settle_breaks(now);
+        self.state_held_back_parts(now);
         self.update_ranks(now);
         self.resize_groups(now);
         self.tick_relays(now);
--- a/crates/serving/src/serving/calls.rs
+++ b/crates/serving/src/serving/calls.rs
@@ -1,12 +1,11 @@
 //! Calls of plain services, and the admission of requests of all kinds.
 
 use {
-    super::{CallPlacement, CallRequest, Refusal, Serving},
+    super::{CallPlacement, CallRequest, Refusal, Serving, requests::Admission},
     crate::{
         calls::CallOutcome,
         mechanism::Mechanism,
         names::{ServiceName, TargetId},
-        retries::Fingerprint,
         targets::TargetEntry,
     },
     std::net::SocketAddr,
@@ -29,7 +28,7 @@
         now: MonoMs,
         request: &CallRequest<'_>,
     ) -> Result<CallPlacement, Refusal> {
-        self.admit_request(now, request.service, request.fingerprint, request.is_repeat)?;
+        self.admit_request(now, &request.admission())?;
         let target = self
             .choose_call_target(now, request)
             .ok_or_else(|| self.refusal_for_closed_targets(now, request.service))?;
@@ -50,24 +49,32 @@
         target.cloned()
     }
 
-    /// Refuses a request that is poison, and a retry for which the budget has nothing left. Otherwise takes
+    /// Refuses a request that is poison or has a part that is, and a retry for which the budget has nothing left. Otherwise takes
     /// a retry out of the budget.
     pub(super) fn admit_request(
         &mut self,
         now: MonoMs,
-        service: &ServiceName,
-        fingerprint: Fingerprint,
-        is_repeat: bool,
+        request: &Admission<'_>,
     ) -> Result<(), Refusal> {
-        if self.mechanisms.is_enabled(Mechanism::Poison)
-            && self.is_kept_from_targets(now, fingerprint, is_repeat)
-        {
-            return Err(Refusal::Poison);
+        let Admission {
+            service,
+            fingerprint,
+            parts,
+            is_repeat,
+        } = *request;
+        if self.mechanisms.is_enabled(Mechanism::Poison) {
+            if self.is_kept_from_targets(now, fingerprint, is_repeat) {
+                return Err(Refusal::Poison);
+            }
+            if self.has_kept_part(now, parts, is_repeat) {
+                return Err(Refusal::PoisonPart);
+            }
         }
         let instances = self.members.peak_size();
         if is_repeat && !self.budget.take_retry(now, service, instances) {
             return Err(Refusal::BudgetUsed);
         }
+        self.record_part_trials(now, parts);
         Ok(())
     }
 
--- a/crates/serving/src/serving/crashes.rs
+++ b/crates/serving/src/serving/crashes.rs
@@ -5,10 +5,11 @@
     super::Serving,
     crate::{
         fleet::{Condemnation, Crash},
-        names::TargetId,
+        names::{SharedParts, TargetId},
         retries::{BreakVerdict, BrokenRun, Fingerprint},
         targets::TargetEntry,
     },
+    std::sync::Arc,
     whinlatch_core::MonoMs,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
@@ -17,8 +18,8 @@
 /// instance works.
 const WITNESSES: usize = 3;
 
-/// Longest time by which an instance delays the trial of a request, in ms.
-const MAX_TRIAL_DELAY_MS: u64 = 10_000;
+/// Longest time by which an instance delays the trial of a request or part, in ms.
+pub(super) const MAX_TRIAL_DELAY_MS: u64 = 10_000;
 
 /// A connection that broke while its target may have been running a request.
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +28,8 @@
     pub target: &'a TargetId,
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Parts of its prompt that others may share; none once the answer had gone on well for some time.
+    pub parts: &'a SharedParts,
     /// When the request was sent.
     pub sent_at: MonoMs,
     /// Whether the break itself shows that the target broke off its work: it had begun to answer, or it closed a
@@ -45,21 +48,28 @@
 
 impl Serving {
     /// Records that a connection broke under a request. It counts against the request at once if the break itself shows
-    /// that the target broke off its work, and later if the target turns out to have died.
+    /// that the target broke off its work, and later if the target turns out to have died. Against the parts of its prompt
+    /// it counts only then: a target that lives may break off streams of any kind.
     pub fn record_broken_attempt(
         &mut self,
         now: MonoMs,
         attempt: &BrokenAttempt<'_>,
     ) -> BreakVerdict {
-        let broken = BrokenRun {
-            fingerprint: attempt.fingerprint,
+        let mut broken = BrokenRun {
+            fingerprint: Some(attempt.fingerprint),
+            parts: Arc::clone(attempt.parts),
             sent_at: attempt.sent_at,
             broke_at: now,
             looks_whole: false,
         };
         if attempt.is_proven && !self.is_link_suspect(now, attempt.target) {
-            self.count_crash(now, &broken, attempt.target);
+            self.count_request_crash(now, attempt.fingerprint, &broken, attempt.target);
             self.confirm_related(now, attempt.target);
+            broken.fingerprint = None;
+            if !broken.parts.is_empty() {
+                // If too many wait, nothing is known of this one.
+                let _added = self.unexplained.add(attempt.target, broken);
+            }
             return BreakVerdict::Counted;
         }
         if self.unexplained.add(attempt.target, broken) {
@@ -79,11 +89,13 @@
         &mut self,
         now: MonoMs,
         fingerprint: Fingerprint,
+        parts: &SharedParts,
         target: &TargetId,
         sent_at: MonoMs,
     ) {
         let ended = BrokenRun {
-            fingerprint,
+            fingerprint: Some(fingerprint),
+            parts: Arc::clone(parts),
             sent_at,
             broke_at: now,
             looks_whole: true,
@@ -102,7 +114,8 @@
             return;
         }
         let broken = BrokenRun {
-            fingerprint,
+            fingerprint: Some(fingerprint),
+            parts: SharedParts::default(),
             sent_at: now,
             broke_at: now,
             looks_whole: false,
@@ -110,9 +123,25 @@
         self.count_crash(now, &broken, target);
     }
 
+    /// Counts the end of a run, of which it is known that its target crashed, against the request and its parts.
     fn count_crash(&mut self, now: MonoMs, broken: &BrokenRun, target: &TargetId) {
+        if let Some(fingerprint) = broken.fingerprint {
+            self.count_request_crash(now, fingerprint, broken, target);
+        }
+        if !broken.parts.is_empty() {
+            self.count_part_crash(now, broken, target);
+        }
+    }
+
+    fn count_request_crash(
+        &mut self,
+        now: MonoMs,
+        fingerprint: Fingerprint,
+        broken: &BrokenRun,
+        target: &TargetId,
+    ) {
         let crash = Crash {
-            fingerprint: broken.fingerprint,
+            fingerprint,
             target: target.clone(),
             ran_ms: broken.broke_at.since(broken.sent_at),
             age_ms: now.since(broken.broke_at),
@@ -173,6 +202,11 @@
         self.record_verdict(BreakVerdict::Survived, survived);
     }
 
+    /// Returns whether breaks wait for the fate of their targets.
+    pub fn has_unexplained_breaks(&self) -> bool {
+        !self.unexplained.is_empty()
+    }
+
     /// Returns the targets to which a connection should be opened now, since connections to them broke for a reason that
     /// isn't known. There are none while a target's service is out of reach.
     pub fn take_inquiries(&mut self, now: MonoMs) -> Vec<Inquiry> {
@@ -221,10 +255,7 @@
     /// Counts the breaks that go with a crash which another request or a peer has shown.
     pub(super) fn confirm_related(&mut self, now: MonoMs, target: &TargetId) {
         let related = self.unexplained.take_crashed(now, target);
-        self.record_verdict(BreakVerdict::Died, related.len());
-        for broken in related {
-            self.count_crash(now, &broken, target);
-        }
+        self.count_died(now, target, &related);
     }
 
     /// Counts the breaks at a target that has died against the requests that it was running.
@@ -234,9 +265,14 @@
         if !self.takes_requests(target) {
             breaks.retain(|broken| !broken.looks_whole);
         }
-        self.record_verdict(BreakVerdict::Died, breaks.len());
+        self.count_died(now, target, &breaks);
+    }
+
+    fn count_died(&mut self, now: MonoMs, target: &TargetId, breaks: &[BrokenRun]) {
+        let judged = breaks.iter().filter(|broken| broken.fingerprint.is_some());
+        self.record_verdict(BreakVerdict::Died, judged.count());
         for broken in breaks {
-            self.count_crash(now, &broken, target);
+            self.count_crash(now, broken, target);
         }
     }
 
--- a/crates/serving/src/serving/hedges.rs
+++ b/crates/serving/src/serving/hedges.rs
@@ -1,7 +1,7 @@
 //! Second attempts of late calls.
 
 use {
-    super::{CallPlacement, CallRequest, Serving},
+    super::{CallPlacement, CallRequest, Serving, requests::Admission},
     crate::{
         calls::{CallOutcome, HedgeDelay, HedgeDenial, can_be_hedged},
         catalog::Route,
@@ -59,7 +59,11 @@
             .choose_call_target(now, request)
             .filter(|target| !self.is_unreachable(now, &target.id))
             .ok_or(HedgeDenial::NoTarget)?;
-        self.admit_request(now, request.service, request.fingerprint, true)
+        let admission = Admission {
+            is_repeat: true,
+            ..request.admission()
+        };
+        self.admit_request(now, &admission)
             .map_err(HedgeDenial::Refused)?;
         self.hedge_limit.record_hedge();
         self.calls.record_sent(&target.id);
--- a/crates/serving/src/serving/members.rs
+++ b/crates/serving/src/serving/members.rs
@@ -141,6 +141,7 @@
             heartbeat: Some(heartbeat),
             peers: self.members.addresses_to_report(now),
             condemned: self.condemnations_to_greet_with(now),
+            condemned_parts: self.condemned_parts_to_greet_with(now),
             leaving: self.targets.leaving(),
             reach: self.reach_statements(now),
             limits: self.notices.limits(),
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -6,7 +6,7 @@
         catalog::{Configuration, EngineSpec},
         fleet::{
             CatchUpRequest, Condemnation, Crash, EnginePace, Frame, HeartbeatFrame, JobId, Member,
-            PlacedPrompt, Roster,
+            PartCrash, PlacedPrompt, Roster, SoundPart,
         },
         mechanism::Mechanism,
         names::TargetId,
@@ -37,6 +37,9 @@
 struct FleetNotices {
     crashes: Vec<Crash>,
     condemned: Vec<Condemnation>,
+    part_crashes: Vec<PartCrash>,
+    condemned_parts: Vec<Condemnation>,
+    sound_parts: Vec<SoundPart>,
     served: Vec<Fingerprint>,
     unreachable: Vec<TargetId>,
     reach: Vec<ReachStatement>,
@@ -193,6 +196,9 @@
         let notices = FleetNotices {
             crashes: frame.crashes,
             condemned: frame.condemned,
+            part_crashes: frame.part_crashes,
+            condemned_parts: frame.condemned_parts,
+            sound_parts: frame.sound_parts,
             served: frame.served,
             unreachable: frame.unreachable,
             reach: frame.reach,
@@ -296,6 +302,17 @@
             condemned: retain_new(notices.condemned, |stated| {
                 self.crashes.apply_condemnation(now, stated)
             }),
+            part_crashes: notices
+                .part_crashes
+                .into_iter()
+                .filter_map(|crash| self.apply_part_crash(now, crash))
+                .collect(),
+            condemned_parts: retain_new(notices.condemned_parts, |stated| {
+                self.apply_condemned_part(now, stated)
+            }),
+            sound_parts: retain_new(notices.sound_parts, |sound| {
+                self.parts.apply_sound(now, sound)
+            }),
             served: retain_new(notices.served, |request| {
                 self.crashes.record_served(now, *request)
             }),
@@ -317,10 +334,16 @@
         for crash in &new.crashes {
             self.confirm_related(now, &crash.target);
         }
+        for crash in &new.part_crashes {
+            self.confirm_related(now, &crash.target);
+        }
         if self.is_hub() {
             let news = self.news.for_all();
             news.crashes.extend(new.crashes);
             news.condemned.extend(new.condemned);
+            news.part_crashes.extend(new.part_crashes);
+            news.condemned_parts.extend(new.condemned_parts);
+            news.sound_parts.extend(new.sound_parts);
             news.served.extend(new.served);
             news.unreachable.extend(new.unreachable);
             news.reach.extend(new.reach);
--- a/crates/serving/src/serving/prompts.rs
+++ b/crates/serving/src/serving/prompts.rs
@@ -35,12 +35,7 @@
     /// # Errors
     /// A [`Refusal`]; the prompt has not been sent.
     pub fn admit_prompt(&mut self, now: MonoMs, request: &PromptRequest) -> Result<JobId, Refusal> {
-        self.admit_request(
-            now,
-            &request.service,
-            request.fingerprint,
-            request.is_repeat,
-        )?;
+        self.admit_request(now, &request.admission())?;
         self.last_job_number += 1;
         Ok(JobId {
             run: self.own.run,
--- a/crates/serving/src/serving/requests.rs
+++ b/crates/serving/src/serving/requests.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         fleet::{JobId, ReservedMemory},
-        names::{AccountId, ServiceName, TargetId},
+        names::{AccountId, PartId, ServiceName, SharedParts, TargetId},
         retries::Fingerprint,
         targets::TargetEntry,
     },
@@ -27,6 +27,9 @@
     pub priority: u8,
     /// Hash of account, path and body.
     pub fingerprint: Fingerprint,
+    /// Its parts that other prompts may share. Only the instance that admits it asks for them.
+    #[serde(skip)]
+    pub parts: SharedParts,
     /// Length of the prompt.
     pub prompt_tokens: u64,
     /// Expected length of the answer.
@@ -78,6 +81,8 @@
     pub service: &'a ServiceName,
     /// Hash of account, path and body.
     pub fingerprint: Fingerprint,
+    /// Parts of its prompt that others may share.
+    pub parts: &'a [PartId],
     /// Targets that were tried before.
     pub tried: &'a [TargetId],
     /// Whether it was sent to a target before and is to be taken from the retry budget; false once it was
@@ -85,6 +90,43 @@
     pub is_repeat: bool,
 }
 
+/// What decides whether a request may be sent to a target at all.
+#[derive(Debug, Clone, Copy)]
+pub struct Admission<'a> {
+    /// Its service.
+    pub service: &'a ServiceName,
+    /// Hash of account, path and body.
+    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that others may share.
+    pub parts: &'a [PartId],
+    /// Whether it was sent to a target before and is to be taken from the retry budget.
+    pub is_repeat: bool,
+}
+
+impl CallRequest<'_> {
+    /// Returns what decides whether it may be sent.
+    pub fn admission(&self) -> Admission<'_> {
+        Admission {
+            service: self.service,
+            fingerprint: self.fingerprint,
+            parts: self.parts,
+            is_repeat: self.is_repeat,
+        }
+    }
+}
+
+impl PromptRequest {
+    /// Returns what decides whether it may be sent.
+    pub fn admission(&self) -> Admission<'_> {
+        Admission {
+            service: &self.service,
+            fingerprint: self.fingerprint,
+            parts: &self.parts,
+            is_repeat: self.is_repeat,
+        }
+    }
+}
+
 /// The target to which a call is sent.
 #[derive(Debug, Clone)]
 pub struct CallPlacement {
@@ -147,6 +189,8 @@
     NoAttempt,
     /// Several targets failed while they ran the request.
     Poison,
+    /// Several engines failed when they began to answer prompts with one of its parts.
+    PoisonPart,
     /// The retry budget is used up.
     BudgetUsed,
 }
@@ -160,7 +204,7 @@
                 Some(retry_after_ms)
             }
             Self::BudgetUsed => Some(MIN_RETRY_AFTER_MS),
-            Self::Poison => None,
+            Self::Poison | Self::PoisonPart => None,
         }
     }
 
@@ -172,6 +216,7 @@
             | Self::AtLimit { .. }
             | Self::NoAttempt
             | Self::Poison
+            | Self::PoisonPart
             | Self::BudgetUsed => None,
         }
     }
@@ -185,6 +230,7 @@
             Self::Overloaded { .. } => "the engines are too busy to answer in time: come back",
             Self::BudgetUsed => "too many requests are being repeated: come back",
             Self::Poison => "the request has broken off the work of several targets",
+            Self::PoisonPart => "a part of the prompt has broken off the work of several engines",
         }
     }
 }
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -4,6 +4,8 @@
 mod answer_times;
 #[path = "serving/cold_targets.rs"]
 mod cold_targets;
+#[path = "serving/crashing_parts.rs"]
+mod crashing_parts;
 #[path = "serving/crashing_requests.rs"]
 mod crashing_requests;
 #[path = "serving/cut_off.rs"]
--- a/crates/serving/tests/serving/evacuation.rs
+++ b/crates/serving/tests/serving/evacuation.rs
@@ -46,6 +46,7 @@
 
 fn place_call(serving: &mut Serving) -> Result<String, Refusal> {
     let request = CallRequest {
+        parts: &[],
         service: &"engines".into(),
         fingerprint: Default::default(),
         tried: &[],
--- a/crates/serving/tests/serving/hedges.rs
+++ b/crates/serving/tests/serving/hedges.rs
@@ -84,6 +84,7 @@
 fn hedge(serving: &mut Serving, tried: &[TargetId]) -> Result<TargetId, HedgeDenial> {
     let service = service();
     let request = CallRequest {
+        parts: &[],
         service: &service,
         fingerprint: 7,
         tried,
@@ -97,6 +98,7 @@
 fn send(serving: &mut Serving) -> TargetId {
     let service = service();
     let request = CallRequest {
+        parts: &[],
         service: &service,
         fingerprint: 7,
         tried: &[],
--- a/crates/serving/tests/serving/retries.rs
+++ b/crates/serving/tests/serving/retries.rs
@@ -174,6 +174,7 @@
         fingerprint: 7,
         targets: 3,
         age_ms: 10,
+        span_ms: 0,
     };
 
     let before = crashes.is_poison(START, 7);
@@ -194,6 +195,7 @@
         fingerprint: 7,
         targets: 3,
         age_ms,
+        span_ms: 0,
     };
 
     let is_news = crashes.apply_condemnation(START + 3_000, &stated(1_500));
--- a/crates/serving/tests/serving/shared_calls.rs
+++ b/crates/serving/tests/serving/shared_calls.rs
@@ -187,6 +187,7 @@
         let at = addresses[self.rng.usize(..addresses.len())];
         let service = service();
         let request = CallRequest {
+            parts: &[],
             service: &service,
             fingerprint: self.rng.u64(..),
             tried: &[],
@@ -306,6 +307,7 @@
 fn calls_to(serving: &mut Serving, now: MonoMs, target: &str) -> usize {
     let service = service();
     let request = CallRequest {
+        parts: &[],
         service: &service,
         fingerprint: 0,
         tried: &[],
