--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -291,6 +291,17 @@
         /// What was made of it.
         verdict: &'static str,
     },
+    /// A request or a part of prompts is kept from targets, since it has crashed several, or isn't any more.
+    Blamed {
+        /// `request` or `part`.
+        kind: &'static str,
+        /// Fingerprint of the request or id of the part, in hexadecimal.
+        id: String,
+        /// Number of targets that it has crashed, as far as this instance knows.
+        targets: u32,
+        /// Whether it is refused from now on.
+        refused: bool,
+    },
     /// A request ended.
     Ended {
         /// Id of the request.
--- a/crates/daemon/src/entry/forward/target_probe.rs
+++ b/crates/daemon/src/entry/forward/target_probe.rs
@@ -1,6 +1,8 @@
 use {
-    crate::entry::{attempt::open_connection, entry_state::EntryState},
-    futures::future::join_all,
+    crate::entry::{
+        attempt::open_connection, entry_state::EntryState, inquiries::answer_inquiries,
+    },
+    futures::future::{join, join_all},
     std::sync::Arc,
     whinlatch_serving::targets::TargetEntry,
 };
@@ -8,13 +10,14 @@
 /// Time between two checks for targets to probe, in ms.
 const CHECK_INTERVAL_MS: u64 = 50;
 
-/// Opens a connection to a target of each service now and then while some service is out of reach, forever. Callers'
-/// requests don't wait for such connections.
+/// Opens connections to targets beside those of callers' requests, forever: to one of each service now and then while some
+/// service is out of reach, and to those that may have died under a request.
 pub async fn probe_targets(state: Arc<EntryState>) {
     loop {
         state.clock.sleep(CHECK_INTERVAL_MS).await;
         let targets = state.serving().targets_to_probe(state.now());
-        join_all(targets.iter().map(|target| probe(&state, target))).await;
+        let probes = join_all(targets.iter().map(|target| probe(&state, target)));
+        join(probes, answer_inquiries(&state)).await;
     }
 }
 
--- a/crates/daemon/src/entry/inquiries.rs
+++ b/crates/daemon/src/entry/inquiries.rs
@@ -1,25 +1,29 @@
 //! Finds out whether targets have died to which connections broke under requests.
 
 use {
-    super::entry_state::EntryState,
+    super::{decision_line::Decision, entry_state::EntryState},
     futures::future::join_all,
-    std::sync::Arc,
     whinlatch_serving::{Inquiry, targets::TargetEntry},
 };
 
-/// Time between two checks for targets to ask for, in ms.
-const CHECK_INTERVAL_MS: u64 = 50;
-
-/// Opens connections to targets that may have died, and to others beside them, forever.
-pub async fn inquire(state: Arc<EntryState>) {
-    loop {
-        state.clock.sleep(CHECK_INTERVAL_MS).await;
-        let inquiries = state.serving().take_inquiries(state.now());
-        join_all(inquiries.iter().map(|inquiry| ask(&state, inquiry))).await;
-        let verdicts = state.serving().take_break_verdicts();
-        for verdict in verdicts {
-            state.metrics.record_break(verdict);
-        }
+/// Opens connections to targets that may have died, and to others beside them, and records what came of that.
+pub async fn answer_inquiries(state: &EntryState) {
+    let inquiries = state.serving().take_inquiries(state.now());
+    join_all(inquiries.iter().map(|inquiry| ask(state, inquiry))).await;
+    let (verdicts, blames) = {
+        let mut serving = state.serving();
+        (serving.take_break_verdicts(), serving.take_blames())
+    };
+    for verdict in verdicts {
+        state.metrics.record_break(verdict);
+    }
+    for blame in blames {
+        state.log(&Decision::Blamed {
+            kind: blame.suspect.kind(),
+            id: blame.suspect.id_text(),
+            targets: blame.targets,
+            refused: blame.is_refused,
+        });
     }
 }
 
--- a/crates/serving/src/retries/part_tracker.rs
+++ b/crates/serving/src/retries/part_tracker.rs
@@ -131,10 +131,15 @@
             .collect()
     }
 
+    /// Returns what there is to state of a part; `None` unless it is kept from engines.
+    pub fn condemnation(&self, now: MonoMs, part: PartId) -> Option<Condemnation> {
+        self.crashes.condemnation(now, part.0)
+    }
+
     /// Returns what there is to state of a part that is kept from engines. It is held back if something was stated of it a
     /// short time ago.
     pub fn take_statement(&mut self, now: MonoMs, part: PartId) -> Option<Condemnation> {
-        let stated = self.crashes.condemnation(now, part.0)?;
+        let stated = self.condemnation(now, part)?;
         self.may_state(now, part).then_some(stated)
     }
 
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -40,7 +40,7 @@
         reach::{ConnectionBreaks, OwnReach, PeerReach, UnconfirmedFailures},
         relays::{FollowedRelays, Followers},
         retries::{
-            BreakVerdict, CrashTracker, FleetBudget, FleetBudgetRule, PartTracker,
+            Blame, BreakVerdict, CrashTracker, FleetBudget, FleetBudgetRule, PartTracker,
             UnexplainedBreaks,
         },
         targets::{CallLoads, TargetChange, TargetNotices, TargetRegistry},
@@ -94,6 +94,8 @@
     unexplained: UnexplainedBreaks,
     /// Final verdicts on such breaks that aren't logged yet.
     break_verdicts: Vec<BreakVerdict>,
+    /// Requests and parts that are refused since, or aren't any more, and aren't logged yet.
+    blames: Vec<Blame>,
     groups: EngineGroups,
     /// Groups in which peers were asked to choose engines for a prompt of this instance.
     requested_groups: HashMap<JobId, Vec<EngineGroup>>,
@@ -157,6 +159,7 @@
             parts: PartTracker::default(),
             unexplained: UnexplainedBreaks::default(),
             break_verdicts: Vec::new(),
+            blames: Vec::new(),
             groups: EngineGroups::default(),
             requested_groups: HashMap::new(),
             news: News::default(),
--- a/crates/serving/src/serving/crashes.rs
+++ b/crates/serving/src/serving/crashes.rs
@@ -6,7 +6,7 @@
     crate::{
         fleet::{Condemnation, Crash},
         names::{SharedParts, TargetId},
-        retries::{BreakVerdict, BrokenRun, Fingerprint},
+        retries::{Blame, BreakVerdict, BrokenRun, Fingerprint, Suspect},
         targets::TargetEntry,
     },
     std::sync::Arc,
@@ -18,6 +18,8 @@
 /// instance works.
 const WITNESSES: usize = 3;
 
+/// Limit for the number of notes for the log that wait.
+const MAX_BLAMES: usize = 256;
 /// Longest time by which an instance delays the trial of a request or part, in ms.
 pub(super) const MAX_TRIAL_DELAY_MS: u64 = 10_000;
 
@@ -154,14 +156,51 @@
     /// Records a crash that was seen here or by a peer, and queues a statement for all peers if the request is poison
     /// since: they may not have heard of all crashes. Returns whether the crash is new.
     pub(super) fn apply_crash(&mut self, now: MonoMs, crash: &Crash) -> bool {
-        let was_poison = self.crashes.condemnation(now, crash.fingerprint).is_some();
+        let fingerprint = crash.fingerprint;
+        let was_poison = self.crashes.is_suspect(fingerprint);
         let is_new = self.crashes.record_crash(now, crash);
-        if !was_poison && let Some(stated) = self.crashes.condemnation(now, crash.fingerprint) {
+        if !was_poison && let Some(stated) = self.crashes.condemnation(now, fingerprint) {
+            self.note_blame(Suspect::Request(fingerprint), stated.targets);
             self.news.for_all().condemned.push(stated);
         }
         is_new
     }
 
+    /// Applies a peer's statement that a request is poison. Returns whether it is news.
+    pub(super) fn apply_condemnation(&mut self, now: MonoMs, stated: &Condemnation) -> bool {
+        let was_poison = self.crashes.is_suspect(stated.fingerprint);
+        let is_news = self.crashes.apply_condemnation(now, stated);
+        if is_news && !was_poison {
+            self.note_blame(Suspect::Request(stated.fingerprint), stated.targets);
+        }
+        is_news
+    }
+
+    /// Records that a target served a request, here or at a peer. Returns whether it was suspected.
+    pub(super) fn clear_request(&mut self, now: MonoMs, fingerprint: Fingerprint) -> bool {
+        if self.crashes.is_suspect(fingerprint) {
+            self.note_blame(Suspect::Request(fingerprint), 0);
+        }
+        self.crashes.record_served(now, fingerprint)
+    }
+
+    /// Notes for the log that a suspect is refused from now on, since it has crashed a number of targets, or that it isn't
+    /// any more, with none.
+    pub(super) fn note_blame(&mut self, suspect: Suspect, targets: u32) {
+        if self.blames.len() < MAX_BLAMES {
+            self.blames.push(Blame {
+                suspect,
+                targets,
+                is_refused: targets > 0,
+            });
+        }
+    }
+
+    /// Returns what has been noted for the log since the last call.
+    pub fn take_blames(&mut self) -> Vec<Blame> {
+        std::mem::take(&mut self.blames)
+    }
+
     /// Returns the statements that begin a link: those of all requests that are poison. In a large fleet only hubs make
     /// them, since each instance has links to all of these.
     pub(super) fn condemnations_to_greet_with(&self, now: MonoMs) -> Vec<Condemnation> {
@@ -191,7 +230,7 @@
     /// Records that a target served a request. If a target had crashed on it before, the request is no longer
     /// suspected, and a notice is queued for all peers.
     pub fn record_served(&mut self, now: MonoMs, fingerprint: Fingerprint) {
-        if self.crashes.record_served(now, fingerprint) {
+        if self.clear_request(now, fingerprint) {
             self.news.for_all().served.push(fingerprint);
         }
     }
--- a/crates/serving/src/serving/parts.rs
+++ b/crates/serving/src/serving/parts.rs
@@ -5,7 +5,7 @@
     crate::{
         fleet::{Condemnation, PartCrash, SoundPart},
         names::{PartId, TargetId},
-        retries::{BrokenRun, StatementEffect},
+        retries::{BrokenRun, StatementEffect, Suspect},
     },
     whinlatch_core::MonoMs,
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -19,6 +19,7 @@
     /// are told of parts that were kept from engines.
     pub fn record_sound_parts(&mut self, now: MonoMs, parts: &[PartId]) {
         for part in self.parts.record_sound(now, parts) {
+            self.note_blame(Suspect::Part(part), 0);
             let sound = SoundPart { part, age_ms: 0 };
             self.news.for_all().sound_parts.push(sound);
         }
@@ -41,8 +42,18 @@
     /// Records a crash that was seen here or by a peer, and states the parts that are kept from engines since. Returns
     /// what of it is news.
     pub(super) fn apply_part_crash(&mut self, now: MonoMs, crash: PartCrash) -> Option<PartCrash> {
+        let suspects = crash
+            .parts
+            .iter()
+            .filter(|part| self.parts.is_suspect(**part));
+        let suspects: Vec<PartId> = suspects.copied().collect();
         let parts = self.parts.record_crash(now, &crash);
         for part in &parts {
+            if !suspects.contains(part)
+                && let Some(stated) = self.parts.condemnation(now, *part)
+            {
+                self.note_blame(Suspect::Part(*part), stated.targets);
+            }
             self.state_part(now, *part);
         }
         (!parts.is_empty()).then_some(PartCrash { parts, ..crash })
@@ -75,11 +86,31 @@
     /// Applies a peer's statement that a part crashes engines. Returns whether it is news. Queues a notice for all peers
     /// if an answer went on well here with that part.
     pub(super) fn apply_condemned_part(&mut self, now: MonoMs, stated: &Condemnation) -> bool {
-        let effect = self.parts.apply_condemnation(now, stated);
-        if effect == StatementEffect::Refuted {
-            self.refute_part(now, PartId(stated.fingerprint));
+        let part = PartId(stated.fingerprint);
+        let was_suspect = self.parts.is_suspect(part);
+        match self.parts.apply_condemnation(now, stated) {
+            StatementEffect::None => false,
+            StatementEffect::Refuted => {
+                self.refute_part(now, part);
+                false
+            }
+            StatementEffect::Adopted => {
+                if !was_suspect {
+                    self.note_blame(Suspect::Part(part), stated.targets);
+                }
+                true
+            }
+        }
+    }
+
+    /// Applies what a peer says of a part with which an answer went on well. Returns whether it is news.
+    pub(super) fn apply_sound_part(&mut self, now: MonoMs, sound: &SoundPart) -> bool {
+        let was_suspect = self.parts.is_suspect(sound.part);
+        let is_news = self.parts.apply_sound(now, sound);
+        if was_suspect && !self.parts.is_suspect(sound.part) {
+            self.note_blame(Suspect::Part(sound.part), 0);
         }
-        effect == StatementEffect::Adopted
+        is_news
     }
 
     /// Returns the statements that begin a link, as for requests.
--- a/crates/serving/src/serving/peers.rs
+++ b/crates/serving/src/serving/peers.rs
@@ -300,7 +300,7 @@
         let new = FleetNotices {
             crashes: retain_new(notices.crashes, |crash| self.apply_crash(now, crash)),
             condemned: retain_new(notices.condemned, |stated| {
-                self.crashes.apply_condemnation(now, stated)
+                self.apply_condemnation(now, stated)
             }),
             part_crashes: notices
                 .part_crashes
@@ -311,11 +311,9 @@
                 self.apply_condemned_part(now, stated)
             }),
             sound_parts: retain_new(notices.sound_parts, |sound| {
-                self.parts.apply_sound(now, sound)
-            }),
-            served: retain_new(notices.served, |request| {
-                self.crashes.record_served(now, *request)
+                self.apply_sound_part(now, sound)
             }),
+            served: retain_new(notices.served, |request| self.clear_request(now, *request)),
             unreachable: retain_new(notices.unreachable, |id| {
                 self.calls.record_reported_unreachable(now, id)
             }),
