--- a/crates/serving/src/retries/unexplained_breaks.rs
+++ b/crates/serving/src/retries/unexplained_breaks.rs
@@ -128,12 +128,17 @@
         }
     }
 
-    /// Returns the targets to which a connection should be opened now, to find out whether they live.
-    pub fn take_inquiries(&mut self, now: MonoMs) -> Vec<TargetId> {
+    /// Returns the targets to which a connection should be opened now, to find out whether they live, of those that may be
+    /// asked for.
+    pub fn take_inquiries(
+        &mut self,
+        now: MonoMs,
+        may_ask: impl Fn(&TargetId) -> bool,
+    ) -> Vec<TargetId> {
         let due = self
             .targets
             .iter_mut()
-            .filter(|(_, target)| target.is_inquiry_due(now));
+            .filter(|(id, target)| target.is_inquiry_due(now) && may_ask(id));
         due.map(|(id, target)| {
             target.inquiries += 1;
             target.inquired_at = Some(now);
--- a/crates/serving/src/serving/crashes.rs
+++ b/crates/serving/src/serving/crashes.rs
@@ -252,13 +252,15 @@
         if self.unexplained.is_empty() {
             return Vec::new();
         }
-        let due = self.unexplained.take_inquiries(now);
+        let mut unexplained = std::mem::take(&mut self.unexplained);
+        let due = unexplained.take_inquiries(now, |id| {
+            let target = self.targets.entry(id);
+            target.is_some_and(|target| !self.is_out_of_reach(&target.service))
+        });
+        self.unexplained = unexplained;
         let mut inquiries = Vec::new();
         for id in due {
-            let Some(target) = self.targets.entry(&id).cloned() else {
-                continue;
-            };
-            if !self.is_out_of_reach(&target.service) {
+            if let Some(target) = self.targets.entry(&id).cloned() {
                 let witnesses = self.draw_witnesses(&id);
                 inquiries.push(Inquiry { target, witnesses });
             }
--- a/crates/serving/tests/serving/crashing_requests.rs
+++ b/crates/serving/tests/serving/crashing_requests.rs
@@ -208,6 +208,28 @@
     }
 }
 
+/// Guards against breaks that stay unexplained since their targets were asked for only while none could be reached.
+#[test]
+fn targets_are_asked_for_once_their_service_is_in_reach_again() {
+    let mut serving = instance(1, 9);
+    break_off(&mut serving, &prompt_request(5_000), false);
+    for engine in ["e-03", "e-04", "e-05"] {
+        serving.record_connection_failure(START + 130, &TargetId::from(engine));
+    }
+
+    let mut asked_for = |from_ms, to_ms: u64| -> usize {
+        let times = (from_ms..to_ms).step_by(50);
+        times
+            .map(|at| serving.take_inquiries(START + at).len())
+            .sum()
+    };
+    let while_out = asked_for(150, 3_000);
+    serving.record_connected(START + 4_000, &TargetId::from("e-06"));
+    let inquiries = serving.take_inquiries(START + 4_100).len();
+
+    assert_eq!((while_out, inquiries), (0, 3));
+}
+
 /// Guards against requests that are condemned by an instance which reaches neither their targets nor others.
 #[test]
 fn breaks_at_an_instance_that_reaches_few_targets_count_against_no_request() {
