--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -101,16 +101,25 @@
                         \"Seq\":0,\"Waiting\":0,\"Running\":1,\"KvUsed\":0,\"KvTotal\":405000,\"Handles\":0,\
                         \"pace\":1.0,\"Tickets\":[],\"Free\":300000}";
             let length = body.len();
-            write!(output, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}")?;
+            write!(
+                output,
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+            )?;
             continue;
         }
         let id = head.get("x-whinlatch-request-id").unwrap_or("").to_owned();
         if head.get("x-whinlatch-expect-instance") != Some(own) {
-            write!(output, "HTTP/1.1 421 Misdirected Request\r\nX-Whinlatch-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n")?;
+            write!(
+                output,
+                "HTTP/1.1 421 Misdirected Request\r\nX-Whinlatch-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n"
+            )?;
             continue;
         }
         seen.ran.lock().unwrap().insert(id.clone());
-        let after = head.get("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after = head
+            .get("last-event-id")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         if let Err(fault) = write_events(&mut output, &id, after) {
             seen.cut.lock().unwrap().insert(id, Instant::now());
             return Err(fault);
@@ -140,7 +149,9 @@
         let (head, body) = text.split_once("\r\n\r\n")?;
         let (_, list) = body.split_once("\"Addresses\":[")?;
         let (list, _) = list.split_once(']')?;
-        let addresses = list.split(',').map(|address| address.trim_matches('"').parse().ok());
+        let addresses = list
+            .split(',')
+            .map(|address| address.trim_matches('"').parse().ok());
         let addresses: Vec<SocketAddr> = addresses.collect::<Option<_>>()?;
         (head.starts_with("HTTP/1.1 200") && !addresses.is_empty()).then_some(addresses)
     })
@@ -199,7 +210,11 @@
         self.addresses = addresses;
         self.resolved = Instant::now();
         self.failed.clear();
-        if self.kept.as_ref().is_some_and(|(address, _)| !self.addresses.contains(address)) {
+        if self
+            .kept
+            .as_ref()
+            .is_some_and(|(address, _)| !self.addresses.contains(address))
+        {
             self.kept = None;
         }
     }
@@ -208,8 +223,12 @@
         if let Some(kept) = self.kept.take() {
             return Some(kept);
         }
-        let usable: Vec<SocketAddr> =
-            self.addresses.iter().filter(|address| !self.failed.contains(address)).copied().collect();
+        let usable: Vec<SocketAddr> = self
+            .addresses
+            .iter()
+            .filter(|address| !self.failed.contains(address))
+            .copied()
+            .collect();
         if usable.is_empty() {
             thread::sleep(Duration::from_millis(100));
             return None;
@@ -231,8 +250,15 @@
         let Some((address, mut input)) = self.connection() else {
             return false;
         };
-        let id = format!("{:016x}", 0x9c41_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed));
-        let resumed = if *last > 0 { format!("Last-Event-Id: {last}\r\n") } else { String::new() };
+        let id = format!(
+            "{:016x}",
+            0x9c41_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed)
+        );
+        let resumed = if *last > 0 {
+            format!("Last-Event-Id: {last}\r\n")
+        } else {
+            String::new()
+        };
         let request = format!(
             "POST {ROUTE}2f HTTP/1.1\r\nHost: {HOST}\r\nX-Whinlatch-Request-Id: {id}\r\n{resumed}\
              X-Whinlatch-Model: m\r\nX-Whinlatch-Token-Count: 1460,646\r\n\
@@ -241,7 +267,8 @@
         );
         let written = input.get_mut().write_all(request.as_bytes());
         let sent = Instant::now();
-        self.record.line(&format!("sent {id} to {address} after event {last}"));
+        self.record
+            .line(&format!("sent {id} to {address} after event {last}"));
         let mut body = Vec::new();
         let answered = written.and_then(|()| {
             let head = read_head(&mut input)?.ok_or(io::ErrorKind::UnexpectedEof)?;
@@ -253,7 +280,10 @@
         let events = text.matches("\n\n").count() as u64;
         match answered {
             Ok(head) => {
-                self.record.line(&format!("answered {id} status {} events {events}", head.status()));
+                self.record.line(&format!(
+                    "answered {id} status {} events {events}",
+                    head.status()
+                ));
                 if head.status() == 200 {
                     self.completed.fetch_add(1, Ordering::Relaxed);
                 }
@@ -262,10 +292,17 @@
                 head.status() == 200
             }
             Err(fault) => {
-                self.record.line(&format!("cut {id} at {address} after {events} events: {fault}"));
+                self.record.line(&format!(
+                    "cut {id} at {address} after {events} events: {fault}"
+                ));
                 *last += events;
                 self.failed.insert(address);
-                let cut = Cut { id, daemon: address, sent, ended };
+                let cut = Cut {
+                    id,
+                    daemon: address,
+                    sent,
+                    ended,
+                };
                 self.cuts.lock().unwrap().push(cut);
                 false
             }
@@ -274,7 +311,12 @@
 }
 
 /// Stops the daemons in turn, and starts each again when it has ended.
-fn roll(daemons: &mut [Daemon], places: &[DaemonPlace], store: SocketAddr, record: &Record) -> HashMap<SocketAddr, Instant> {
+fn roll(
+    daemons: &mut [Daemon],
+    places: &[DaemonPlace],
+    store: SocketAddr,
+    record: &Record,
+) -> HashMap<SocketAddr, Instant> {
     let mut stopped: HashMap<SocketAddr, Instant> = HashMap::new();
     let mut restarted: HashSet<usize> = HashSet::new();
     let began = Instant::now();
@@ -293,7 +335,8 @@
                     }
                     if !daemon.is_running() {
                         record.line(&format!("{} has ended and starts again", daemon.front));
-                        daemons[index] = Daemon::start(&format!("front-{index}"), places[index], places, store);
+                        daemons[index] =
+                            Daemon::start(&format!("front-{index}"), places[index], places, store);
                         restarted.insert(index);
                     }
                 }
@@ -307,20 +350,31 @@
 
 fn main() {
     limit_time();
-    let record = Record::create(&env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned()));
+    let record = Record::create(
+        &env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".to_owned()),
+    );
     let store = Store::start();
     let seen = Arc::new(Seen::default());
     for number in 0..WORKERS {
         let id = format!("i-{number}");
         let address = start_worker(id.clone(), Arc::clone(&seen));
-        store.write(&format!("servers/{id}"), Some(&entry_json("huvo11a", address, "ready", 1)));
+        store.write(
+            &format!("servers/{id}"),
+            Some(&entry_json("huvo11a", address, "ready", 1)),
+        );
     }
     store.write("op/config", Some(&configuration()));
-    let places: Vec<DaemonPlace> = (0..DAEMONS).map(|number| DaemonPlace::find(number as u8)).collect();
+    let places: Vec<DaemonPlace> = (0..DAEMONS)
+        .map(|number| DaemonPlace::find(number as u8))
+        .collect();
     let mut daemons: Vec<Daemon> = places
         .iter()
         .enumerate()
-        .map(|(index, place)| Daemon::start(&format!("front-{index}"), *place, &places, store.address))
+        .map(|(index, place)| {
+            Daemon::start(&format!("front-{index}"), *place, &places, store.address)
+        })
         .collect();
     for daemon in &daemons {
         daemon.wait_until_ready(Duration::from_secs(10));
@@ -375,7 +429,10 @@
     let worker_cuts = seen.cut.lock().unwrap();
     for cut in cuts.lock().unwrap().iter() {
         let Some(stopped_at) = stopped.get(&cut.daemon) else {
-            record.line(&format!("{} ended without a complete answer, with no SIGTERM", cut.id));
+            record.line(&format!(
+                "{} ended without a complete answer, with no SIGTERM",
+                cut.id
+            ));
             lost += u64::from(ran.contains(&cut.id));
             continue;
         };
