--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -20,6 +20,7 @@
 mod job_guard;
 mod links;
 mod memory_hold;
+mod open_requests;
 mod own_call;
 mod permits;
 mod placing;
--- a/crates/daemon/src/entry/answers.rs
+++ b/crates/daemon/src/entry/answers.rs
@@ -8,7 +8,7 @@
         fmt::Write,
         io,
         sync::{
-            Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
     },
@@ -29,7 +29,7 @@
     is_last: bool,
     has_begun: AtomicBool,
     may_have_run: AtomicBool,
-    progress: Mutex<RequestProgress>,
+    progress: Arc<Mutex<RequestProgress>>,
 }
 
 /// Progress of a request, for its log line.
@@ -55,7 +55,7 @@
             is_last,
             has_begun: AtomicBool::new(false),
             may_have_run: AtomicBool::new(false),
-            progress: Mutex::default(),
+            progress: Arc::default(),
         }
     }
 
@@ -64,6 +64,11 @@
         *self.lock()
     }
 
+    /// Returns the progress as it goes on, for the list of open requests.
+    pub fn shared_progress(&self) -> Arc<Mutex<RequestProgress>> {
+        Arc::clone(&self.progress)
+    }
+
     /// Records that the request is sent to a target. Returns the number of sends so far.
     pub fn record_send(&self) -> u32 {
         let mut progress = self.lock();
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -1,8 +1,12 @@
 //! The log of an entry instance: one JSON object per line, one line per decision.
 
 use {
-    super::entry_metrics::EntryMetrics,
-    crate::{errors::DaemonError, logs::LineQueue},
+    super::{entry_metrics::EntryMetrics, http::Framing, open_requests::OpenRequest},
+    crate::{
+        clock::{Clock, timeout},
+        errors::DaemonError,
+        logs::LineQueue,
+    },
     serde::Serialize,
     std::{
         ops::Not,
@@ -15,6 +19,9 @@
     },
 };
 
+/// Longest time for which the end of the process waits for its last lines to be written, in ms.
+const FLUSH_TIMEOUT_MS: u64 = 100;
+
 /// A logged event: a decision on a request, or a change of what the process knows. The variant is the
 /// field `event`; its name and the names of its fields are read by the operators' tools.
 #[derive(Debug, Serialize)]
@@ -306,7 +313,7 @@
     Ended {
         /// Id of the request.
         request: String,
-        /// `answered`, `refused`, `failed`, `cut` or `caller_gone`.
+        /// `answered`, `refused`, `failed`, `cut`, `caller_gone` or `process_ended`.
         outcome: &'static str,
         /// Status sent to the caller, 0 if none.
         status: u16,
@@ -320,6 +327,9 @@
         longest_pause_ms: u64,
         /// Number of attempts in which it was sent to a target.
         sends: u32,
+        /// What ended it, where its time was over: `caller_deadline` or `route_timeout`.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        time_limit: Option<&'static str>,
         /// Framing of the last answer that a target began: `length`, `chunked`, `until_close` or `empty`.
         #[serde(skip_serializing_if = "Option::is_none")]
         framing: Option<&'static str>,
@@ -330,6 +340,24 @@
 }
 
 impl Decision {
+    /// Creates the line for a request that the end of the process cuts off after `took_ms`.
+    pub fn cut_off(request: &OpenRequest, took_ms: u64) -> Self {
+        let progress = request.progress();
+        Self::Ended {
+            request: request.id.clone(),
+            outcome: "process_ended",
+            status: progress.first_event_ms.map_or(0, |_ms| 200),
+            reason: "the process ended before the answer was complete".to_owned(),
+            took_ms,
+            first_event_ms: progress.first_event_ms,
+            longest_pause_ms: progress.longest_pause_ms,
+            sends: progress.sends,
+            time_limit: None,
+            framing: progress.framing.map(Framing::name),
+            partial_event_bytes: progress.partial_event_bytes,
+        }
+    }
+
     /// Creates the line for a change of a target; `source` is `store`, `peer` or `grace`.
     pub fn target(change: &TargetChange, source: &'static str) -> Self {
         let entry = change.entry.as_ref();
@@ -369,6 +397,13 @@
         Ok(Self { lines, metrics })
     }
 
+    /// Completes once all queued lines have been written, or after [`FLUSH_TIMEOUT_MS`].
+    ///
+    /// Guards against a process that ends before its last lines are written, which tell what its end cut off.
+    pub async fn flush(&self, clock: &dyn Clock) {
+        let _in_time = timeout(clock, FLUSH_TIMEOUT_MS, self.lines.close()).await;
+    }
+
     /// Queues a line; counts it as dropped if the queue is full.
     pub fn write(&self, decision: &Decision) {
         let at_ms = SystemTime::now()
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -3,6 +3,7 @@
         decision_line::{Decision, DecisionLines},
         entry_metrics::EntryMetrics,
         links::{EncodeFault, PeerLinks, Queued},
+        open_requests::OpenRequests,
         target_pool::TargetPool,
     },
     crate::clock::Clock,
@@ -39,6 +40,8 @@
     pub links: PeerLinks,
     /// Metrics, shared with the log thread.
     pub metrics: Arc<EntryMetrics>,
+    /// Callers' requests that are being served.
+    pub open_requests: OpenRequests,
     /// When the instance started.
     pub started_at: MonoMs,
     serving: Mutex<Serving>,
@@ -64,6 +67,7 @@
             clock,
             pool: TargetPool::default(),
             links: PeerLinks::default(),
+            open_requests: OpenRequests::default(),
             metrics,
             serving: Mutex::new(serving),
             log,
@@ -202,6 +206,11 @@
         self.metrics.record_call_picture(call_picture_age_ms);
     }
 
+    /// Completes once all lines that were queued for the log have been written, or after a bounded time.
+    pub async fn flush_log(&self) {
+        self.log.flush(self.clock.as_ref()).await;
+    }
+
     /// Queues a line for the log.
     pub fn log(&self, decision: &Decision) {
         self.log.write(decision);
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -7,8 +7,9 @@
         entry_state::EntryState,
         forward::{ForwardNote, NOT_TAKEN, TakenForward},
         http::{Framing, Input},
+        open_requests::OpenRequest,
         plain_calls::serve_call,
-        request_context::{ReadRequest, RequestContext},
+        request_context::{ReadRequest, RequestContext, TimeLimit},
         routing::{ASSUMED_DEADLINE_MS, RETRY_AFTER_DIVISOR, RoutingRejection, route},
         stream_relay::serve_stream,
     },
@@ -42,6 +43,8 @@
     pub reason: String,
     /// Whether the caller's connection can serve another request.
     pub keeps_alive: bool,
+    /// What ended it, if its time was over.
+    pub time_limit: Option<TimeLimit>,
 }
 
 impl RequestEnd {
@@ -61,6 +64,7 @@
             status,
             reason: String::new(),
             keeps_alive: true,
+            time_limit: None,
         }
     }
 
@@ -147,11 +151,19 @@
     state.metrics.record_request_started();
     let arrived = request.arrived;
     let answer = CallerAnswer::new(stream, is_last);
+    let open = state.open_requests.begin(OpenRequest {
+        id: String::new(),
+        arrived,
+        progress: answer.shared_progress(),
+    });
     let (request_id, ended) = match read_caller_head(request.head.pairs()) {
-        Ok(caller) => (
-            caller.request_id.clone(),
-            route_and_serve(state, stream, input, request, caller, &answer).await,
-        ),
+        Ok(caller) => {
+            open.set_id(&caller.request_id);
+            (
+                caller.request_id.clone(),
+                route_and_serve(state, stream, input, request, caller, &answer).await,
+            )
+        }
         Err(fault) => (
             String::new(),
             RequestEnd::error(&answer, 400, &fault.to_string(), None).await,
@@ -172,6 +184,7 @@
         first_event_ms: progress.first_event_ms,
         longest_pause_ms: progress.longest_pause_ms,
         sends: progress.sends,
+        time_limit: ended.time_limit.map(TimeLimit::name),
         framing: progress.framing.map(Framing::name),
         partial_event_bytes: progress.partial_event_bytes,
     });
@@ -275,12 +288,17 @@
             () = timed_out => None,
         }
     };
-    match ended {
-        Some(ended) => ended,
-        None if answer.may_have_run() => {
-            RequestEnd::error(answer, 504, "the time for an answer is over", None).await
-        }
-        None => RequestEnd::error(answer, 503, "no target took the request in time", None).await,
+    if let Some(ended) = ended {
+        return ended;
+    }
+    let ended = if answer.may_have_run() {
+        RequestEnd::error(answer, 504, "the time for an answer is over", None).await
+    } else {
+        RequestEnd::error(answer, 503, "no target took the request in time", None).await
+    };
+    RequestEnd {
+        time_limit: Some(context.time_limit),
+        ..ended
     }
 }
 
--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -27,6 +27,25 @@
     pub arrived: MonoMs,
 }
 
+/// What limits the time for an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TimeLimit {
+    /// The deadline that the caller sent, or the one that is assumed if it sent none.
+    CallerDeadline,
+    /// The timeout of the route.
+    RouteTimeout,
+}
+
+impl TimeLimit {
+    /// Value of `time_limit` in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::CallerDeadline => "caller_deadline",
+            Self::RouteTimeout => "route_timeout",
+        }
+    }
+}
+
 /// A caller's request with its route.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -50,6 +69,8 @@
     pub arrived: MonoMs,
     /// Deadline for the end of its answer.
     pub deadline: MonoMs,
+    /// What the deadline follows from.
+    pub time_limit: TimeLimit,
     /// Hash of account, path and body, the same for all retries of a request.
     pub fingerprint: Fingerprint,
     /// What the peer says of it that has forwarded it; `None` if it came from its caller.
--- a/crates/daemon/src/entry/routing.rs
+++ b/crates/daemon/src/entry/routing.rs
@@ -5,7 +5,7 @@
         entry_state::EntryState,
         forward::ForwardNote,
         http::RequestHead,
-        request_context::{ReadRequest, RequestContext},
+        request_context::{ReadRequest, RequestContext, TimeLimit},
     },
     std::sync::Arc,
     whinlatch_core::MonoMs,
@@ -81,6 +81,11 @@
             retry_after_ms: Some(MIN_RETRY_AFTER_MS),
         })?;
     let time_ms = deadline_ms.min(route.timeout_ms);
+    let time_limit = if route.timeout_ms < deadline_ms {
+        TimeLimit::RouteTimeout
+    } else {
+        TimeLimit::CallerDeadline
+    };
     let (arrived, time_ms) = if let Some(note) = &forwarded {
         let arrived = MonoMs(arrived.0.saturating_sub(note.age_ms));
         (arrived, time_ms.saturating_sub(FORWARD_MARGIN_MS))
@@ -91,6 +96,7 @@
     Ok(RequestContext {
         fingerprint: fingerprint(account.as_deref(), &head, &body),
         deadline: arrived + time_ms,
+        time_limit,
         route: Arc::clone(route),
         service,
         account,
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -172,12 +172,23 @@
             let passed_ms = state.now().since(began_at);
             let open_requests = state.metrics.open_requests();
             if passed_ms >= left_ms || (open_requests == 0 && passed_ms >= MIN_LEAVE_MS) {
-                state.log(&Decision::Stopped { open_requests });
+                self.log_end(open_requests);
+                state.flush_log().await;
                 return;
             }
         }
     }
 
+    /// Logs the end of the process, and each request that it cuts off.
+    fn log_end(&self, open_requests: usize) {
+        let state = &self.state;
+        for request in state.open_requests.list() {
+            let took_ms = state.now().since(request.arrived);
+            state.log(&Decision::cut_off(&request, took_ms));
+        }
+        state.log(&Decision::Stopped { open_requests });
+    }
+
     /// Applies settings that were read again. New seeds are used immediately; all else takes effect at
     /// the next start.
     pub fn reload(&self, settings: &InstanceSettings) {
--- a/crates/daemon/src/logs/line_queue.rs
+++ b/crates/daemon/src/logs/line_queue.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub struct LineQueue<T> {
     queue: Sender<T>,
+    /// Closed once the thread has written all entries and ended. Nothing is ever sent on it.
+    ended: Receiver<()>,
 }
 
 impl<T: Send + 'static> LineQueue<T> {
@@ -24,15 +26,23 @@
     /// [`DaemonError::Thread`] if the system can't start a thread.
     pub fn start(write: fn(T)) -> Result<Self, DaemonError> {
         let (queue, entries): (Sender<T>, Receiver<T>) = async_channel::bounded(QUEUE_LEN);
+        let (writing, ended) = async_channel::bounded(1);
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || {
+                let _writing: Sender<()> = writing;
                 while let Ok(entry) = entries.recv_blocking() {
                     write(entry);
                 }
             })
             .map_err(DaemonError::Thread)?;
-        Ok(Self { queue })
+        Ok(Self { queue, ended })
+    }
+
+    /// Takes no more entries, and completes once the queued ones have been written.
+    pub async fn close(&self) {
+        self.queue.close();
+        let _closed = self.ended.recv().await;
     }
 
     /// Queues an entry. Returns whether there was room.
