--- /dev/null
+++ b/crates/daemon/tests/shutdown.rs
@@ -0,0 +1,8 @@
+//! Processes that are signalled to stop while callers keep using open connections until they are gone.
+
+#[path = "shutdown/caller.rs"]
+mod caller;
+#[path = "shutdown/exits.rs"]
+mod exits;
+#[path = "shutdown/fixture.rs"]
+mod fixture;
