--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -18,6 +18,7 @@
 mod http;
 mod inquiries;
 mod job_guard;
+mod latch;
 mod links;
 mod memory_hold;
 mod open_requests;
--- a/crates/daemon/src/entry/answers.rs
+++ b/crates/daemon/src/entry/answers.rs
@@ -50,12 +50,21 @@
 impl<'a> CallerAnswer<'a> {
     /// Creates an answer that hasn't begun. With `is_last`, the connection closes after it.
     pub fn new(stream: &'a TcpStream, is_last: bool) -> Self {
+        Self::with_progress(stream, is_last, Arc::default())
+    }
+
+    /// Creates an answer that records its progress at a place that others read.
+    pub fn with_progress(
+        stream: &'a TcpStream,
+        is_last: bool,
+        progress: Arc<Mutex<RequestProgress>>,
+    ) -> Self {
         Self {
             stream,
             is_last,
             has_begun: AtomicBool::new(false),
             may_have_run: AtomicBool::new(false),
-            progress: Arc::default(),
+            progress,
         }
     }
 
@@ -64,11 +73,6 @@
         *self.lock()
     }
 
-    /// Returns the progress as it goes on, for the list of open requests.
-    pub fn shared_progress(&self) -> Arc<Mutex<RequestProgress>> {
-        Arc::clone(&self.progress)
-    }
-
     /// Records that the request is sent to a target. Returns the number of sends so far.
     pub fn record_send(&self) -> u32 {
         let mut progress = self.lock();
--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -15,7 +15,11 @@
     },
     crate::{clock::timeout, targets::set_options},
     async_std::net::{TcpListener, TcpStream},
-    futures::AsyncWriteExt,
+    futures::{
+        AsyncWriteExt,
+        future::{Either, select},
+        pin_mut,
+    },
     std::{sync::Arc, time::Duration},
     thiserror::Error,
     whinlatch_core::MonoMs,
@@ -30,7 +34,7 @@
 /// Reason why a request couldn't be read.
 #[derive(Debug, Error)]
 enum ReadFault {
-    /// The caller closed the connection, or left it idle for too long.
+    /// The caller closed the connection.
     #[error("the connection is closed")]
     Closed,
     #[error("the request came too slowly: send it at once")]
@@ -56,25 +60,35 @@
     }
 }
 
-/// Accepts callers' connections forever.
+/// Accepts callers' connections.
+///
+/// Stops when callers' connections close, which closes the listener.
 pub async fn serve_callers(state: Arc<EntryState>, listener: TcpListener) {
-    accept_all(state, listener, "callers", serve_caller).await;
+    let closed = state.until_idle_connections_close(false);
+    let accepted = accept_all(Arc::clone(&state), listener, "callers", serve_caller);
+    pin_mut!(accepted, closed);
+    select(accepted, closed).await;
 }
 
 async fn serve_caller(state: Arc<EntryState>, stream: TcpStream) {
     if set_options(&stream, UNACKNOWLEDGED_TIMEOUT).is_err() {
         return;
     }
+    let _connection = state.open_requests.begin_connection();
     let mut input = Input::default();
-    loop {
-        let request = match read_request(&state, &stream, &mut input).await {
+    let mut is_used = false;
+    while wait_for_first_byte(&state, &stream, &mut input, is_used).await {
+        let arrived = state.now();
+        let open = state.open_requests.begin(arrived);
+        let request = match read_request(&state, &stream, &mut input, arrived).await {
             Ok(request) => request,
             Err(fault) => return reject(&stream, &fault).await,
         };
         let is_last = !request.head.keeps_alive || state.serving().is_leaving();
-        if !exchange(&state, &stream, &mut input, request, is_last).await {
+        if !exchange(&state, &stream, &mut input, request, &open, is_last).await {
             return;
         }
+        is_used = true;
     }
 }
 
@@ -92,10 +106,9 @@
     state: &Arc<EntryState>,
     stream: &TcpStream,
     input: &mut Input,
+    arrived: MonoMs,
 ) -> Result<ReadRequest, ReadFault> {
     let limits = limits(state);
-    wait_for_first_byte(state, stream, input, &limits).await?;
-    let arrived = state.now();
     let reading = read_head(stream, input, &limits);
     let head = timeout(state.clock.as_ref(), limits.head_timeout_ms, reading)
         .await
@@ -121,20 +134,27 @@
         .unwrap_or_default()
 }
 
+/// Waits for the next request of a caller. Returns `false` if the connection is to close: the caller has closed it, left
+/// it idle for too long, or this instance is leaving.
 async fn wait_for_first_byte(
     state: &Arc<EntryState>,
     stream: &TcpStream,
     input: &mut Input,
-    limits: &Limits,
-) -> Result<MonoMs, ReadFault> {
-    if input.is_empty() {
-        let filled = input.fill(stream);
-        match timeout(state.clock.as_ref(), limits.idle_timeout_ms, filled).await {
-            Some(Ok(count)) if count > 0 => {}
-            Some(Ok(_) | Err(_)) | None => return Err(ReadFault::Closed),
-        }
+    is_used: bool,
+) -> bool {
+    if !input.is_empty() {
+        return true;
+    }
+    let idle_timeout_ms = limits(state).idle_timeout_ms;
+    let filled = input.fill(stream);
+    let filled = timeout(state.clock.as_ref(), idle_timeout_ms, filled);
+    let closing = state.until_idle_connections_close(is_used);
+    pin_mut!(filled, closing);
+    // Bytes that have arrived are read first, also when the connection is to close.
+    match select(filled, closing).await {
+        Either::Left((filled, _)) => matches!(filled, Some(Ok(count)) if count > 0),
+        Either::Right(((), _)) => false,
     }
-    Ok(state.now())
 }
 
 async fn read_head(
--- a/crates/daemon/src/entry/entry_metrics.rs
+++ b/crates/daemon/src/entry/entry_metrics.rs
@@ -238,11 +238,6 @@
             .observe(took_ms as f64 / MS_PER_S);
     }
 
-    /// Returns the number of requests in flight.
-    pub fn open_requests(&self) -> usize {
-        usize::try_from(self.open_requests.get()).unwrap_or(0)
-    }
-
     /// Records the time to a prompt's first event, in ms.
     pub fn record_first_event(&self, took_ms: u64) {
         self.first_events.observe(took_ms as f64 / MS_PER_S);
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -2,12 +2,12 @@
     super::{
         decision_line::{Decision, DecisionLines},
         entry_metrics::EntryMetrics,
+        latch::Latch,
         links::{EncodeFault, PeerLinks, Queued},
         open_requests::OpenRequests,
         target_pool::TargetPool,
     },
     crate::clock::Clock,
-    async_channel::{Receiver, Sender},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -47,8 +47,12 @@
     serving: Mutex<Serving>,
     seed_peers: Mutex<Vec<SocketAddr>>,
     log: DecisionLines,
-    /// Closed once the instance has a configuration and targets. Nothing is ever sent on it.
-    ready: (Sender<()>, Receiver<()>),
+    /// Set once the instance has a configuration and targets.
+    ready: Latch,
+    /// Set when the instance leaves and its callers have had time to learn of others.
+    announced: Latch,
+    /// Set when the instance leaves and reads no request any more.
+    closed: Latch,
 }
 
 impl EntryState {
@@ -71,7 +75,9 @@
             metrics,
             serving: Mutex::new(serving),
             log,
-            ready: async_channel::bounded(1),
+            ready: Latch::default(),
+            announced: Latch::default(),
+            closed: Latch::default(),
         }
     }
 
@@ -83,19 +89,40 @@
     /// Wakes waiting requests if the instance is ready. Called after each change from the store or a peer.
     pub fn notify_if_ready(&self) {
         if self.serving().is_ready() {
-            self.ready.0.close();
+            self.ready.set();
         }
     }
 
     /// Returns whether the instance has ever been ready.
     pub fn was_ready(&self) -> bool {
-        self.ready.0.is_closed()
+        self.ready.is_set()
     }
 
     /// Completes when the instance is ready for the first time.
     pub async fn until_ready(&self) {
-        // Nothing is sent, so this completes when the channel is closed.
-        while self.ready.1.recv().await.is_ok() {}
+        self.ready.wait().await;
+    }
+
+    /// Has callers' idle connections close, except those that haven't carried a request yet.
+    pub fn close_idle_connections(&self) {
+        self.announced.set();
+    }
+
+    /// Has all callers' connections close on which no request is being read or served, and refuses what is read after.
+    pub fn close_connections(&self) {
+        self.serving().close();
+        self.announced.set();
+        self.closed.set();
+    }
+
+    /// Completes when an idle connection of a caller is to close. One that hasn't carried a request yet closes last,
+    /// since its caller is about to send one.
+    pub async fn until_idle_connections_close(&self, is_used: bool) {
+        if is_used {
+            self.announced.wait().await;
+        } else {
+            self.closed.wait().await;
+        }
     }
 
     /// Locks the decision state. The guard must not be held across an await.
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -7,7 +7,7 @@
         entry_state::EntryState,
         forward::{ForwardNote, NOT_TAKEN, TakenForward},
         http::{Framing, Input},
-        open_requests::OpenRequest,
+        open_requests::OpenRequestGuard,
         plain_calls::serve_call,
         request_context::{ReadRequest, RequestContext, TimeLimit},
         routing::{ASSUMED_DEADLINE_MS, RETRY_AFTER_DIVISOR, RoutingRejection, route},
@@ -146,16 +146,12 @@
     stream: &TcpStream,
     input: &mut Input,
     request: ReadRequest,
+    open: &OpenRequestGuard<'_>,
     is_last: bool,
 ) -> bool {
     state.metrics.record_request_started();
     let arrived = request.arrived;
-    let answer = CallerAnswer::new(stream, is_last);
-    let open = state.open_requests.begin(OpenRequest {
-        id: String::new(),
-        arrived,
-        progress: answer.shared_progress(),
-    });
+    let answer = CallerAnswer::with_progress(stream, is_last, open.progress());
     let (request_id, ended) = match read_caller_head(request.head.pairs()) {
         Ok(caller) => {
             open.set_id(&caller.request_id);
@@ -254,7 +250,32 @@
             retry_after_ms,
         }) => return RequestEnd::error(answer, status, &message, retry_after_ms).await,
     };
-    serve(state, stream, input, &context, answer).await
+    if let Err(retry_after_ms) = admit_before_exit(state, &context) {
+        let message = "this instance is leaving: use another one";
+        let max_ms = context.deadline.since(context.arrived) / RETRY_AFTER_DIVISOR;
+        let retry_after_ms = Some(retry_after_ms.min(max_ms));
+        return RequestEnd::error(answer, 503, message, retry_after_ms).await;
+    }
+    let ended = serve(state, stream, input, &context, answer).await;
+    if ended.outcome == "answered" {
+        let now = state.now();
+        let took_ms = now.since(context.arrived);
+        state
+            .serving()
+            .record_answer_duration(now, &context.route.name, took_ms);
+    }
+    ended
+}
+
+/// Decides whether a request is served by this instance, which may be leaving.
+///
+/// # Errors
+/// The time after which its caller finds another instance, in ms.
+fn admit_before_exit(state: &EntryState, context: &RequestContext) -> Result<(), u64> {
+    let now = state.now();
+    state
+        .serving()
+        .admit_before_exit(now, &context.route.name, context.deadline)
 }
 
 /// Serves until the answer is complete, the caller disconnects or the deadline is near. In the last two
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -20,19 +20,29 @@
     },
     async_std::task::{self, JoinHandle},
     std::{env, fs, path::PathBuf, sync::Arc},
-    whinlatch_platform::{InstanceSettings, SETTINGS_VARIABLE, read_settings},
-    whinlatch_serving::{Serving, StoreRole, fleet::Member, mechanism::DisabledMechanisms},
+    whinlatch_platform::{ENTRY_TTL_S, InstanceSettings, SETTINGS_VARIABLE, read_settings},
+    whinlatch_serving::{
+        Serving, StoreRole,
+        fleet::Member,
+        mechanism::DisabledMechanisms,
+        shutdown::{Shutdown, ShutdownRule},
+    },
 };
 
 /// Time between two checks whether a leaving instance is idle, in ms.
 const IDLE_CHECK_INTERVAL_MS: u64 = 50;
-/// Time for which an instance accepts requests after the signal to stop even if it is idle, in ms: callers
-/// use an address list for up to three times its TTL of one second, and still connect until then.
-const MIN_LEAVE_MS: u64 = 3_600;
+/// Number of times the TTL of an address list for which some callers use it.
+const LIST_TTLS: u64 = 3;
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
+/// Time between two checks whether the connections of a leaving instance are closed, in ms.
+const CLOSE_CHECK_INTERVAL_MS: u64 = 5;
+/// Time after the latest exit until which connections may close, in ms; the platform kills the process later.
+const CLOSE_MARGIN_MS: u64 = 100;
+/// Longest time for which a leaving instance waits for its callers' connections to close, in ms.
+const CLOSE_TIMEOUT_MS: u64 = 200;
 /// Time between two reads of the settings file, in ms: it may change without a signal.
 const SETTINGS_REREAD_INTERVAL_MS: u64 = 5_000;
-/// The process exits by itself this long before the platform would kill it, in ms.
-const KILL_MARGIN_MS: u64 = 300;
 
 /// Options of the command line for an entry instance.
 #[derive(Debug, Clone, Default)]
@@ -159,34 +169,53 @@
         self.state.serving().live_peer_count(self.state.now())
     }
 
-    /// Leaves the fleet: announces it to the peers immediately, and serves requests until none are open and
-    /// callers have had time to learn new addresses, or until shortly before the platform's kill.
+    /// Leaves the fleet: announces it to the peers immediately, and serves requests that can be finished until none are
+    /// open and callers have had time to learn new addresses, or until shortly before the platform's kill.
     pub async fn leave(&self) {
         let state = &self.state;
-        let began_at = state.now();
-        let left_ms = state.settings.shutdown_ms.saturating_sub(KILL_MARGIN_MS);
+        let rule = ShutdownRule {
+            grace_ms: state.settings.shutdown_ms,
+            list_use_ms: LIST_TTLS * ENTRY_TTL_S * MS_PER_S,
+        };
+        let shutdown = Shutdown::begin(state.now(), rule);
+        let left_ms = shutdown.exits_at().since(state.now());
         state.log(&Decision::Stopping { left_ms });
-        state.serving().leave();
-        loop {
+        state.serving().leave(state.now(), rule);
+        while !shutdown.is_over(state.now(), state.open_requests.count()) {
             state.clock.sleep(IDLE_CHECK_INTERVAL_MS).await;
-            let passed_ms = state.now().since(began_at);
-            let open_requests = state.metrics.open_requests();
-            if passed_ms >= left_ms || (open_requests == 0 && passed_ms >= MIN_LEAVE_MS) {
-                self.log_end(open_requests);
-                state.flush_log().await;
-                return;
+            if state.now() >= shutdown.announced_at() {
+                state.close_idle_connections();
             }
         }
+        self.close_connections(&shutdown).await;
+        self.log_end();
+        state.flush_log().await;
+    }
+
+    /// Closes callers' connections on which no request is being served, and waits a limited time for all to end.
+    ///
+    /// Guards against a request that is read, or even sent to a target, between the decision to exit and the exit.
+    async fn close_connections(&self, shutdown: &Shutdown) {
+        let state = &self.state;
+        state.close_connections();
+        let latest = shutdown.exits_at() + CLOSE_MARGIN_MS;
+        let closes_until = latest.min(state.now() + CLOSE_TIMEOUT_MS);
+        while state.open_requests.connections() > 0 && state.now() < closes_until {
+            state.clock.sleep(CLOSE_CHECK_INTERVAL_MS).await;
+        }
     }
 
     /// Logs the end of the process, and each request that it cuts off.
-    fn log_end(&self, open_requests: usize) {
+    fn log_end(&self) {
         let state = &self.state;
-        for request in state.open_requests.list() {
+        let open_requests = state.open_requests.list();
+        for request in &open_requests {
             let took_ms = state.now().since(request.arrived);
-            state.log(&Decision::cut_off(&request, took_ms));
+            state.log(&Decision::cut_off(request, took_ms));
         }
-        state.log(&Decision::Stopped { open_requests });
+        state.log(&Decision::Stopped {
+            open_requests: open_requests.len(),
+        });
     }
 
     /// Applies settings that were read again. New seeds are used immediately; all else takes effect at
--- a/crates/serving/src/catalog/configuration.rs
+++ b/crates/serving/src/catalog/configuration.rs
@@ -87,6 +87,12 @@
             .ok_or(RouteError::NoRoute)
     }
 
+    /// Returns whether there is a route of this name.
+    pub fn has_route_named(&self, name: &str) -> bool {
+        let mut routes = self.routes.values().flatten();
+        routes.any(|route| route.name == name)
+    }
+
     /// Returns the account and priority that belong to a key; `None` where the request has no valid key and
     /// needs none: the route is public, or no account is published.
     ///
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reach;
 pub mod relays;
 pub mod retries;
+pub mod shutdown;
 pub mod targets;
 
 mod serving;
--- a/crates/serving/src/serving/configured.rs
+++ b/crates/serving/src/serving/configured.rs
@@ -37,6 +37,8 @@
             version: configuration.version,
             text,
         };
+        self.durations
+            .retain(|route| configuration.has_route_named(route));
         self.configuration = Some(Arc::new(configuration));
         self.published = Some(published);
         true
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -46,5 +46,7 @@
 mod retries;
 #[path = "serving/shared_calls.rs"]
 mod shared_calls;
+#[path = "serving/shutdown.rs"]
+mod shutdown;
 #[path = "serving/targets.rs"]
 mod targets;
--- a/crates/serving/tests/serving/fixture.rs
+++ b/crates/serving/tests/serving/fixture.rs
@@ -12,6 +12,7 @@
         names::{AccountId, ServiceName, SharedParts},
         placement::{Candidate, PromptShape},
         retries::FleetBudgetRule,
+        shutdown::ShutdownRule,
         targets::{TargetChange, TargetEntry, TargetState},
     },
     xxhash_rust::xxh3::xxh3_64,
@@ -20,6 +21,12 @@
 /// A time well after the start of the process.
 pub const START: MonoMs = MonoMs(100_000);
 
+/// How an instance shuts down: the grace time and the use of address lists of today's deployments.
+pub const SHUTDOWN: ShutdownRule = ShutdownRule {
+    grace_ms: 8_000,
+    list_use_ms: 3_000,
+};
+
 /// The group of all engines.
 pub const GROUP: EngineGroup = EngineGroup {
     number: 0,
--- /dev/null
+++ b/crates/serving/tests/serving/shutdown.rs
@@ -0,0 +1,89 @@
+//! What a leaving instance still takes, and when it may exit.
+
+use {
+    super::fixture::{SHUTDOWN, START, instance, member},
+    whinlatch_core::MonoMs,
+    whinlatch_serving::{
+        fleet::Frame,
+        shutdown::{AnswerDurations, Shutdown},
+    },
+};
+
+const ROUTE: &str = "r-stream";
+/// Deadline of a request that ends long after the exit.
+const LATE: MonoMs = MonoMs(START.0 + 60_000);
+
+/// Guards against requests that are cut by the exit though they were sent when callers already knew of other instances.
+#[test]
+fn after_the_announcement_only_what_ends_before_the_exit_is_taken() {
+    let shutdown = Shutdown::begin(START, SHUTDOWN);
+    let announced_at = shutdown.announced_at();
+
+    assert!(!shutdown.admits(announced_at, LATE, None));
+    assert!(!shutdown.admits(announced_at, LATE, Some(1)));
+    assert!(shutdown.admits(announced_at, shutdown.exits_at(), Some(10_000)));
+}
+
+/// Guards against refusals of requests of callers that can't know yet of the shutdown, and that would be finished.
+#[test]
+fn before_the_announcement_what_is_usually_finished_by_the_exit_is_taken() {
+    let shutdown = Shutdown::begin(START, SHUTDOWN);
+    let left_ms = shutdown.exits_at().since(START);
+
+    assert!(shutdown.admits(START, LATE, None));
+    assert!(shutdown.admits(START, LATE, Some(left_ms)));
+    assert!(!shutdown.admits(START, LATE, Some(left_ms + 1)));
+}
+
+/// Guards against a request that is read after the decision to exit.
+#[test]
+fn nothing_is_taken_once_connections_close() {
+    let mut shutdown = Shutdown::begin(START, SHUTDOWN);
+
+    shutdown.close();
+
+    assert!(!shutdown.admits(START, START + 1, Some(1)));
+}
+
+/// Guards against an instance that exits while requests are open, and against one that stays though it is idle.
+#[test]
+fn an_instance_exits_when_it_is_idle_and_callers_know_of_others() {
+    let shutdown = Shutdown::begin(START, SHUTDOWN);
+
+    assert!(!shutdown.is_over(START + 3_000, 0));
+    assert!(shutdown.is_over(START + 3_600, 0));
+    assert!(!shutdown.is_over(START + 3_600, 1));
+    assert!(shutdown.is_over(shutdown.exits_at(), 1));
+}
+
+/// Guards against refused callers that wait although another instance is ready, or that come back to nobody.
+#[test]
+fn a_refused_caller_waits_only_while_all_instances_leave() {
+    let mut serving = instance(1, 2);
+    let no_configuration = |_: &str| None;
+    serving.leave(START, SHUTDOWN);
+    let now = START + 3_000;
+
+    let alone = serving.admit_before_exit(now, ROUTE, LATE);
+    let peer = Frame {
+        member: Some(member(2, 8_000)),
+        ..Frame::default()
+    };
+    serving.on_frame(now, 2, peer, no_configuration);
+    let beside_another = serving.admit_before_exit(now, ROUTE, LATE);
+
+    assert!(alone.is_err_and(|retry_after_ms| retry_after_ms > 0));
+    assert_eq!(beside_another, Err(0));
+}
+
+/// Guards against an estimate that forgets long answers at once, or never.
+#[test]
+fn the_longest_recent_answer_of_a_route_counts_for_a_limited_time() {
+    let mut durations = AnswerDurations::default();
+    durations.record(START, ROUTE, 4_000);
+    durations.record(START, ROUTE, 1_000);
+
+    assert_eq!(durations.longest_ms(START + 29_000, ROUTE), Some(4_000));
+    assert_eq!(durations.longest_ms(START + 61_000, ROUTE), None);
+    assert_eq!(durations.longest_ms(START, "r-other"), None);
+}
