--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -145,18 +145,39 @@
     if !input.is_empty() {
         return true;
     }
-    let idle_timeout_ms = limits(state).idle_timeout_ms;
+    let closing = until_idle_connection_closes(state, is_used);
     let filled = input.fill(stream);
-    let filled = timeout(state.clock.as_ref(), idle_timeout_ms, filled);
-    let closing = state.until_idle_connections_close(is_used);
     pin_mut!(filled, closing);
     // Bytes that have arrived are read first, also when the connection is to close.
     match select(filled, closing).await {
-        Either::Left((filled, _)) => matches!(filled, Some(Ok(count)) if count > 0),
+        Either::Left((filled, _)) => matches!(filled, Ok(count) if count > 0),
         Either::Right(((), _)) => false,
     }
 }
 
+/// Completes when a connection that is idle from now on is to close: at the idle timeout of the configuration that is
+/// active by then, or when this instance leaves.
+async fn until_idle_connection_closes(state: &Arc<EntryState>, is_used: bool) {
+    let leaving = state.until_idle_connections_close(is_used);
+    let idle = until_idle_timeout(state);
+    pin_mut!(leaving, idle);
+    select(leaving, idle).await;
+}
+
+/// Guards against a connection that closes by a former, shorter timeout while its caller, which knows the new one, sends
+/// a request on it.
+async fn until_idle_timeout(state: &Arc<EntryState>) {
+    let idle_since = state.now();
+    loop {
+        let idle_ms = state.now().since(idle_since);
+        let left_ms = limits(state).idle_timeout_ms.saturating_sub(idle_ms);
+        if left_ms == 0 {
+            return;
+        }
+        state.clock.sleep(left_ms).await;
+    }
+}
+
 async fn read_head(
     stream: &TcpStream,
     input: &mut Input,
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -24,6 +24,8 @@
 mod frames;
 #[path = "entry/hedges.rs"]
 mod hedges;
+#[path = "entry/idle_connections.rs"]
+mod idle_connections;
 #[path = "entry/leaving.rs"]
 mod leaving;
 #[path = "entry/limits.rs"]
