--- a/crates/serving/src/fleet/ranks.rs
+++ b/crates/serving/src/fleet/ranks.rs
@@ -21,23 +21,35 @@
     hubs: Vec<SocketAddr>,
     /// Instances that serve requests, by descending processor time.
     ready: Vec<SocketAddr>,
+    /// Instances that leave and go on serving what they take until then, by descending processor time.
+    leaving: Vec<SocketAddr>,
     /// Instances of this one's failure domain, by descending processor time.
     in_own_domain: Vec<SocketAddr>,
 }
 
 impl Ranks {
     /// Ranks the live instances, including this one, as seen from a failure domain. Leaving instances get
-    /// no role.
+    /// no role unless all leave.
+    ///
+    /// Guards against instances that all leave at the same time and choose engines without knowing of each other's
+    /// prompts, so that streams take longer than the instances live.
     pub fn new<'a>(
         is_large: bool,
         domain: &FailureDomain,
         alive: impl Iterator<Item = &'a Member>,
     ) -> Self {
-        let mut members: Vec<&Member> = alive.filter(|member| !member.leaving).collect();
-        members.sort_by_cached_key(|member| {
+        let mut alive: Vec<&Member> = alive.collect();
+        alive.sort_by_cached_key(|member| {
             let tie_breaker = hash(0, member.peer_address);
             (Reverse(member.cpu_millis), tie_breaker)
         });
+        let (leaving, staying): (Vec<&Member>, Vec<&Member>) =
+            alive.into_iter().partition(|member| member.leaving);
+        let members = if staying.is_empty() {
+            &leaving
+        } else {
+            &staying
+        };
         let address = |member: &&Member| member.peer_address;
         let hub_count = if is_large { HUB_COUNT } else { 0 };
         Self {
@@ -50,9 +62,10 @@
                 .collect(),
             ready: members
                 .iter()
-                .filter(|member| member.ready)
+                .filter(|member| member.ready || member.leaving)
                 .map(address)
                 .collect(),
+            leaving: leaving.iter().map(address).collect(),
         }
     }
 
@@ -85,13 +98,15 @@
 
     /// Returns the instances that receive all prompts of a group of engines, in an order on which all
     /// instances agree. The first one chooses engines for the instances that aren't among them. In a small
-    /// fleet, all ready instances.
+    /// fleet, all instances that serve requests, also those that leave.
     ///
     /// In a large fleet each instance handles few prompts of its own and must not spend its little
     /// processor time on receiving those of all others.
     pub fn deciders(&self, group: EngineGroup) -> Vec<SocketAddr> {
         if !self.is_large {
-            return self.ready.clone();
+            let is_listed = |address: &&SocketAddr| self.ready.contains(address);
+            let leaving = self.leaving.iter().filter(|address| !is_listed(address));
+            return self.ready.iter().chain(leaving).copied().collect();
         }
         let strongest = self
             .ready
