--- a/crates/daemon/tests/shutdown/exits.rs
+++ b/crates/daemon/tests/shutdown/exits.rs
@@ -56,6 +56,7 @@
 #[test]
 fn a_stream_that_comes_late_to_a_leaving_process_is_not_cut() {
     let two_seconds = EchoStream {
+        begins_after_ms: 0,
         last: 20,
         pause_ms: 100,
         breaks_after: None,
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -27,6 +27,9 @@
 /// Timeout of all routes, in ms: longer than any run of a request that isn't disturbed, and short enough for
 /// several requests of each caller in a run.
 pub const TIMEOUT_MS: u64 = 4_000;
+/// Times after which instances close an idle connection, in ms, in turn by the version of the configuration: the second
+/// is within the longest pause between two requests of a caller.
+const IDLE_TIMEOUTS_MS: [u64; 2] = [60_000, 40];
 /// Tokens that fit into an engine's memory: the largest prompts need the memory of several engines.
 const ENGINE_TOKENS: u64 = 400_000;
 /// Time from the stop signal to the kill that is written to the settings, in s.
@@ -131,6 +134,14 @@
         format!("/probe-{version}/")
     }
 
+    /// Returns the idle timeout of a version, which changes only where instances stop in series.
+    fn idle_timeout_ms(&self, version: u64) -> u64 {
+        match self.stream_pace {
+            StreamPace::Fast => IDLE_TIMEOUTS_MS[0],
+            StreamPace::SomeSlow => IDLE_TIMEOUTS_MS[version as usize % IDLE_TIMEOUTS_MS.len()],
+        }
+    }
+
     /// Publishes a new version of the configuration.
     pub fn publish_configuration(&self) {
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
@@ -138,6 +149,7 @@
             version,
             engine_tokens: ENGINE_TOKENS,
             timeout_ms: TIMEOUT_MS,
+            idle_timeout_ms: self.idle_timeout_ms(version),
             extra_routes: vec![(Self::probe_prefix(version), PLAIN)],
             ..Fixture::default()
         };
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -111,10 +111,10 @@
         fs::rename(written, self.settings_path())
     }
 
-    /// Returns whether the process has logged anything, as it does once it handles signals.
-    fn has_started(&self) -> bool {
-        let length = fs::metadata(self.log_path()).map_or(0, |log| log.len());
-        length > self.log_bytes_before
+    /// Returns whether the process ended by a signal that came before it handled signals: it has logged nothing yet.
+    fn ended_before_start(&self, status: ExitStatus, signal: Signal) -> bool {
+        let log_bytes = fs::metadata(self.log_path()).map_or(0, |log| log.len());
+        status.signal() == Some(signal.as_raw()) && log_bytes == self.log_bytes_before
     }
 
     fn spawn(&mut self) -> io::Result<()> {
@@ -172,11 +172,11 @@
 
     fn check_exit(&self, status: ExitStatus) -> Option<Finding> {
         let is_expected = match self.last_command {
-            LastCommand::Serve => false,
+            LastCommand::Serve => self.ended_before_start(status, Signal::HUP),
             LastCommand::Stop => {
-                let ends_before_start =
-                    status.signal() == Some(Signal::TERM.as_raw()) && !self.has_started();
-                status.success() || ends_before_start
+                status.success()
+                    || self.ended_before_start(status, Signal::TERM)
+                    || self.ended_before_start(status, Signal::HUP)
             }
             LastCommand::Die => true,
         };
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -35,7 +35,8 @@
     TimeOver,
     /// Its target was at work in the last sixth of the grace time, and it was sent soon after the signal.
     OutlastsGrace,
-    /// It reached no target and crossed the close of its connection. Where times are checked, it ends at once.
+    /// It reached no target and crossed the close of its connection, by an instance that leaves or for its idle timeout.
+    /// Where times are checked, it ends at once.
     CrossesClose,
 }
 
@@ -56,14 +57,11 @@
         if may_take_long && took + TIMEOUT_MARGIN >= Duration::from_millis(TIMEOUT_MS) {
             return Some(Excuse::TimeOver);
         }
-        let stop = self.stop_of(request.accepted_by)?;
-        let crosses_close = matches!(request.outcome, Outcome::NotSent | Outcome::Closed)
-            && runs.is_empty()
-            && request.ended_at >= stop.signalled_at
-            && (took < CROSSING_SLACK || !self.are_timed);
-        if crosses_close {
+        let is_closed = matches!(request.outcome, Outcome::NotSent | Outcome::Closed);
+        if is_closed && runs.is_empty() && (took < CROSSING_SLACK || !self.are_timed) {
             return Some(Excuse::CrossesClose);
         }
+        let stop = self.stop_of(request.accepted_by)?;
         outlasts_grace(stop, request, runs).then_some(Excuse::OutlastsGrace)
     }
 
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -35,8 +35,11 @@
 const LIMIT_GRACE: Duration = Duration::from_millis(3_500);
 /// Time between two events of a stream, in ms.
 const EVENT_PAUSE_MS: u64 = 15;
-/// Time between two events of a slow stream, in ms: streams of up to three seconds.
-const SLOW_EVENT_PAUSE_MS: u64 = 150;
+/// Time between two events of a slow stream, in ms.
+const SLOW_EVENT_PAUSE_MS: u64 = 100;
+/// Time from the request to the first event of a slow stream, in ms. With a silence of its target it is longer than the
+/// wait for a first event.
+const SLOW_BEGIN_MS: u64 = 700;
 /// One in this many streams is slow where some are.
 const SLOW_STREAM_INTERVAL: u64 = 3;
 
@@ -45,23 +48,30 @@
 pub enum StreamPace {
     /// A fraction of a second for all.
     Fast,
-    /// Up to three seconds for some, which depends on the request's id alone.
+    /// Up to two and a half seconds for some, which depends on the request's id alone.
     SomeSlow,
 }
 
 impl StreamPace {
-    /// Returns the time between two events of the answer to a prompt, in ms.
-    fn event_pause_ms(self, request_id: &str) -> u64 {
+    /// Returns the answer to a prompt.
+    fn stream(self, request_id: &str) -> EchoStream {
         let is_slow = hash(&format!("pace {request_id}")).is_multiple_of(SLOW_STREAM_INTERVAL);
-        match self {
-            Self::SomeSlow if is_slow => SLOW_EVENT_PAUSE_MS,
-            Self::SomeSlow | Self::Fast => EVENT_PAUSE_MS,
+        let (begins_after_ms, pause_ms) = match self {
+            Self::SomeSlow if is_slow => (SLOW_BEGIN_MS, SLOW_EVENT_PAUSE_MS),
+            Self::SomeSlow | Self::Fast => (0, EVENT_PAUSE_MS),
+        };
+        EchoStream {
+            last: event_count(request_id),
+            begins_after_ms,
+            pause_ms,
+            breaks_after: None,
         }
     }
 
     /// Returns the time for which a target is at work on the answer to a prompt, undisturbed.
     pub fn stream_duration(self, request_id: &str) -> Duration {
-        Duration::from_millis(event_count(request_id) * self.event_pause_ms(request_id))
+        let stream = self.stream(request_id);
+        Duration::from_millis(stream.begins_after_ms + stream.last * stream.pause_ms)
     }
 }
 
@@ -230,13 +240,11 @@
         },
     );
     let is_engine = engine_pace.is_some();
-    let pause_ms = engine_pace.map_or(EVENT_PAUSE_MS, |pace| pace.event_pause_ms(id));
     let last = event_count(id);
     let stream = |breaks_after| {
         Behaviour::EchoStream(EchoStream {
-            last,
-            pause_ms,
             breaks_after,
+            ..engine_pace.unwrap_or(StreamPace::Fast).stream(id)
         })
     };
     match trouble {
