--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -35,6 +35,45 @@
 const LIMIT_GRACE: Duration = Duration::from_millis(3_500);
 /// Time between two events of a stream, in ms.
 const EVENT_PAUSE_MS: u64 = 15;
+/// Time between two events of a slow stream, in ms.
+const SLOW_EVENT_PAUSE_MS: u64 = 100;
+/// Time from the request to the first event of a slow stream, in ms. With a silence of its target it is longer than the
+/// wait for a first event.
+const SLOW_BEGIN_MS: u64 = 700;
+/// One in this many streams is slow where some are.
+const SLOW_STREAM_INTERVAL: u64 = 3;
+
+/// Time that targets take for a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamPace {
+    /// A fraction of a second for all.
+    Fast,
+    /// Up to two and a half seconds for some, which depends on the request's id alone.
+    SomeSlow,
+}
+
+impl StreamPace {
+    /// Returns the answer to a prompt.
+    fn stream(self, request_id: &str) -> EchoStream {
+        let is_slow = hash(&format!("pace {request_id}")).is_multiple_of(SLOW_STREAM_INTERVAL);
+        let (begins_after_ms, pause_ms) = match self {
+            Self::SomeSlow if is_slow => (SLOW_BEGIN_MS, SLOW_EVENT_PAUSE_MS),
+            Self::SomeSlow | Self::Fast => (0, EVENT_PAUSE_MS),
+        };
+        EchoStream {
+            last: event_count(request_id),
+            begins_after_ms,
+            pause_ms,
+            breaks_after: None,
+        }
+    }
+
+    /// Returns the time for which a target is at work on the answer to a prompt, undisturbed.
+    pub fn stream_duration(self, request_id: &str) -> Duration {
+        let stream = self.stream(request_id);
+        Duration::from_millis(stream.begins_after_ms + stream.last * stream.pause_ms)
+    }
+}
 
 /// Returns the number of events of the answer to a prompt, which depends on the request's id alone.
 pub fn event_count(request_id: &str) -> u64 {
@@ -107,13 +146,17 @@
     pub fn start(
         id: String,
         is_engine: bool,
+        stream_pace: StreamPace,
         observations: &Arc<Observations>,
     ) -> io::Result<Self> {
         let trouble = Arc::new(Mutex::new(None));
         let standin = TargetStandin::start_choosing(&id, {
             let (trouble, observations, id) =
                 (Arc::clone(&trouble), Arc::clone(observations), id.clone());
-            move |request| choose_behaviour(request, &id, is_engine, *lock(&trouble), &observations)
+            let engine_pace = is_engine.then_some(stream_pace);
+            move |request| {
+                choose_behaviour(request, &id, engine_pace, *lock(&trouble), &observations)
+            }
         });
         Ok(Self {
             relay: start_relay(standin.address())?,
@@ -168,11 +211,11 @@
     }
 }
 
-/// Records an executed request, and returns the behaviour towards it.
+/// Records an executed request, and returns the behaviour towards it. Only engines have a pace.
 fn choose_behaviour(
     request: &Request,
     target: &str,
-    is_engine: bool,
+    engine_pace: Option<StreamPace>,
     trouble: Option<TargetTrouble>,
     observations: &Observations,
 ) -> Behaviour {
@@ -196,12 +239,12 @@
             at: Instant::now(),
         },
     );
+    let is_engine = engine_pace.is_some();
     let last = event_count(id);
     let stream = |breaks_after| {
         Behaviour::EchoStream(EchoStream {
-            last,
-            pause_ms: EVENT_PAUSE_MS,
             breaks_after,
+            ..engine_pace.unwrap_or(StreamPace::Fast).stream(id)
         })
     };
     match trouble {
