--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -103,7 +103,7 @@
     /// Time by which the answer must be complete.
     pub deadline: MonoMs,
     /// Time after which the attempt must not be sent, checked again when its bytes are written; then
-    /// `NotSent` is reported. Guards against a process that is paused between decision and write.
+    /// `Stale` is reported. Guards against a process that is paused between decision and write.
     pub send_before: MonoMs,
     /// Priority at the engine: 0 is most urgent, 9 least.
     pub priority: u8,
--- a/crates/core/src/core/on_attempt.rs
+++ b/crates/core/src/core/on_attempt.rs
@@ -39,6 +39,7 @@
                 self.end_attempt(attempt, AttemptEnd::NotRun);
                 self.try_again(now, request, Reason::TargetLost, "nothing was sent");
             }
+            AttemptEvent::Stale => self.on_stale(now, request, attempt),
             AttemptEvent::Refused(refusal) if refusal.attempt == attempt => {
                 self.on_refused(now, request, &refusal);
             }
@@ -84,6 +85,17 @@
         self.finish(now, request, kind, Reason::Done, message, None);
     }
 
+    /// Decides again on a request whose dispatch was too old to be sent.
+    ///
+    /// Guards against a request that is refused although its targets are sound: a busy daemon needs longer
+    /// than `send_before` to encode or connect, and each such dispatch would use up an attempt.
+    fn on_stale(&mut self, now: MonoMs, request: RequestId, attempt: AttemptId) {
+        self.end_attempt(attempt, AttemptEnd::Withdrawn);
+        let text = "decided again: the dispatch was too old to be sent".to_owned();
+        self.record_decision(now, Subsystem::Requests, Some(request), text);
+        self.route(now, request);
+    }
+
     fn on_refused(&mut self, now: MonoMs, request: RequestId, refusal: &Refusal) {
         let Some(in_flight) = self.end_attempt(refusal.attempt, attempt_end(refusal.reason)) else {
             return;
--- a/crates/core/src/core/on_submit.rs
+++ b/crates/core/src/core/on_submit.rs
@@ -116,7 +116,7 @@
         let Some(entry) = self.requests.get(request) else {
             return;
         };
-        if entry.tried.is_empty() {
+        if !entry.was_dispatched() {
             self.retries
                 .record_first_attempt(now, &entry.submission.account);
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -145,8 +145,10 @@
 /// Progress or end of an attempt.
 #[derive(Debug, Clone)]
 pub enum AttemptEvent {
-    /// No byte was written: the connection was refused, or `send_before` had passed.
+    /// No byte was written, because the connection was refused.
     NotSent,
+    /// No byte was written, because `send_before` had passed.
+    Stale,
     /// The target refused the attempt without running it.
     Refused(Refusal),
     /// The first chunk of the answer arrived.
--- a/crates/core/src/requests/request.rs
+++ b/crates/core/src/requests/request.rs
@@ -29,6 +29,8 @@
     /// Whether a target may have run an attempt that has ended.
     pub(super) may_have_run_before: bool,
     pub(super) caller_gone: bool,
+    /// Number of dispatches, including withdrawn ones.
+    dispatches: u32,
 }
 
 /// State of a request.
@@ -73,6 +75,7 @@
             phase: Phase::Queued,
             may_have_run_before: false,
             caller_gone: false,
+            dispatches: 0,
             submission,
         }
     }
@@ -115,8 +118,14 @@
         self.caller_gone
     }
 
+    /// Returns whether an attempt was dispatched before, also if it was withdrawn.
+    pub fn was_dispatched(&self) -> bool {
+        self.dispatches > 0
+    }
+
     pub(super) fn begin(&mut self, in_flight: InFlightAttempt) {
         self.tried.push(in_flight.target.clone());
+        self.dispatches += 1;
         self.phase = Phase::InFlight(in_flight);
     }
 
@@ -124,7 +133,11 @@
         let Phase::InFlight(in_flight) = std::mem::replace(&mut self.phase, Phase::Queued) else {
             return None;
         };
-        self.may_have_run_before |= end == AttemptEnd::MayHaveRun;
+        match end {
+            AttemptEnd::NotRun => {}
+            AttemptEnd::Withdrawn => drop(self.tried.pop()),
+            AttemptEnd::MayHaveRun => self.may_have_run_before = true,
+        }
         Some(in_flight)
     }
 }
--- a/crates/core/tests/requests_retries.rs
+++ b/crates/core/tests/requests_retries.rs
@@ -11,6 +11,9 @@
     },
 };
 
+/// Dispatches of one request; more than the retries that an account is always allowed.
+const MORE_THAN_THE_BUDGET: usize = 20;
+
 /// Guards against retries that amplify an outage: all engines fail, each request is sent three times,
 /// and the fleet gets three times the load when it can handle least.
 #[test]
@@ -86,3 +89,21 @@
 
     assert_ne!(dispatches(&actions)[0].target, dispatch.target);
 }
+
+/// Guards against a call that ends as refused although its services are sound: the daemon is so busy that
+/// each dispatch is too old to be sent by the time its call is encoded.
+#[test]
+fn a_dispatch_that_is_too_old_to_be_sent_uses_up_no_attempt() {
+    let mut bench = bench();
+    let (_, _, mut dispatch) = bench.label_in_flight();
+    for _ in 0..MORE_THAN_THE_BUDGET {
+        bench.advance(1_100);
+
+        let actions = bench.attempt(dispatch.attempt, AttemptEvent::Stale);
+
+        assert!(finished(&actions).is_empty(), "{:?}", finished(&actions));
+        dispatch = dispatches(&actions)[0].clone();
+    }
+    let actions = bench.attempt(dispatch.attempt, AttemptEvent::Completed);
+    assert_eq!(finished(&actions)[0].outcome, OutcomeKind::Completed);
+}
--- a/crates/daemon/src/targets/gate.rs
+++ b/crates/daemon/src/targets/gate.rs
@@ -42,6 +42,11 @@
         self.written.load(Ordering::SeqCst)
     }
 
+    /// Returns whether no byte was sent and none will be, because the time to send has passed.
+    pub fn is_closed(&self) -> bool {
+        !self.may_have_sent() && self.clock.now() > self.send_before
+    }
+
     /// Wraps a connection, whose writes are checked from then on.
     pub fn guard(&self, stream: GuardedStream) -> GatedStream {
         GatedStream {
@@ -54,7 +59,7 @@
         if self.may_have_sent() {
             return Ok(());
         }
-        if self.clock.now() > self.send_before {
+        if self.is_closed() {
             let message = "the time to send this dispatch has passed: decide again";
             return Err(io::Error::new(io::ErrorKind::TimedOut, message));
         }
--- a/crates/daemon/src/targets/generate.rs
+++ b/crates/daemon/src/targets/generate.rs
@@ -98,7 +98,7 @@
 }
 
 /// Sends the request of an attempt and reads the head of its answer. Fails with
-/// [`AttemptEvent::NotSent`] only if no byte was written.
+/// [`AttemptEvent::NotSent`] or [`AttemptEvent::Stale`] only if no byte was written.
 pub async fn send<T: serde::Serialize>(
     shared: &Shared,
     dispatch: &Dispatch,
@@ -119,6 +119,8 @@
         .map_err(|_broken| {
             if gate.may_have_sent() {
                 AttemptEvent::Broken { chunks: 0 }
+            } else if gate.is_closed() {
+                AttemptEvent::Stale
             } else {
                 AttemptEvent::NotSent
             }
--- a/crates/daemon/tests/daemon/leaving.rs
+++ b/crates/daemon/tests/daemon/leaving.rs
@@ -50,6 +50,8 @@
     let refused = send_and_read(&daemon, label_call(&daemon, &body, None)).await;
     let call = label_call(&daemon, &body, refused.outcome.ticket);
     let response = send(&daemon, call).await;
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.len(), Some("ran ".len() + body.len()));
 
     daemon.stop().await;
     daemon.stopped().await;
