--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -51,6 +51,8 @@
     started_at: MonoMs,
     last_event_at: MonoMs,
     leaving_since: Option<MonoMs>,
+    /// Whether the process exits without waiting for callers to drop this daemon's address.
+    is_aborted: bool,
     stopped: bool,
     refresh: Option<ResumeRefresh>,
     next_orders_at: MonoMs,
@@ -88,6 +90,7 @@
             started_at: now,
             last_event_at: now,
             leaving_since: None,
+            is_aborted: false,
             stopped: false,
             refresh: None,
             next_orders_at: now,
@@ -133,6 +136,7 @@
             Event::CallerGone { request } => self.on_caller_gone(now, request),
             Event::Target { target, event } => self.on_target(now, &target, event),
             Event::Stop => self.on_stop(now),
+            Event::Abort => self.on_abort(now),
         }
         self.send_loads(now);
         std::mem::take(&mut self.actions)
--- a/crates/core/src/core/on_stop.rs
+++ b/crates/core/src/core/on_stop.rs
@@ -21,12 +21,27 @@
         );
     }
 
+    /// Ends all requests, because the process exits before they are finished.
+    ///
+    /// Guards against callers that see their connections break and can't tell whether their requests ran.
+    pub(super) fn on_abort(&mut self, now: MonoMs) {
+        self.on_stop(now);
+        self.is_aborted = true;
+        for request in self.requests.ids() {
+            let message = "this daemon exits before the request is finished: use another entry";
+            self.give_up(now, request, Reason::Leaving, message);
+        }
+        self.stop_if_idle(now);
+    }
+
     /// Returns whether new requests are refused: this daemon is leaving, and callers have had time to drop
-    /// its address.
+    /// its address or will get none.
     pub(super) fn refuses_new(&self, now: MonoMs) -> bool {
         let ttl_ms = self.records.in_force().policy().entries_ttl_ms;
-        self.leaving_since
-            .is_some_and(|since| now.since(since) > ttl_ms)
+        let is_announced = self
+            .leaving_since
+            .is_some_and(|since| now.since(since) > ttl_ms);
+        self.is_aborted || is_announced
     }
 
     pub(super) fn refuse_leaving(&mut self, now: MonoMs, request: RequestId) {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,8 @@
     /// The process was asked to stop: requests in flight are finished, new ones are refused once
     /// callers have had time to drop this daemon's address.
     Stop,
+    /// The process exits shortly: requests without a final outcome end with what is known of them.
+    Abort,
 }
 
 /// End of a request that was forwarded to the home of its ticket.
--- a/crates/core/src/requests/request_table.rs
+++ b/crates/core/src/requests/request_table.rs
@@ -140,6 +140,14 @@
         })
     }
 
+    /// Returns all requests, the one with the earliest deadline first.
+    pub fn ids(&self) -> Vec<RequestId> {
+        self.by_deadline
+            .iter()
+            .map(|(_, request)| *request)
+            .collect()
+    }
+
     /// Returns the number of requests, in all phases.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/crates/core/tests/requests_drain.rs
+++ b/crates/core/tests/requests_drain.rs
@@ -104,6 +104,45 @@
     assert_eq!(count_stopped(&after), 1);
 }
 
+/// Guards against callers that get no outcome when the process must exit, and against `not_run` for what a
+/// target may have run.
+#[test]
+fn an_aborted_daemon_ends_each_request_with_what_is_known() {
+    let mut bench = bench();
+    let (ticket, call, _) = bench.label_in_flight();
+    let again = bench.label(Some(ticket));
+    let attached = again.request;
+    bench.submit(again);
+    let prompt = bench.prompt(1);
+    let in_flight = prompt.request;
+    bench.submit(prompt);
+    bench.now += 5_000;
+    let late = bench.prompt(2);
+    let held = late.request;
+    bench.submit(late);
+
+    let aborted = bench.event(Event::Abort);
+    let after = bench.prompt(3);
+    let refused = bench.submit(after);
+
+    let mut ended: Vec<_> = finished(&aborted)
+        .iter()
+        .map(|outcome| (outcome.request, outcome.outcome, outcome.reason))
+        .collect();
+    ended.sort_by_key(|(request, ..)| *request);
+    assert_eq!(
+        ended,
+        [
+            (call, OutcomeKind::Unknown, Reason::Leaving),
+            (attached, OutcomeKind::Unknown, Reason::Leaving),
+            (in_flight, OutcomeKind::Unknown, Reason::Leaving),
+            (held, OutcomeKind::NotRun, Reason::Leaving),
+        ]
+    );
+    assert_eq!(count_stopped(&aborted), 1);
+    assert_eq!(finished(&refused)[0].reason, Reason::Leaving);
+}
+
 /// Guards against a second run: a stopping daemon refuses a request as `not_run`, but leaves its unused
 /// ticket open, so that a later request under the ticket would run.
 #[test]
--- a/crates/daemon/src/app/daemon.rs
+++ b/crates/daemon/src/app/daemon.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         callers::{self, AnswerStore, OpenRequests},
-        clock::Clock,
+        clock::{Clock, timeout},
         control::{ControlHandle, ControlMessage, ControlOptions, ControlThread},
         entropy::{random_u64, random_u128},
         errors::DaemonError,
@@ -21,6 +21,10 @@
 /// Messages queued for the control thread.
 const MESSAGE_QUEUE_LEN: usize = 4_096;
 
+/// Time at the end of a shutdown for writing the outcomes of requests that were not finished, in ms; half of a
+/// shorter shutdown.
+const OUTCOMES_MS: u64 = 1_000;
+
 /// Start options of a daemon.
 #[derive(Debug)]
 pub struct DaemonOptions {
@@ -121,6 +125,30 @@
             .await;
     }
 
+    /// Shuts down gracefully within `shutdown_ms`: finishes requests in flight, and ends those that take longer
+    /// with what is known of them, so that their callers get an outcome before the process exits. Returns whether
+    /// all answers were written.
+    pub async fn shut_down(&mut self, shutdown_ms: u64) -> bool {
+        let clock = Arc::clone(&self.shared.clock);
+        let outcomes_ms = OUTCOMES_MS.min(shutdown_ms / 2);
+        self.stop().await;
+        let finished = self.wait_until_stopped();
+        let finishing_ms = shutdown_ms - outcomes_ms;
+        if timeout(clock.as_ref(), finishing_ms, finished)
+            .await
+            .is_some()
+        {
+            return true;
+        }
+        log::warn!("app: the graceful shutdown takes too long, requests in flight are ended");
+        self.shared
+            .control
+            .send(ControlMessage::Event(Event::Abort))
+            .await;
+        let ended = self.wait_until_stopped();
+        timeout(clock.as_ref(), outcomes_ms, ended).await.is_some()
+    }
+
     /// Waits until the daemon is leaving and has no request in flight.
     pub async fn stopped(&self) {
         // Nothing is ever sent: the control thread closes the channel.
--- a/crates/daemon/src/app/run.rs
+++ b/crates/daemon/src/app/run.rs
@@ -5,7 +5,7 @@
         signals::{ProcessSignal, process_signals},
     },
     crate::{
-        clock::{Clock, SystemClock, timeout},
+        clock::{Clock, SystemClock},
         conf,
         entry::{self, EntryOptions},
         errors::DaemonError,
@@ -52,18 +52,11 @@
     logs::set_up(&settings.log)?;
     let shutdown_ms = settings.shutdown_ms;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
-    let options = DaemonOptions {
-        settings,
-        clock: Arc::clone(&clock),
-    };
-    task::block_on(serve(options, clock, shutdown_ms))
+    let options = DaemonOptions { settings, clock };
+    task::block_on(serve(options, shutdown_ms))
 }
 
-async fn serve(
-    options: DaemonOptions,
-    clock: Arc<dyn Clock>,
-    shutdown_ms: u64,
-) -> Result<(), DaemonError> {
+async fn serve(options: DaemonOptions, shutdown_ms: u64) -> Result<(), DaemonError> {
     let signals = process_signals()?;
     let mut daemon = Daemon::start(options).await?;
     println!(
@@ -72,10 +65,8 @@
         daemon.peer_address()
     );
     wait_for_stop(&daemon, &signals).await;
-    daemon.stop().await;
-    let ended = timeout(clock.as_ref(), shutdown_ms, daemon.wait_until_stopped()).await;
-    if ended.is_none() {
-        log::warn!("app: the graceful shutdown timed out, requests in flight are aborted");
+    if !daemon.shut_down(shutdown_ms).await {
+        log::warn!("app: the graceful shutdown timed out, answers being written are cut off");
     }
     Ok(())
 }
