--- a/crates/core/src/core/on_stop.rs
+++ b/crates/core/src/core/on_stop.rs
@@ -34,6 +34,11 @@
         self.stop_if_idle(now);
     }
 
+    /// Returns whether this daemon is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
     /// Returns whether new requests are refused: this daemon is leaving, and callers have had time to drop
     /// its address or will get none.
     pub(super) fn refuses_new(&self, now: MonoMs) -> bool {
--- a/crates/daemon/src/app/daemon.rs
+++ b/crates/daemon/src/app/daemon.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        callers::{self, AnswerStore, OpenRequests},
+        callers::{self, AnswerStore, OpenConnections, OpenRequests},
         clock::{Clock, timeout},
         control::{ControlHandle, ControlMessage, ControlOptions, ControlThread},
         entropy::{random_u64, random_u128},
@@ -21,6 +21,9 @@
 /// Messages queued for the control thread.
 const MESSAGE_QUEUE_LEN: usize = 4_096;
 
+/// Longest time for which a stopped daemon waits for its callers' connections to close, in ms: twice as long as a
+/// connection lingers after its last answer.
+const CLOSE_TIMEOUT_MS: u64 = 2_000;
 /// Time at the end of a shutdown for writing the outcomes of requests that were not finished, in ms; half of a
 /// shorter shutdown.
 const OUTCOMES_MS: u64 = 1_000;
@@ -74,6 +77,7 @@
             metrics: Arc::clone(&metrics),
             answers: AnswerStore::default(),
             open_requests: OpenRequests::new(Arc::clone(&metrics)),
+            open_connections: OpenConnections::default(),
         });
         let (stopped, stopped_receiver) = async_channel::bounded(1);
         ControlThread::spawn(ControlOptions {
@@ -130,23 +134,22 @@
     /// all answers were written.
     pub async fn shut_down(&mut self, shutdown_ms: u64) -> bool {
         let clock = Arc::clone(&self.shared.clock);
+        let exits_at = clock.now() + shutdown_ms;
         let outcomes_ms = OUTCOMES_MS.min(shutdown_ms / 2);
         self.stop().await;
-        let finished = self.wait_until_stopped();
-        let finishing_ms = shutdown_ms - outcomes_ms;
-        if timeout(clock.as_ref(), finishing_ms, finished)
-            .await
-            .is_some()
-        {
-            return true;
+        let finished = self.wait_for_answers();
+        let finished = timeout(clock.as_ref(), shutdown_ms - outcomes_ms, finished).await;
+        let mut all_written = finished.is_some();
+        if !all_written {
+            log::warn!("app: the graceful shutdown takes too long, requests in flight are ended");
+            let control = &self.shared.control;
+            control.send(ControlMessage::Event(Event::Abort)).await;
+            let ended = self.wait_for_answers();
+            all_written = timeout(clock.as_ref(), outcomes_ms, ended).await.is_some();
         }
-        log::warn!("app: the graceful shutdown takes too long, requests in flight are ended");
-        self.shared
-            .control
-            .send(ControlMessage::Event(Event::Abort))
-            .await;
-        let ended = self.wait_until_stopped();
-        timeout(clock.as_ref(), outcomes_ms, ended).await.is_some()
+        let left_ms = exits_at.since(clock.now());
+        self.close_connections(left_ms.min(CLOSE_TIMEOUT_MS)).await;
+        all_written
     }
 
     /// Waits until the daemon is leaving and has no request in flight.
@@ -156,12 +159,24 @@
     }
 
     /// Waits until a leaving daemon has no request in flight, stops listening, and waits until the
-    /// last answer is written.
+    /// last answer is written and, for a limited time, until callers' connections are closed.
     pub async fn wait_until_stopped(&mut self) {
+        self.wait_for_answers().await;
+        self.close_connections(CLOSE_TIMEOUT_MS).await;
+    }
+
+    async fn wait_for_answers(&mut self) {
         self.stopped().await;
         self.listeners.clear();
         self.shared.open_requests.wait_for_end().await;
     }
+
+    /// Closes callers' connections on which no request is being served, and waits for all to end. One on which
+    /// half a request has arrived may stay open.
+    async fn close_connections(&self, limit_ms: u64) {
+        let ended = self.shared.open_connections.wait_for_end();
+        let _ended = timeout(self.shared.clock.as_ref(), limit_ms, ended).await;
+    }
 }
 
 impl Drop for Daemon {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod hangup;
 mod listener;
+mod open_connections;
 mod open_requests;
 mod pages;
 mod refusal;
@@ -19,6 +20,7 @@
 pub use {
     answer_store::AnswerStore,
     listener::serve,
+    open_connections::OpenConnections,
     open_requests::{OpenRequest, OpenRequests},
     refusal::reason_name,
 };
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -22,8 +22,8 @@
 
 /// HTTP status of a request that wasn't received in time.
 const REQUEST_TIMEOUT: u16 = 408;
-/// Time for which bytes of a refused caller are read and discarded, in ms, so that it can read the
-/// refusal before its connection is reset.
+/// Time for which bytes of a caller are read and discarded after its last answer, in ms, so that it can read the
+/// answer before its connection is reset.
 const LINGER_MS: u64 = 1_000;
 
 /// The result of reading a request.
@@ -37,7 +37,11 @@
 
 /// Serves the requests of a caller's connection in sequence, until it closes.
 pub async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+    let open = shared.open_connections.open();
     while serve_one(&shared, &stream).await {}
+    // The process may exit as soon as no connection counts as open.
+    drop(stream);
+    drop(open);
 }
 
 /// Serves one request. Returns whether the connection stays open for another.
@@ -65,6 +69,9 @@
 
 async fn read_request(shared: &Shared, stream: &TcpStream) -> Incoming {
     let limits = &shared.settings.limits;
+    if !begins(shared, stream).await {
+        return Incoming::Closed;
+    }
     let head = match read_head(stream, limits.max_header_bytes).await {
         Ok(head) => head,
         Err(HeadError::Closed) => return Incoming::Closed,
@@ -81,6 +88,16 @@
     }
 }
 
+/// Waits for the next request. Returns `false` if the connection is to close because the daemon exits; bytes that
+/// have arrived are read first.
+async fn begins(shared: &Shared, stream: &TcpStream) -> bool {
+    let mut byte = [0_u8; 1];
+    let arrived = stream.peek(&mut byte);
+    let closing = shared.open_connections.closing();
+    pin_mut!(arrived, closing);
+    matches!(select(arrived, closing).await, Either::Left(_))
+}
+
 async fn read_full_body(mut request: Request, max_bytes: u64) -> Incoming {
     let expected = request.len();
     if expected.is_some_and(|length| length as u64 > max_bytes) {
@@ -115,7 +132,7 @@
     request: &Request,
     body: Vec<u8>,
 ) -> bool {
-    let Some(_open) = shared.open_requests.open() else {
+    let Some(open) = shared.open_requests.open() else {
         let message = "this daemon is shutting down: use another entry";
         let refusal = Refusal::new(Reason::Leaving, message).retry_after_ms(0);
         refuse(shared, stream, refusal).boxed().await;
@@ -136,13 +153,27 @@
             }
         }
     };
-    let written = write(shared, stream, answer, request.method()).await;
-    written && !wants_close(request)
+    let is_leaving = shared.open_connections.is_leaving();
+    let written = write(shared, stream, answer, request.method(), is_leaving).await;
+    drop(open);
+    if written && is_leaving {
+        linger(shared, stream).await;
+    }
+    written && !is_leaving && !wants_close(request)
 }
 
-async fn write(shared: &Shared, stream: &TcpStream, answer: Answer, method: Method) -> bool {
+async fn write(
+    shared: &Shared,
+    stream: &TcpStream,
+    answer: Answer,
+    method: Method,
+    is_last: bool,
+) -> bool {
     let limit_ms = shared.settings.limits.write_timeout_ms;
-    let response = answer.into_response();
+    let mut response = answer.into_response();
+    if is_last {
+        response.insert_header(CONNECTION, "close");
+    }
     write_answer(shared.clock.as_ref(), stream, response, method, limit_ms)
         .await
         .is_ok()
@@ -154,9 +185,7 @@
         .is_some_and(|value| value.last().as_str().eq_ignore_ascii_case("close"))
 }
 
-/// Answers a request that wasn't read completely and closes the connection. Further bytes are read
-/// and discarded for up to [`LINGER_MS`]: closing immediately would reset the connection, and the
-/// caller would see the reset instead of the refusal.
+/// Answers a request that wasn't read completely and closes the connection.
 pub async fn refuse(shared: &Shared, stream: &TcpStream, refusal: Refusal) {
     let limit_ms = shared.settings.limits.write_timeout_ms;
     let mut response = Answer::Ended(refusal).into_response();
@@ -165,9 +194,14 @@
     let mut out = stream.clone();
     let written = futures::io::copy(encoder, &mut out);
     let written = timeout(shared.clock.as_ref(), limit_ms, written).await;
-    if !matches!(written, Some(Ok(_))) {
-        return;
+    if matches!(written, Some(Ok(_))) {
+        linger(shared, stream).await;
     }
+}
+
+/// Closes a connection after its last answer. Bytes that the caller still sends are read and discarded for up to
+/// [`LINGER_MS`]: closing immediately would reset the connection, and the caller could lose the answer.
+async fn linger(shared: &Shared, stream: &TcpStream) {
     // An error means that the connection is closed already.
     let _closed = stream.shutdown(Shutdown::Write);
     let mut discard = futures::io::sink();
--- a/crates/daemon/src/control/control_thread.rs
+++ b/crates/daemon/src/control/control_thread.rs
@@ -165,6 +165,9 @@
         }
         let elapsed_us = shared.clock.now_us() - started_us;
         shared.metrics.record_control_time(elapsed_us);
+        if self.core.is_leaving() {
+            shared.open_connections.set_leaving();
+        }
         if self.executor.stopped {
             self.stopped.close();
         }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        callers::{AnswerStore, OpenRequests},
+        callers::{AnswerStore, OpenConnections, OpenRequests},
         clock::Clock,
         control::ControlHandle,
         metrics::Metrics,
@@ -28,4 +28,6 @@
     pub answers: AnswerStore,
     /// Requests whose answers aren't written yet.
     pub open_requests: OpenRequests,
+    /// Open connections of callers.
+    pub open_connections: OpenConnections,
 }
