--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,8 @@
     /// The process was asked to stop: requests in flight are finished, new ones are refused once
     /// callers have had time to drop this daemon's address.
     Stop,
+    /// The process exits shortly: requests without a final outcome end with what is known of them.
+    Abort,
 }
 
 /// End of a request that was forwarded to the home of its ticket.
@@ -145,8 +147,10 @@
 /// Progress or end of an attempt.
 #[derive(Debug, Clone)]
 pub enum AttemptEvent {
-    /// No byte was written: the connection was refused, or `send_before` had passed.
+    /// No byte was written, because the connection was refused.
     NotSent,
+    /// No byte was written, because `send_before` had passed.
+    Stale,
     /// The target refused the attempt without running it.
     Refused(Refusal),
     /// The first chunk of the answer arrived.
