--- a/crates/daemon/src/entry/placing.rs
+++ b/crates/daemon/src/entry/placing.rs
@@ -10,6 +10,7 @@
     whinlatch_serving::{
         PromptPlacement, PromptRequest, Refusal,
         fleet::{EngineGroup, Frame, JobId, Placement, PlacementRequest},
+        names::ServiceName,
     },
 };
 
@@ -21,7 +22,25 @@
 /// Deciders that are asked one after the other before this instance chooses from its own knowledge.
 const MAX_ASKED_DECIDERS: usize = 2;
 
-/// Chooses engines that permit a prompt, and counts it towards their load until the guard is dropped.
+/// A retry that was taken from the budget. It is returned on drop unless it was used.
+#[derive(Debug)]
+struct TakenRetry<'a> {
+    state: &'a EntryState,
+    service: ServiceName,
+    is_used: bool,
+}
+
+impl Drop for TakenRetry<'_> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            let now = self.state.now();
+            self.state.serving().return_retry(now, &self.service);
+        }
+    }
+}
+
+/// Chooses engines that permit a prompt, and counts it towards their load until the guard is dropped. A retry is taken
+/// from the budget only if engines are chosen.
 ///
 /// # Errors
 /// A [`Refusal`]; the prompt has not been sent.
@@ -29,10 +48,11 @@
     state: &EntryState,
     mut request: PromptRequest,
 ) -> Result<(PromptPlacement, JobGuard<'_>), Refusal> {
+    let mut retry = None;
     loop {
         let closed = state.serving().closed_targets(state.now());
         request.excluded.extend(closed);
-        let (placement, guard) = match choose_engines(state, &request).await {
+        let (placement, guard) = match choose_engines(state, &request, &mut retry).await {
             Ok(chosen) => chosen,
             // The excluded targets include those closed to this instance, which may be why none was left.
             Err(Refusal::NoTarget) => {
@@ -43,20 +63,25 @@
             Err(refusal) => return Err(refusal),
         };
         if is_permitted(state, &placement.engine.id).await {
+            if let Some(retry) = &mut retry {
+                retry.is_used = true;
+            }
             return Ok((placement, guard));
         }
-        // The retry budget has already been charged for this retry.
+        // The retry was taken from the budget already.
         request.is_repeat = false;
     }
 }
 
-/// Chooses engines for a prompt and counts it towards their load until the guard is dropped.
+/// Chooses engines for a prompt and counts it towards their load until the guard is dropped. A retry that was taken from
+/// the budget for it becomes `retry`, whether or not engines are chosen.
 ///
 /// The guard is created before a peer is asked. Otherwise, if the caller disconnected while the peer
 /// decides, the peer would count the prompt forever, since nobody would report its end.
 async fn choose_engines<'a>(
     state: &'a EntryState,
     request: &PromptRequest,
+    retry: &mut Option<TakenRetry<'a>>,
 ) -> Result<(PromptPlacement, JobGuard<'a>), Refusal> {
     let (job, groups) = {
         let mut serving = state.serving();
@@ -65,6 +90,13 @@
             serving.groups_to_try(),
         )
     };
+    if request.is_repeat {
+        *retry = Some(TakenRetry {
+            state,
+            service: request.service.clone(),
+            is_used: false,
+        });
+    }
     let guard = JobGuard::new(state, job);
     let mut refusal = Refusal::NoTarget;
     for group in groups {
