--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -6,6 +6,7 @@
         entry_state::EntryState,
         http::{BodyFault, Framing, ResponseHead},
         request_context::RequestContext,
+        silence::{Silence, SilenceKind},
         target_connection::{TargetConnection, TargetFault},
     },
     std::{io, net::SocketAddr},
@@ -41,15 +42,15 @@
     /// Memory that the prompt needs couldn't be reserved at a helper, so nothing was sent.
     #[error("no memory could be reserved: {0}")]
     NoMemory(String),
-    /// Nothing arrived for longer than a healthy target takes, or the target is unreachable.
+    /// The target is silent, and the request goes on elsewhere.
     #[error("the target is silent")]
-    Silent,
+    Silent(Silence),
     /// The engine accepted the prompt, but its reports don't show that it uses the memory reserved for it.
     #[error("the target doesn't begin to work on it")]
     Idle,
-    /// The engine restarted, or doesn't even answer for its report.
-    #[error("the target shows no sign of life")]
-    Lost,
+    /// The engine has restarted since the prompt was sent.
+    #[error("the target has restarted")]
+    Restarted,
     /// The answer is a success without a seal, so it doesn't come from the target.
     #[error("the target's answer carries no seal")]
     Unsealed,
@@ -103,7 +104,8 @@
     /// acknowledged, or it answers nothing any more.
     pub fn is_unreachable(&self) -> bool {
         match self {
-            Self::NotSent(_) | Self::Lost => true,
+            Self::NotSent(_) | Self::Restarted => true,
+            Self::Silent(silence) => silence.kind == SilenceKind::Reports,
             Self::Broken(TargetFault::Io(fault) | TargetFault::Unanswered(fault)) => {
                 fault.kind() == io::ErrorKind::TimedOut
             }
@@ -111,6 +113,14 @@
         }
     }
 
+    /// Returns the silence of the target, if that is the reason.
+    pub fn silence(&self) -> Option<Silence> {
+        match self {
+            Self::Silent(silence) => Some(*silence),
+            _ => None,
+        }
+    }
+
     /// Returns what the fault shows of a connection that broke under a request; `None` if none did.
     fn broken_connection(&self) -> Option<BrokenConnection> {
         let Self::Broken(fault) = self else {
--- a/crates/daemon/src/entry/decision_line.rs
+++ b/crates/daemon/src/entry/decision_line.rs
@@ -277,6 +277,26 @@
         fault: String,
         /// Whether the target may have run the request.
         may_have_run: bool,
+        /// Sign by which the target counted as silent, if its silence ended the attempt.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        silence: Option<&'static str>,
+        /// Time since anything of the answer arrived, in ms, if silence ended the attempt.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        silent_ms: Option<u64>,
+    },
+    /// A prompt stays at its silent engine, since no other one takes it now. The search is repeated; an attempt has one
+    /// line at most.
+    NotMoved {
+        /// Id of the request.
+        request: String,
+        /// Id of the silent engine's run.
+        target: String,
+        /// Sign by which the engine counts as silent.
+        silence: &'static str,
+        /// Time since anything of the answer arrived, in ms.
+        silent_ms: u64,
+        /// Reason for which no other engine takes the prompt.
+        reason: &'static str,
     },
     /// A connection broke while its target may have run a request, which may have crashed the target.
     Break {
--- a/crates/daemon/src/entry/plain_calls.rs
+++ b/crates/daemon/src/entry/plain_calls.rs
@@ -93,6 +93,8 @@
         target: target.id.to_string(),
         fault: fault.to_string(),
         may_have_run,
+        silence: fault.silence().map(|silence| silence.kind.name()),
+        silent_ms: fault.silence().map(|silence| silence.silent_ms),
     });
     let now = state.now();
     if fault.is_unreachable() {
--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -2,6 +2,7 @@
     super::{
         attempt::AttemptFault,
         decision_line::Decision,
+        engine_life::EngineLife,
         engine_reports::fetch_report,
         entry_state::EntryState,
         memory_hold::MemoryHold,
@@ -113,13 +114,13 @@
         own.chain(helpers).collect()
     }
 
-    /// Renews the reservations. Completes with [`AttemptFault::Idle`] once the engine reports that the prompt
-    /// doesn't use them. A failed renewal doesn't end the attempt: the engine may still serve the prompt, or
-    /// end it itself.
+    /// Renews the reservations while the answering engine shows life: after its death they expire. Completes with
+    /// [`AttemptFault::Idle`] once the engine reports that the prompt doesn't use them. A failed renewal doesn't end the
+    /// attempt: the engine may still serve the prompt, or end it itself.
     ///
-    /// Guards against an engine that accepts requests and executes orders but works on no request: the
-    /// memory would stay reserved for as long as the caller waits.
-    pub async fn renew_while_used(&self) -> AttemptFault {
+    /// Guards against an engine that accepts requests and executes orders but works on no request, or that has lost
+    /// power: the memory would stay reserved for as long as the caller waits.
+    pub async fn renew_while_used(&self, life: &EngineLife<'_>) -> AttemptFault {
         if !self.holds_memory() {
             return pending().await;
         }
@@ -128,14 +129,9 @@
         let mut was_used = false;
         loop {
             self.state.clock.sleep(RENEW_CHECK_INTERVAL_MS).await;
+            self.renew(life).await;
             let now = self.state.now();
-            let due = self
-                .live_holds()
-                .filter(|hold| self.is_renewal_due(now, hold));
-            if let Err(fault) = self.order_all(due).await {
-                self.log_fault("isn't renewed", &fault);
-            }
-            let age_ms = self.state.now().since(began);
+            let age_ms = now.since(began);
             let is_check_due = now.since(checked_at) >= RENEW_INTERVAL_MS;
             if age_ms < USE_CHECK_AFTER_MS || was_used || !is_check_due {
                 continue;
@@ -151,6 +147,19 @@
         }
     }
 
+    /// Renews the reservations that are due, if the answering engine shows life.
+    async fn renew(&self, life: &EngineLife<'_>) {
+        let now = self.state.now();
+        let is_due = |hold: &&MemoryHold| self.is_renewal_due(now, hold);
+        if self.live_holds().find(is_due).is_none() || !life.shows_life().await {
+            return;
+        }
+        let due = self.live_holds().filter(is_due);
+        if let Err(fault) = self.order_all(due).await {
+            self.log_fault("isn't renewed", &fault);
+        }
+    }
+
     /// Returns whether a renewal is due. An engine that asked for a pause gets one during it only if the
     /// reservation would expire before the pause ends.
     fn is_renewal_due(&self, now: MonoMs, hold: &MemoryHold) -> bool {
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -8,44 +8,39 @@
             send_request,
         },
         decision_line::Decision,
-        engine_life::until_engine_is_lost,
+        engine_life::EngineLife,
         entry_state::EntryState,
         event_splitter::EventSplitter,
         exchange::RequestEnd,
         forward::Forward,
         http::ResponseHead,
-        job_guard::JobGuard,
         placing::place_prompt,
         plain_calls::{record_failed_attempt, return_unsent_retry},
         request_context::RequestContext,
         reservations::Reservations,
+        silence::SilenceKind,
+        silence_watch::{PlacedPrompt, Replacement, SilenceWatch},
+        stream_progress::StreamProgress,
         target_connection::TargetConnection,
     },
-    crate::clock::timeout,
     futures::{FutureExt, future::pending, pin_mut, select},
     std::sync::Arc,
     whinlatch_core::MonoMs,
     whinlatch_platform::TargetHead,
-    whinlatch_serving::{
-        PromptPlacement, PromptRequest, Refusal,
-        fleet::JobId,
-        names::{AccountId, TargetId},
-    },
+    whinlatch_serving::{PromptPlacement, Refusal, fleet::JobId, names::TargetId},
 };
 
 /// Engines that are tried before a prompt fails.
 const MAX_TARGETS: usize = 4;
-/// The timeout for the first event is three times its expected time and this, in ms: an engine detects a dead
+/// Another engine is looked for if the first event takes three times its expected time and this, in ms, or longer: an engine detects a dead
 /// helper within 1,500 ms and reports it itself.
 const FIRST_EVENT_GRACE_MS: u64 = 1_800;
-/// Pause between events after which an attempt fails, in ms. It is longer than a pass that reads parts of several
+/// Pause between events after which another engine is looked for, in ms. It is longer than a pass that reads parts of several
 /// long prompts, which takes up to three seconds.
 pub(super) const MAX_EVENT_PAUSE_MS: u64 = 5_000;
 /// Shortest wait for a first event, in tenths of the route's patience. The rest is left for an attempt at another
 /// engine.
 const FIRST_EVENT_PATIENCE_TENTHS: u64 = 6;
-/// Assumed length of an answer if the caller gives no estimate, in tokens.
-const ASSUMED_ANSWER_TOKENS: u32 = 600;
 
 /// End of the last attempt of a stream.
 pub(super) enum StreamEnd {
@@ -71,6 +66,21 @@
     pub(super) runs: u32,
     /// Id of the event after which the current attempt goes on.
     attempt_begins_after: u64,
+    /// Engines that were chosen for the next attempt while the engine of the last one was silent.
+    replacement: Option<PlacedPrompt<'a>>,
+}
+
+/// An attempt that is being sent, or whose answer is relayed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RunningAttempt<'p> {
+    /// Its engines.
+    pub(super) placement: &'p PromptPlacement,
+    /// Engines of earlier attempts.
+    pub(super) tried: &'p [TargetId],
+    /// Signs of life of its engine.
+    pub(super) life: &'p EngineLife<'p>,
+    /// Time by which its first event is expected.
+    pub(super) first_event_by: MonoMs,
 }
 
 /// Serves a prompt on a route that streams.
@@ -88,6 +98,7 @@
         last_event_at: state.now(),
         runs: context.runs_before(),
         attempt_begins_after: 0,
+        replacement: None,
     };
     relay.run().await
 }
@@ -97,21 +108,12 @@
         let mut tried: Vec<TargetId> = Vec::new();
         let mut forward = Forward::new(self.state, self.context, self.answer);
         loop {
-            if forward.is_due(self.runs)
-                && let Some(end) = self.serve_through_peer(&mut forward).await
-            {
-                return end;
-            }
-            if forward.is_hopeless() || self.runs >= self.context.route.max_attempts {
-                return self.give_up(Refusal::NoTarget).await;
-            }
-            let (placement, guard) = match self.place(&tried).await {
+            let (placement, guard) = match self.next_engines(&mut forward, &tried).await {
                 Ok(placed) => placed,
-                Err(_) if forward.resort_to_peer(self.runs) => continue,
-                Err(refusal) => return self.give_up(refusal).await,
+                Err(end) => return end,
             };
             let target = placement.engine.clone();
-            let fault = match self.attempt(&placement).await {
+            let fault = match self.attempt(&placement, &tried).await {
                 Ok(StreamEnd::Complete(_)) => return RequestEnd::answered(200),
                 Ok(StreamEnd::CallerGone) => return RequestEnd::caller_gone(),
                 Ok(StreamEnd::Failure(head, body)) => {
@@ -144,51 +146,45 @@
         }
     }
 
-    async fn place(&self, tried: &[TargetId]) -> Result<(PromptPlacement, JobGuard<'a>), Refusal> {
-        let request = self.prompt_request(tried).ok_or(Refusal::NoTarget)?;
-        place_prompt(self.state, request).await
+    /// Returns the engines for the next attempt, or the end of the request where there is none.
+    async fn next_engines(
+        &mut self,
+        forward: &mut Forward<'_>,
+        tried: &[TargetId],
+    ) -> Result<PlacedPrompt<'a>, RequestEnd> {
+        if let Some(placed) = self.replacement.take() {
+            return Ok(placed);
+        }
+        loop {
+            if forward.is_due(self.runs)
+                && let Some(end) = self.serve_through_peer(forward).await
+            {
+                return Err(end);
+            }
+            if forward.is_hopeless() || self.runs >= self.context.route.max_attempts {
+                return Err(self.give_up(Refusal::NoTarget).await);
+            }
+            match self.place(tried).await {
+                Ok(placed) => return Ok(placed),
+                Err(_) if forward.resort_to_peer(self.runs) => {}
+                Err(refusal) => return Err(self.give_up(refusal).await),
+            }
+        }
     }
 
-    /// Describes the prompt for a placement now; `None` if the caller's headers don't describe it.
-    fn prompt_request(&self, tried: &[TargetId]) -> Option<PromptRequest> {
+    async fn place(&self, tried: &[TargetId]) -> Result<PlacedPrompt<'a>, Refusal> {
         let now = self.state.now();
-        let Relay {
-            context, answer, ..
-        } = self;
-        let prompt = context.caller.prompt?;
-        let max_answer_tokens = prompt.max_answer_tokens;
-        let hint = prompt.answer_hint_tokens.unwrap_or(ASSUMED_ANSWER_TOKENS);
-        let pause_limit_ms = context.route.pause_limit_ms.unwrap_or(MAX_EVENT_PAUSE_MS);
-        let has_begun = self.first_event_at.is_some() || self.is_resumed_for_peer();
-        let (since, limit_ms) = if has_begun {
-            (self.last_event_at, pause_limit_ms)
-        } else {
-            (context.arrived, context.route.objective_ms)
-        };
-        let passed_ms = now.since(since);
-        let patience_ms = context.route.patience_ms.saturating_sub(passed_ms);
-        Some(PromptRequest {
-            service: context.service.clone(),
-            account: AccountId::of(context.account.as_ref()),
-            priority: context.priority,
-            fingerprint: context.fingerprint,
-            parts: Arc::clone(&context.caller.shared_parts),
-            prompt_tokens: prompt.prompt_tokens,
-            answer_tokens: hint.min(max_answer_tokens.max(1)),
-            max_answer_tokens,
-            slack_ms: limit_ms.cast_signed() - passed_ms.cast_signed(),
-            pause_limit_ms,
-            patience_ms: patience_ms.min(context.deadline.since(now)),
-            excluded: tried.to_vec(),
-            is_resumed: answer.has_begun() || self.is_resumed_for_peer(),
-            is_repeat: answer.progress().sends > 0,
-        })
+        let request = self.progress().prompt_request(now, tried.to_vec());
+        place_prompt(self.state, request.ok_or(Refusal::NoTarget)?).await
     }
 
-    /// Returns whether a peer has forwarded the request whose caller has a part of the stream already.
-    fn is_resumed_for_peer(&self) -> bool {
-        let note = self.context.forwarded.as_ref();
-        note.is_some_and(|note| note.is_resumed)
+    fn progress(&self) -> StreamProgress<'a> {
+        StreamProgress {
+            context: self.context,
+            answer: self.answer,
+            first_event_at: self.first_event_at,
+            last_event_at: self.last_event_at,
+        }
     }
 
     fn record_engine_failure(&self, job: JobId) {
@@ -217,7 +213,11 @@
         }
     }
 
-    async fn attempt(&mut self, placement: &PromptPlacement) -> Result<StreamEnd, AttemptFault> {
+    async fn attempt(
+        &mut self,
+        placement: &PromptPlacement,
+        tried: &[TargetId],
+    ) -> Result<StreamEnd, AttemptFault> {
         let state = self.state;
         let reservations = Reservations::reserve(state, placement).await?;
         let connection = request_connection(state, &placement.engine).await?;
@@ -229,16 +229,23 @@
         let request = self.request(placement, &reservations);
         self.log_sent(placement);
         self.answer.set_may_have_run(true);
+        let life = EngineLife::new(state, &placement.engine);
+        let attempt = RunningAttempt {
+            placement,
+            tried,
+            life: &life,
+            first_event_by: sent.at + self.first_event_wait_ms(placement),
+        };
         let end = {
-            let watches_life = self.has_another_attempt() || reservations.holds_memory();
-            let served = self.serve(placement, connection, &request).fuse();
-            let unused = reservations.renew_while_used().fuse();
-            let lost = until_lost(state, placement, &reservations, watches_life).fuse();
-            pin_mut!(served, unused, lost);
+            let may_move = self.may_move(tried);
+            let served = self.serve(&attempt, connection, &request).fuse();
+            let unused = reservations.renew_while_used(&life).fuse();
+            let restarted = until_restarted(&life, &reservations, may_move).fuse();
+            pin_mut!(served, unused, restarted);
             select! {
                 end = served => end,
                 fault = unused => Err(fault),
-                () = lost => Err(AttemptFault::Lost),
+                () = restarted => Err(AttemptFault::Restarted),
             }
         };
         self.answer
@@ -257,23 +264,47 @@
     /// Sends the prompt and relays the answer.
     async fn serve(
         &mut self,
-        placement: &PromptPlacement,
+        attempt: &RunningAttempt<'_>,
         mut connection: TargetConnection,
         request: &[u8],
     ) -> Result<StreamEnd, AttemptFault> {
-        let wait_ms = self.first_event_wait_ms(placement);
-        let first_event_by = self.state.now() + wait_ms;
-        let engine = &placement.engine;
+        let engine = &attempt.placement.engine;
+        let due = (attempt.first_event_by, SilenceKind::FirstEvent);
+        let watch = self.silence_watch(attempt, due);
         let responded = send_request(self.state, engine, &mut connection, self.context, request);
-        let head = timeout(self.state.clock.as_ref(), wait_ms, responded)
-            .await
-            .ok_or(AttemptFault::Silent)??;
+        let head = match watch.unless_replaced(responded).await {
+            Ok(head) => head?,
+            Err(replacement) => return Err(self.accept_replacement(replacement)),
+        };
+        attempt.life.record_answer(self.state.now());
         self.answer.record_framing(head.framing);
         if !head.is_success() {
             return read_failure(connection, head).await;
         }
-        self.relay(placement, connection, head, first_event_by)
-            .await
+        self.relay(attempt, connection, head).await
+    }
+
+    /// Watches the engine of an attempt, from which more is expected by `due`.
+    pub(super) fn silence_watch<'p>(
+        &self,
+        attempt: &RunningAttempt<'p>,
+        due: (MonoMs, SilenceKind),
+    ) -> SilenceWatch<'a, 'p> {
+        SilenceWatch {
+            state: self.state,
+            progress: self.progress(),
+            engine: &attempt.placement.engine,
+            life: attempt.life,
+            tried: attempt.tried,
+            due,
+            may_move: self.may_move(attempt.tried),
+        }
+    }
+
+    /// Keeps the engines that take the prompt of a silent one for the next attempt. Returns the end of this one.
+    pub(super) fn accept_replacement(&mut self, replacement: Replacement<'a>) -> AttemptFault {
+        self.replacement = replacement.placed;
+        AttemptFault::Silent(replacement.silence)
     }
 
     /// Returns the id of the last event that the caller has, if it has any.
@@ -300,21 +331,20 @@
         })
     }
 
-    /// Timeout for the first event of an attempt, in ms. Without another attempt left it is the time to
-    /// the deadline: silence alone is no failure, and giving up earlier would only lose an answer that is late.
+    /// Time after which another engine is looked for if the first event of an attempt isn't there, in ms.
     fn first_event_wait_ms(&self, placement: &PromptPlacement) -> u64 {
-        if !self.has_another_attempt() {
-            return self.context.deadline.since(self.state.now());
-        }
         let patience_ms = self.context.route.patience_ms;
         (3 * placement.first_event_ms as u64 + FIRST_EVENT_GRACE_MS)
             .max(patience_ms * FIRST_EVENT_PATIENCE_TENTHS / 10)
     }
 
-    /// Returns whether another engine may take the prompt if this attempt fails.
-    pub(super) fn has_another_attempt(&self) -> bool {
+    /// Returns whether another engine may take the prompt from that of the current attempt, which may have run it.
+    fn may_move(&self, tried: &[TargetId]) -> bool {
         let route = &self.context.route;
-        route.retry_policy.is_idempotent() && self.runs + 1 < route.max_attempts
+        route.retry_policy.is_idempotent()
+            && self.runs + 1 < route.max_attempts
+            && self.answer.progress().sends <= route.max_attempts
+            && tried.len() + 1 < MAX_TARGETS
     }
 
     fn log_sent(&self, placement: &PromptPlacement) {
@@ -341,18 +371,13 @@
     }
 }
 
-/// Completes when the answering engine is lost; never unless `watches_life`. Without another attempt and without
-/// reserved memory nothing is gained by giving up a late answer.
-async fn until_lost(
-    state: &EntryState,
-    placement: &PromptPlacement,
-    reservations: &Reservations<'_>,
-    watches_life: bool,
-) {
-    if !watches_life {
+/// Completes when the answering engine has restarted; never without another attempt and without reserved memory, where
+/// nothing is gained by giving up an answer.
+async fn until_restarted(life: &EngineLife<'_>, reservations: &Reservations<'_>, may_move: bool) {
+    if !may_move && !reservations.holds_memory() {
         return pending().await;
     }
-    until_engine_is_lost(state, &placement.engine, reservations.holds_memory()).await;
+    life.until_restarted(may_move).await;
 }
 
 async fn read_failure(
