--- a/crates/daemon/src/entry/reservations.rs
+++ b/crates/daemon/src/entry/reservations.rs
@@ -33,6 +33,8 @@
 /// Age at which an attempt that doesn't use its memory fails, in ms. No memory may stay reserved without use
 /// for nine seconds, and an order and a report may each take their whole timeout before that.
 const UNUSED_TIMEOUT_MS: u64 = 6_500;
+/// Age at which reservations expire that aren't known to be used, in ms: engines count from the arrival of an order.
+const UNUSED_TTL_MS: u64 = 8_500;
 /// Timeout for the answer to an order, in ms.
 const ORDER_TIMEOUT_MS: u64 = 400;
 /// Tokens reserved at the answering engine: one block of its memory. The size doesn't matter, only
@@ -51,6 +53,17 @@
     own: Option<MemoryHold>,
 }
 
+/// What is known of the use of reserved memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KnownUse {
+    /// It is too early to check, or the engine doesn't list the reservation.
+    Unchecked,
+    /// The last check showed no use, or had no answer.
+    Unconfirmed,
+    /// The prompt uses it.
+    Confirmed,
+}
+
 impl<'a> Reservations<'a> {
     /// Reserves the memory that a prompt needs.
     ///
@@ -63,8 +76,11 @@
         let mut reservations = Self::planned(state, placement);
         let own = reservations.own.iter();
         let helpers = reservations.helpers.iter();
-        let (own, helpers) =
-            join(reservations.order_all(own), reservations.order_all(helpers)).await;
+        let (own, helpers) = join(
+            reservations.order_all(own, None),
+            reservations.order_all(helpers, None),
+        )
+        .await;
         helpers.map_err(AttemptFault::NoMemory)?;
         if let Err(fault) = own {
             // Not fatal: the prompt only loses its place in the answering engine's reading order.
@@ -115,8 +131,8 @@
     }
 
     /// Renews the reservations while the answering engine shows life: after its death they expire. Completes with
-    /// [`AttemptFault::Idle`] once the engine reports that the prompt doesn't use them. A failed renewal doesn't end the
-    /// attempt: the engine may still serve the prompt, or end it itself.
+    /// [`AttemptFault::Idle`] once the engine reports that the prompt doesn't use them. A failed renewal, or a report
+    /// that isn't answered, doesn't end the attempt: the engine may still serve the prompt, or end it itself.
     ///
     /// Guards against an engine that accepts requests and executes orders but works on no request, or that has lost
     /// power: the memory would stay reserved for as long as the caller waits.
@@ -126,36 +142,41 @@
         }
         let began = self.state.now();
         let mut checked_at = began;
-        let mut was_used = false;
+        let mut known_use = KnownUse::Unchecked;
         loop {
             self.state.clock.sleep(RENEW_CHECK_INTERVAL_MS).await;
-            self.renew(life).await;
+            let is_unconfirmed = known_use == KnownUse::Unconfirmed;
+            self.renew(life, is_unconfirmed.then_some(began + UNUSED_TTL_MS))
+                .await;
             let now = self.state.now();
             let age_ms = now.since(began);
             let is_check_due = now.since(checked_at) >= RENEW_INTERVAL_MS;
-            if age_ms < USE_CHECK_AFTER_MS || was_used || !is_check_due {
+            let is_confirmed = known_use == KnownUse::Confirmed;
+            if age_ms < USE_CHECK_AFTER_MS || is_confirmed || !is_check_due {
                 continue;
             }
             checked_at = now;
-            match self.memory_use().await {
-                Some(MemoryUse::Used) => was_used = true,
+            known_use = match self.memory_use().await {
+                Some(MemoryUse::Used) => KnownUse::Confirmed,
                 // An engine that doesn't know the reservation holds no memory for it.
-                Some(MemoryUse::Unknown) => {}
-                Some(MemoryUse::Unused) | None if age_ms < UNUSED_TIMEOUT_MS => {}
-                Some(MemoryUse::Unused) | None => return AttemptFault::Idle,
-            }
+                Some(MemoryUse::Unknown) => KnownUse::Unchecked,
+                Some(MemoryUse::Unused) if age_ms >= UNUSED_TIMEOUT_MS => {
+                    return AttemptFault::Idle;
+                }
+                Some(MemoryUse::Unused) | None => KnownUse::Unconfirmed,
+            };
         }
     }
 
-    /// Renews the reservations that are due, if the answering engine shows life.
-    async fn renew(&self, life: &EngineLife<'_>) {
+    /// Renews the reservations that are due, if the answering engine shows life, until `expires_by` at most.
+    async fn renew(&self, life: &EngineLife<'_>, expires_by: Option<MonoMs>) {
         let now = self.state.now();
         let is_due = |hold: &&MemoryHold| self.is_renewal_due(now, hold);
         if self.live_holds().find(is_due).is_none() || !life.shows_life().await {
             return;
         }
         let due = self.live_holds().filter(is_due);
-        if let Err(fault) = self.order_all(due).await {
+        if let Err(fault) = self.order_all(due, expires_by).await {
             self.log_fault("isn't renewed", &fault);
         }
     }
@@ -207,20 +228,28 @@
         });
     }
 
-    /// Orders some engines to reserve memory or to extend the reservation.
-    async fn order_all(&self, holds: impl Iterator<Item = &MemoryHold>) -> Result<(), String> {
-        let orders = holds.map(|hold| self.order(hold));
+    /// Orders some engines to reserve memory or to extend the reservation, until `expires_by` at most.
+    async fn order_all(
+        &self,
+        holds: impl Iterator<Item = &MemoryHold>,
+        expires_by: Option<MonoMs>,
+    ) -> Result<(), String> {
+        let orders = holds.map(|hold| self.order(hold, expires_by));
         let answers: Result<Vec<()>, String> = join_all(orders).await.into_iter().collect();
         answers.map(|_done| ())
     }
 
-    async fn order(&self, hold: &MemoryHold) -> Result<(), String> {
+    async fn order(&self, hold: &MemoryHold, expires_by: Option<MonoMs>) -> Result<(), String> {
         let now = self.state.now();
         let pause_ms = self
             .paused_until(now, hold)
             .map_or(0, |until| until.since(now) + PAUSE_MARGIN_MS);
         let max_ms = self.state.settings.max_reservation_ms;
-        let hold_ms = HOLD_TTL_MS.max(pause_ms).min(max_ms);
+        let left_ms = expires_by.map_or(max_ms, |by| by.since(now));
+        let hold_ms = HOLD_TTL_MS.max(pause_ms).min(max_ms).min(left_ms);
+        if hold_ms == 0 {
+            return Ok(());
+        }
         hold.record_order(now, hold_ms);
         let body =
             reserve_body(&self.id, hold.tokens, hold_ms).map_err(|fault| fault.to_string())?;
