--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -11,6 +11,6 @@
 pub use {
     forward_guard::{ForwardGuard, TakenForward},
     forward_note::ForwardNote,
-    forward_send::{Forward, ForwardFault, ForwardedHead, NOT_TAKEN, until_peer_is_gone},
+    forward_send::{Forward, ForwardFault, ForwardedHead, NOT_TAKEN},
     target_probe::probe_targets,
 };
--- a/crates/daemon/src/entry/forward/forward_send.rs
+++ b/crates/daemon/src/entry/forward/forward_send.rs
@@ -12,7 +12,7 @@
             target_connection::{TargetConnection, TargetFault},
         },
     },
-    futures::{FutureExt, pin_mut, select},
+    futures::{FutureExt, future::pending, pin_mut, select},
     std::{io, net::SocketAddr},
     thiserror::Error,
     whinlatch_platform::TargetResponse,
@@ -179,7 +179,7 @@
                 runs,
             });
             self.answer.set_may_have_run(true);
-            let answered = self.exchange(&peer, connection, &request).await;
+            let answered = self.exchange(&peer, connection, &request, runs).await;
             let (connection, head) = answered.map_err(|fault| {
                 self.is_over = self.tried.len() >= MAX_PEERS;
                 self.state.metrics.record_forward("broken");
@@ -220,6 +220,35 @@
         }
     }
 
+    /// Completes once a peer that serves the request is no longer considered alive, and the request can go on elsewhere
+    /// after `runs` targets may have run it before. Never completes for a request that may not be repeated: a peer that
+    /// is silent may still answer.
+    pub async fn until_peer_is_replaceable(&self, peer: &ForwardPeer, runs: u32) {
+        let route = &self.context.route;
+        if !route.retry_policy.is_idempotent() || runs + 1 >= route.max_attempts {
+            return pending().await;
+        }
+        loop {
+            until_peer_is_gone(self.state, peer).await;
+            if self.has_other_way() {
+                return;
+            }
+            self.state.clock.sleep(LIFE_CHECK_INTERVAL_MS).await;
+        }
+    }
+
+    /// Returns whether the request may go on at a target that this instance reaches again, or through a peer that wasn't
+    /// asked yet.
+    fn has_other_way(&self) -> bool {
+        if self.unreached < MAX_UNREACHED && !self.is_out_of_reach() {
+            return true;
+        }
+        let (now, service) = (self.state.now(), &self.context.service);
+        let serving = &mut self.state.serving();
+        let other = serving.choose_forward_peer(now, service, &self.tried);
+        self.tried.len() < MAX_PEERS && other.is_some()
+    }
+
     /// Returns a connection to a peer. What runs once at most goes over a new one, on which the peer can't have closed
     /// its side already.
     async fn connection(&self, peer: &ForwardPeer) -> io::Result<TargetConnection> {
@@ -251,6 +280,7 @@
         peer: &ForwardPeer,
         mut connection: TargetConnection,
         request: &[u8],
+        runs: u32,
     ) -> Result<(TargetConnection, ResponseHead), TargetFault> {
         let state = self.state;
         let left_ms = self.context.deadline.since(state.now());
@@ -260,7 +290,7 @@
                 connection.head(&self.context.head.method).await
             };
             let answered = timeout(state.clock.as_ref(), left_ms, answered).fuse();
-            let gone = until_peer_is_gone(state, peer).fuse();
+            let gone = self.until_peer_is_replaceable(peer, runs).fuse();
             pin_mut!(answered, gone);
             select! {
                 head = answered => head.unwrap_or(Err(TargetFault::Closed))?,
@@ -273,7 +303,7 @@
 
 /// Completes once a peer is no longer considered alive. Guards against a peer that has lost power: the connection to it
 /// doesn't break.
-pub async fn until_peer_is_gone(state: &EntryState, peer: &ForwardPeer) {
+async fn until_peer_is_gone(state: &EntryState, peer: &ForwardPeer) {
     while state.serving().is_live(state.now(), peer) {
         state.clock.sleep(LIFE_CHECK_INTERVAL_MS).await;
     }
--- a/crates/daemon/src/entry/forwarded_stream.rs
+++ b/crates/daemon/src/entry/forwarded_stream.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         exchange::RequestEnd,
-        forward::{Forward, ForwardFault, ForwardedHead, until_peer_is_gone},
+        forward::{Forward, ForwardFault, ForwardedHead},
         http::{BodyDecoder, BodyProgress},
         stream_relay::Relay,
         target_connection::TargetFault,
@@ -44,7 +44,7 @@
         if !forwarded.head.is_success() {
             return Some(self.pass_on_peer_failure(forwarded).await);
         }
-        match self.relay_from_peer(forwarded).await {
+        match self.relay_from_peer(forward, forwarded).await {
             Ok(PeerStreamEnd::Complete) => Some(RequestEnd::answered(200)),
             Ok(PeerStreamEnd::CallerGone) => Some(RequestEnd::caller_gone()),
             Err(_broken) => self.record_broken_forward(forward, &peer).await,
@@ -92,13 +92,16 @@
     /// Relays the events of a stream that comes through a peer as they arrive.
     async fn relay_from_peer(
         &mut self,
+        forward: &Forward<'_>,
         mut forwarded: ForwardedHead<'_>,
     ) -> Result<PeerStreamEnd, TargetFault> {
         let head = forwarded.head.clone();
         let mut decoder = BodyDecoder::new(head.framing);
         let mut has_begun = false;
         loop {
-            let progress = self.receive_from_peer(&mut forwarded, &mut decoder).await?;
+            let progress = self
+                .receive_from_peer(forward, &mut forwarded, &mut decoder)
+                .await?;
             let is_stream = has_begun || head.is_event_stream() != Some(false);
             let events = self.take_events(progress, is_stream);
             if !events.is_empty() {
@@ -121,13 +124,13 @@
 
     async fn receive_from_peer(
         &mut self,
+        forward: &Forward<'_>,
         forwarded: &mut ForwardedHead<'_>,
         decoder: &mut BodyDecoder,
     ) -> Result<BodyProgress, TargetFault> {
-        let state = self.state;
         let peer = *forwarded.guard.peer();
         let more = forwarded.connection.body(decoder, self.splitter.buffer());
-        let gone = until_peer_is_gone(state, &peer);
+        let gone = forward.until_peer_is_replaceable(&peer, self.runs);
         pin_mut!(more, gone);
         match select(more, gone).await {
             Either::Left((progress, _)) => progress,
