--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -159,18 +159,26 @@
 /// active by then, or when this instance leaves.
 async fn until_idle_connection_closes(state: &Arc<EntryState>, is_used: bool) {
     let leaving = state.until_idle_connections_close(is_used);
-    let idle = until_idle_timeout(state);
+    let idle = until_idle_timeout(state, is_used);
     pin_mut!(leaving, idle);
     select(leaving, idle).await;
 }
 
 /// Guards against a connection that closes by a former, shorter timeout while its caller, which knows the new one, sends
 /// a request on it.
-async fn until_idle_timeout(state: &Arc<EntryState>) {
+///
+/// A connection that hasn't carried a request has at least the time for a head: its caller is about to send one.
+async fn until_idle_timeout(state: &Arc<EntryState>, is_used: bool) {
     let idle_since = state.now();
     loop {
         let idle_ms = state.now().since(idle_since);
-        let left_ms = limits(state).idle_timeout_ms.saturating_sub(idle_ms);
+        let limits = limits(state);
+        let timeout_ms = if is_used {
+            limits.idle_timeout_ms
+        } else {
+            limits.idle_timeout_ms.max(limits.head_timeout_ms)
+        };
+        let left_ms = timeout_ms.saturating_sub(idle_ms);
         if left_ms == 0 {
             return;
         }
--- a/crates/daemon/tests/entry/idle_connections.rs
+++ b/crates/daemon/tests/entry/idle_connections.rs
@@ -94,3 +94,17 @@
     assert_eq!(late.header("Retry-After"), Some("0.00"));
     assert_eq!(late.header("Connection"), Some("close"));
 }
+
+/// Guards against a connection that is closed before its caller, or the peer that forwards a request, has sent the first
+/// one.
+#[async_std::test]
+async fn a_new_connection_stays_open_for_the_time_of_a_head() {
+    let plain = target("p-1", Behaviour::Serve("listing"));
+    let fleet = Fleet::start(Published::Plain(&plain)).await;
+    publish(&fleet, 4, SHORT_IDLE_MS).await;
+    let mut caller = Caller::connect(fleet.entries[0].settings().caller_address);
+
+    fleet.advance(2 * SHORT_IDLE_MS).await;
+
+    assert_eq!(caller.exchange(&call()).status, 200);
+}
