--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -18,6 +18,7 @@
         listen::listen,
         logs,
     },
+    async_channel::Receiver,
     async_std::task::{self, JoinHandle},
     std::{env, fs, path::PathBuf, sync::Arc},
     whinlatch_platform::{ENTRY_TTL_S, InstanceSettings, SETTINGS_VARIABLE, read_settings},
@@ -290,17 +291,18 @@
         println!("the settings are valid");
         return Ok(());
     }
+    let signals = process_signals()?;
     logs::set_up_lines()?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
-    task::block_on(serve(settings, clock, options))
+    task::block_on(serve(settings, clock, options, &signals))
 }
 
 async fn serve(
     settings: InstanceSettings,
     clock: Arc<dyn Clock>,
     options: &EntryOptions,
+    signals: &Receiver<ProcessSignal>,
 ) -> Result<(), DaemonError> {
-    let signals = process_signals()?;
     let entry = Entry::start(settings, Arc::clone(&clock)).await?;
     entry.disable_mechanisms(options.disabled);
     loop {
