--- a/crates/core/src/core/on_attempt.rs
+++ b/crates/core/src/core/on_attempt.rs
@@ -64,11 +64,7 @@
                     "the connection to the target broke",
                 );
             }
-            AttemptEvent::Silent { .. } => {
-                self.record_broken_attempt(now, attempt);
-                self.stop_attempt(attempt);
-                self.try_again(now, request, Reason::TargetSilent, "the target is silent");
-            }
+            AttemptEvent::Silent => self.on_silent(now, request, attempt),
             AttemptEvent::Failed { status } => {
                 self.end_attempt(attempt, AttemptEnd::MayHaveRun);
                 let message = format!("the target failed with status {status}");
@@ -96,6 +92,37 @@
         self.route(now, request);
     }
 
+    /// Sends a request whose target is silent to another one. If none can take it, the attempt goes on.
+    ///
+    /// Guards against an answer that is given up although its target is silent only for some time, and nobody else
+    /// may run the request.
+    fn on_silent(&mut self, now: MonoMs, request: RequestId, attempt: AttemptId) {
+        self.record_broken_attempt(now, attempt);
+        if !self.has_other_target(now, request) {
+            let text = "the target is silent, and no other can take the request".to_owned();
+            self.record_decision(now, Subsystem::Requests, Some(request), text);
+            return;
+        }
+        self.stop_attempt(attempt);
+        self.try_again(now, request, Reason::TargetSilent, "the target is silent");
+    }
+
+    /// Returns whether a request in flight may be sent to a target where it wasn't tried.
+    fn has_other_target(&mut self, now: MonoMs, request: RequestId) -> bool {
+        let Some(entry) = self.requests.get(request) else {
+            return false;
+        };
+        let per_mille = self.records.in_force().policy().retry_budget_per_mille;
+        entry.idempotent
+            && entry.tried.len() < MAX_ATTEMPTS
+            && self
+                .targets_for(entry)
+                .any(|target| !entry.tried.contains(target))
+            && self
+                .retries
+                .allows(now, &entry.submission.account, per_mille)
+    }
+
     fn on_refused(&mut self, now: MonoMs, request: RequestId, refusal: &Refusal) {
         let Some(in_flight) = self.end_attempt(refusal.attempt, attempt_end(refusal.reason)) else {
             return;
--- a/crates/core/src/core/on_poison.rs
+++ b/crates/core/src/core/on_poison.rs
@@ -161,7 +161,10 @@
     }
 
     /// Returns the targets that serve a request and accept work.
-    fn targets_for<'a>(&'a self, entry: &'a Request) -> impl Iterator<Item = &'a TargetName> {
+    pub(super) fn targets_for<'a>(
+        &'a self,
+        entry: &'a Request,
+    ) -> impl Iterator<Item = &'a TargetName> {
         let serving = |record: &&TargetRecord| {
             let mut shares = entry.route.providers.iter();
             let share = shares.find(|share| share.provider == record.provider);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -162,11 +162,9 @@
         /// Number of chunks that were passed on to the caller.
         chunks: u64,
     },
-    /// No byte arrived for the configured time, nor over a new connection.
-    Silent {
-        /// Number of chunks that were passed on to the caller.
-        chunks: u64,
-    },
+    /// No byte arrived for the configured time, nor over a new connection. The attempt goes on, and this may be
+    /// reported again.
+    Silent,
     /// The target answered with an error.
     Failed {
         /// HTTP status of the answer.
--- a/crates/core/src/requests/retry_budget.rs
+++ b/crates/core/src/requests/retry_budget.rs
@@ -50,17 +50,22 @@
     /// Takes a retry out of the budget of `per_mille` of the first attempts. Returns `false`, and takes
     /// nothing, if the account's budget or the common one is spent.
     pub fn try_take(&mut self, now: MonoMs, account: &AccountName, per_mille: u32) -> bool {
-        let account_window = self.accounts.entry(account.clone()).or_default();
-        if !account_window.allows(now, per_mille, MIN_ACCOUNT_RETRIES)
-            || !self.all.allows(now, per_mille, MIN_TOTAL_RETRIES)
-        {
+        if !self.allows(now, account, per_mille) {
             return false;
         }
+        let account_window = self.accounts.entry(account.clone()).or_default();
         account_window.slot(now).retries += 1;
         self.all.slot(now).retries += 1;
         true
     }
 
+    /// Returns whether a retry is within the account's budget and the common one.
+    pub fn allows(&mut self, now: MonoMs, account: &AccountName, per_mille: u32) -> bool {
+        let account_window = self.accounts.entry(account.clone()).or_default();
+        account_window.allows(now, per_mille, MIN_ACCOUNT_RETRIES)
+            && self.all.allows(now, per_mille, MIN_TOTAL_RETRIES)
+    }
+
     /// Evicts accounts without attempts in the window.
     pub fn evict_idle(&mut self, now: MonoMs) {
         self.accounts.retain(|_, window| {
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -46,6 +46,8 @@
     keep_answer: Option<Ticket>,
     /// Chunks passed to the caller so far.
     chunks_passed: u64,
+    /// Whether a target's complete answer has arrived.
+    is_complete: bool,
     stream: Option<ChunkSender>,
     answer: Option<Arc<ServiceAnswer>>,
     /// Closed when the caller disconnects before its answer begins.
@@ -78,6 +80,7 @@
         in_flight: InFlight::Nothing,
         keep_answer: None,
         chunks_passed: 0,
+        is_complete: false,
         stream: None,
         answer: None,
         caller,
@@ -146,6 +149,10 @@
     /// Executes an instruction. Returns whether the exchange is over.
     async fn execute(&mut self, instruction: Instruction) -> Result<bool, CallerGone> {
         match instruction {
+            // A silent target that another one replaces may still have completed the answer.
+            Instruction::Dispatch(dispatch) if self.is_complete => {
+                self.report(dispatch.attempt, AttemptEvent::Completed).await;
+            }
             Instruction::Dispatch(dispatch) => self.dispatch(*dispatch),
             Instruction::Abandon(attempt) => {
                 if self.in_flight.is_attempt(attempt) {
@@ -189,6 +196,7 @@
                     self.report(attempt, AttemptEvent::FirstChunk).await;
                 }
                 if chunk.end {
+                    self.is_complete = true;
                     self.end_attempt(attempt, AttemptEvent::Completed).await;
                 }
             }
@@ -196,6 +204,7 @@
                 self.store_answer(answer);
                 self.end_attempt(attempt, AttemptEvent::Completed).await;
             }
+            Some(Step::Silent) => self.report(attempt, AttemptEvent::Silent).await,
             Some(Step::Ended(event)) => self.end_attempt(attempt, event).await,
             None => {
                 let chunks = self.chunks_passed;
@@ -236,6 +245,7 @@
             self.shared.answers.insert(ticket, Arc::clone(&answer));
         }
         self.answer = Some(answer);
+        self.is_complete = true;
     }
 
     async fn end_attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
--- a/crates/daemon/src/targets/attempt.rs
+++ b/crates/daemon/src/targets/attempt.rs
@@ -1,5 +1,5 @@
 use {
-    super::{generate, liveness::ConnectionLost, service_call},
+    super::{generate, service_call},
     crate::shared::Shared,
     async_channel::Sender,
     futures::{
@@ -52,6 +52,8 @@
     Chunk(StreamChunk),
     /// The complete answer of a plain service.
     Answer(ServiceAnswer),
+    /// The target has been silent for the configured time, also over a new connection. The attempt goes on.
+    Silent,
     /// The attempt ended without a complete answer.
     Ended(AttemptEvent),
 }
@@ -123,14 +125,6 @@
     }
 }
 
-/// Returns the event for an attempt whose connection was lost after `chunks` chunks.
-pub fn lost_event(lost: ConnectionLost, chunks: u64) -> AttemptEvent {
-    match lost {
-        ConnectionLost::TargetSilent => AttemptEvent::Silent { chunks },
-        ConnectionLost::Broken => AttemptEvent::Broken { chunks },
-    }
-}
-
 /// Returns the event for an attempt that was answered with another status than 200. Only a refusal
 /// that names this attempt proves that it wasn't run.
 pub async fn refused_event(attempt: AttemptId, mut response: Response) -> AttemptEvent {
--- a/crates/daemon/src/targets/generate.rs
+++ b/crates/daemon/src/targets/generate.rs
@@ -1,11 +1,11 @@
 use {
     super::{
-        attempt::{AttemptWork, Step, lost_event, refused_event},
+        attempt::{AttemptWork, Step, refused_event},
         connect::connect,
         event_reader::EventReader,
         gate::Gate,
         json_call::{request, set_json},
-        liveness::Liveness,
+        liveness::{ConnectionLost, Liveness},
     },
     crate::shared::Shared,
     async_channel::Sender,
@@ -24,11 +24,13 @@
     first_chunk: u64,
     steps: &Sender<Step>,
 ) -> Result<(), AttemptEvent> {
-    let mut liveness = Liveness::new(shared, dispatch, true);
+    let mut liveness = Liveness::new(shared, dispatch, true, steps);
     let response = liveness
         .watch(send_prompt(shared, dispatch, work, first_chunk).boxed())
         .await
-        .map_err(|lost| lost_event(lost, first_chunk))??;
+        .map_err(|ConnectionLost| AttemptEvent::Broken {
+            chunks: first_chunk,
+        })??;
     if response.status() != StatusCode::Ok {
         return Err(refused_event(dispatch.attempt, response).await);
     }
@@ -70,7 +72,7 @@
         let event = liveness
             .watch(events.next())
             .await
-            .map_err(|lost| lost_event(lost, next))?;
+            .map_err(|ConnectionLost| AttemptEvent::Broken { chunks: next })?;
         let Ok(Some(data)) = event else {
             return Err(broken);
         };
--- a/crates/daemon/src/targets/liveness.rs
+++ b/crates/daemon/src/targets/liveness.rs
@@ -1,6 +1,7 @@
 use {
-    super::json_call::get_json,
+    super::{attempt::Step, json_call::get_json},
     crate::shared::Shared,
+    async_channel::Sender,
     futures::{
         FutureExt,
         future::{Either, select},
@@ -22,14 +23,9 @@
 /// than one, because reports lag.
 const MAX_REPORTS_WITHOUT_ATTEMPT: u32 = 2;
 
-/// Reason for which an attempt's connection is given up.
+/// The target answers, but not over an attempt's connection, or it has restarted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConnectionLost {
-    /// The target doesn't answer over a new connection either.
-    TargetSilent,
-    /// The target answers, but not over this connection, or it has restarted.
-    Broken,
-}
+pub struct ConnectionLost;
 
 /// Detects the loss of an attempt's connection.
 ///
@@ -43,6 +39,7 @@
     attempt: AttemptId,
     incarnation: Incarnation,
     reports_holdings: bool,
+    steps: &'a Sender<Step>,
     /// Consecutive reports that didn't list the attempt.
     reports_without_attempt: u32,
 }
@@ -50,13 +47,19 @@
 impl<'a> Liveness<'a> {
     /// Creates a detector for the connection of a dispatch. `reports_holdings` is whether the
     /// target's report lists the attempts that it is running.
-    pub fn new(shared: &'a Shared, dispatch: &Dispatch, reports_holdings: bool) -> Self {
+    pub fn new(
+        shared: &'a Shared,
+        dispatch: &Dispatch,
+        reports_holdings: bool,
+        steps: &'a Sender<Step>,
+    ) -> Self {
         Self {
             shared,
             address: dispatch.address,
             attempt: dispatch.attempt,
             incarnation: dispatch.expect_incarnation,
             reports_holdings,
+            steps,
             reports_without_attempt: 0,
         }
     }
@@ -85,19 +88,23 @@
         }
     }
 
-    /// Reads the target's report over a new connection; fails if the attempt's connection is lost.
+    /// Reads the target's report over a new connection; fails if the attempt's connection is lost. A target that
+    /// doesn't answer there either may go on later, so its silence is only told as a step.
     async fn probe(&mut self) -> Result<(), ConnectionLost> {
-        let report: LoadReport = get_json(
+        let report = get_json(
             self.shared,
             self.address,
             REPORT_PATH,
             PROBE_TIMEOUT_MS,
             MAX_REPORT_BYTES,
         )
-        .await
-        .map_err(|_no_answer| ConnectionLost::TargetSilent)?;
+        .await;
+        let Ok(report): Result<LoadReport, _> = report else {
+            let _abandoned = self.steps.send(Step::Silent).await;
+            return Ok(());
+        };
         if report.incarnation != self.incarnation {
-            return Err(ConnectionLost::Broken);
+            return Err(ConnectionLost);
         }
         if !self.reports_holdings || self.may_be_running(&report) {
             self.reports_without_attempt = 0;
@@ -107,7 +114,7 @@
         if self.reports_without_attempt < MAX_REPORTS_WITHOUT_ATTEMPT {
             return Ok(());
         }
-        Err(ConnectionLost::Broken)
+        Err(ConnectionLost)
     }
 
     /// Returns whether the target may be running the attempt. Reports list running attempts but only
--- a/crates/daemon/src/targets/service_call.rs
+++ b/crates/daemon/src/targets/service_call.rs
@@ -1,9 +1,9 @@
 use {
     super::{
         MAX_ANSWER_BYTES,
-        attempt::{AttemptWork, Step, lost_event, refused_event},
+        attempt::{AttemptWork, Step, refused_event},
         generate::send,
-        liveness::Liveness,
+        liveness::{ConnectionLost, Liveness},
         read_body,
     },
     crate::shared::Shared,
@@ -21,10 +21,10 @@
     steps: &Sender<Step>,
 ) -> Result<(), AttemptEvent> {
     let answered = Box::pin(answer(shared, dispatch, work));
-    let answer = Liveness::new(shared, dispatch, false)
+    let answer = Liveness::new(shared, dispatch, false, steps)
         .watch(answered)
         .await
-        .map_err(|lost| lost_event(lost, 0))??;
+        .map_err(|ConnectionLost| AttemptEvent::Broken { chunks: 0 })??;
     let _abandoned = steps.send(Step::Answer(answer)).await;
     Ok(())
 }
--- a/crates/daemon/tests/daemon/services.rs
+++ b/crates/daemon/tests/daemon/services.rs
@@ -14,6 +14,9 @@
     },
 };
 
+/// Factor by which a call of 1 ms takes long enough to be silenced while it runs.
+const SLOW_CALL_FACTOR: f64 = 1_000.0;
+
 async fn ticket(daemon: &Daemon, body: &str) -> Ticket {
     let refused = send_and_read(daemon, label_call(daemon, body, None)).await;
     assert_eq!(refused.status, 428);
@@ -142,3 +145,43 @@
     assert_eq!(answer.outcome.reason, Reason::TicketLost);
     assert_eq!(runs(&world, "parcel 6"), 0);
 }
+
+// Guards against a call that is given up because its service is silent for some time, although it may not be sent
+// to another and the service goes on.
+#[async_std::test]
+async fn a_call_whose_service_is_silent_for_some_time_gets_its_answer() {
+    let world = world(0, fast_engine()).await;
+    let mut settings = world.settings("one");
+    settings.limits.target_silence_ms = 100;
+    let daemon = world.daemon(settings).await;
+    let ticket = ticket(&daemon, "label").await;
+    world.service.set_faults(Faults {
+        slow_factor: Some(SLOW_CALL_FACTOR),
+        ..Faults::default()
+    });
+    let answered = send_and_read(&daemon, label_call(&daemon, "label", Some(ticket)));
+    let silence = async {
+        until(async || runs(&world, "label") == 1).await;
+        world.service.set_faults(Faults {
+            frozen: true,
+            ..Faults::default()
+        });
+        until(async || is_unreachable(&daemon).await).await;
+        world.service.set_faults(Faults::default());
+    };
+
+    let (answer, ()) = futures::join!(answered, silence);
+
+    assert_eq!(answer.outcome.outcome, OutcomeKind::Completed);
+    assert_eq!(answer.text, "ran label");
+    assert_eq!(runs(&world, "label"), 1);
+}
+
+/// Returns whether the daemon sends the service nothing new because it answers no reads.
+async fn is_unreachable(daemon: &Daemon) -> bool {
+    let status: StatusReport = get(daemon, "/v1/status").await;
+    status
+        .targets
+        .iter()
+        .all(|target| target.incarnation.is_none())
+}
