--- a/crates/daemon/src/entry/silence_watch.rs
+++ b/crates/daemon/src/entry/silence_watch.rs
@@ -138,7 +138,15 @@
 
     async fn place(&self, now: MonoMs) -> Result<PlacedPrompt<'a>, Refusal> {
         let request = self.prompt_request(now).ok_or(Refusal::NoTarget)?;
-        place_prompt(self.state, request).await
+        let left_ms = self.progress.context.deadline.since(now);
+        let (placement, guard) = place_prompt(self.state, request).await?;
+        if placement.first_event_ms > left_ms as f64 {
+            // Only the silent engine can still answer in time.
+            let service = &self.progress.context.service;
+            self.state.serving().return_retry(now, service);
+            return Err(Refusal::NoTarget);
+        }
+        Ok((placement, guard))
     }
 
     fn prompt_request(&self, now: MonoMs) -> Option<PromptRequest> {
