--- a/crates/daemon/src/entry/forward/forward_send.rs
+++ b/crates/daemon/src/entry/forward/forward_send.rs
@@ -146,7 +146,7 @@
             && self
                 .state
                 .serving()
-                .has_forward_peer(now, &self.context.service)
+                .has_forward_peer(now, &self.context.service, &[])
     }
 
     /// Sends the request to a peer that takes it, and receives the head of its answer. `runs` targets may have run the
@@ -244,9 +244,8 @@
             return true;
         }
         let (now, service) = (self.state.now(), &self.context.service);
-        let serving = &mut self.state.serving();
-        let other = serving.choose_forward_peer(now, service, &self.tried);
-        self.tried.len() < MAX_PEERS && other.is_some()
+        let serving = self.state.serving();
+        self.tried.len() < MAX_PEERS && serving.has_forward_peer(now, service, &self.tried)
     }
 
     /// Returns a connection to a peer. What runs once at most goes over a new one, on which the peer can't have closed
--- a/crates/serving/src/serving/reach.rs
+++ b/crates/serving/src/serving/reach.rs
@@ -119,7 +119,7 @@
     /// Guards against streams that are given up though their connections live on while new ones are refused.
     pub fn should_leave_service(&self, now: MonoMs, service: &ServiceName) -> bool {
         self.own_reach.are_old_connections_silent(now, service)
-            && self.has_forward_peer(now, service)
+            && self.has_forward_peer(now, service, &[])
     }
 
     /// Returns whether connections to so many targets failed recently that the link of this instance is more likely at
@@ -264,19 +264,8 @@
         if !self.mechanisms.is_enabled(Mechanism::Forwarding) {
             return None;
         }
-        let eligible: Vec<&Member> = self
-            .members
-            .live_members(now)
-            .filter(|member| member.ready && !member.leaving)
-            .filter(|member| !tried.contains(&member.peer_address))
-            .filter(|member| {
-                let out_of_reach =
-                    self.peer_reach
-                        .out_of_reach(now, member.peer_address, member.run);
-                !out_of_reach.contains(service)
-            })
-            .collect();
         let mut rng = self.rng.fork();
+        let eligible: Vec<&Member> = self.forward_peers(now, service, tried).collect();
         let mut drawn = || draw_by_strength(&eligible, rng.f64());
         let pair = [drawn()?, drawn()?];
         let load = |member: &&Member| {
@@ -297,14 +286,33 @@
         Some(peer)
     }
 
-    /// Returns whether some live peer may serve requests for a service.
-    pub fn has_forward_peer(&self, now: MonoMs, service: &ServiceName) -> bool {
+    /// Returns whether some live peer may serve requests for a service, other than those that were asked.
+    pub fn has_forward_peer(
+        &self,
+        now: MonoMs,
+        service: &ServiceName,
+        tried: &[SocketAddr],
+    ) -> bool {
         self.mechanisms.is_enabled(Mechanism::Forwarding)
-            && self.members.live_members(now).any(|member| {
+            && self.forward_peers(now, service, tried).next().is_some()
+    }
+
+    /// Returns the live peers that may serve requests for a service, except those that were asked.
+    fn forward_peers<'a>(
+        &'a self,
+        now: MonoMs,
+        service: &'a ServiceName,
+        tried: &'a [SocketAddr],
+    ) -> impl Iterator<Item = &'a Member> {
+        self.members
+            .live_members(now)
+            .filter(|member| member.ready && !member.leaving)
+            .filter(|member| !tried.contains(&member.peer_address))
+            .filter(move |member| {
                 let out_of_reach =
                     self.peer_reach
                         .out_of_reach(now, member.peer_address, member.run);
-                member.ready && !member.leaving && !out_of_reach.contains(service)
+                !out_of_reach.contains(service)
             })
     }
 
