--- a/crates/serving/src/fleet/ranks.rs
+++ b/crates/serving/src/fleet/ranks.rs
@@ -29,7 +29,7 @@
 
 impl Ranks {
     /// Ranks the live instances, including this one, as seen from a failure domain. Leaving instances get
-    /// no role unless all leave.
+    /// no role unless all others leave or are still starting.
     ///
     /// Guards against instances that all leave at the same time and choose engines without knowing of each other's
     /// prompts, so that streams take longer than the instances live.
@@ -50,6 +50,11 @@
         } else {
             &staying
         };
+        let ready: Vec<&Member> = staying
+            .iter()
+            .copied()
+            .filter(|member| member.ready)
+            .collect();
         let address = |member: &&Member| member.peer_address;
         let hub_count = if is_large { HUB_COUNT } else { 0 };
         Self {
@@ -60,11 +65,11 @@
                 .filter(|member| member.failure_domain == *domain)
                 .map(address)
                 .collect(),
-            ready: members
-                .iter()
-                .filter(|member| member.ready || member.leaving)
-                .map(address)
-                .collect(),
+            ready: if ready.is_empty() {
+                leaving.iter().map(address).collect()
+            } else {
+                ready.iter().map(address).collect()
+            },
             leaving: leaving.iter().map(address).collect(),
         }
     }
--- a/crates/serving/tests/serving/fleet_fixture.rs
+++ b/crates/serving/tests/serving/fleet_fixture.rs
@@ -359,6 +359,19 @@
         self.alive.insert(address, serving);
     }
 
+    /// Starts an instance anew that reads neither a configuration nor targets.
+    pub fn restart_unready(&mut self, address: SocketAddr, run: u64) {
+        self.restart(address, run);
+        let own = Member {
+            failure_domain: domain(0).as_str().into(),
+            ..member(run, address.port() - 1)
+        };
+        let seeds: Vec<SocketAddr> = self.alive.keys().take(2).copied().collect();
+        let mut serving = Serving::new(own, rule());
+        serving.set_seeds(&seeds);
+        self.alive.insert(address, serving);
+    }
+
     pub fn kill(&mut self, address: SocketAddr) {
         self.alive.remove(&address);
         self.links.retain(|(from, _)| *from != address);
--- a/crates/serving/tests/serving/shutdown.rs
+++ b/crates/serving/tests/serving/shutdown.rs
@@ -141,3 +141,15 @@
         62
     ));
 }
+
+/// Guards against leaving instances that choose engines blindly because one that has just started, and knows no target
+/// yet, counts as the only one that stays.
+#[test]
+fn instances_that_leave_beside_a_starting_one_know_what_the_others_place() {
+    let mut fleet = Fleet::start(62);
+    let starting = *fleet.alive.keys().last().unwrap();
+    fleet.steps(24);
+    fleet.restart_unready(starting, 1_000);
+
+    assert!(second_leaving_instance_knows_of_the_first(fleet, 61));
+}
