--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -53,6 +53,8 @@
     announced: Latch,
     /// Set when the instance leaves and reads no request any more.
     closed: Latch,
+    /// Set when the process is about to exit whatever is open.
+    exiting: Latch,
 }
 
 impl EntryState {
@@ -78,6 +80,7 @@
             ready: Latch::default(),
             announced: Latch::default(),
             closed: Latch::default(),
+            exiting: Latch::default(),
         }
     }
 
@@ -115,6 +118,16 @@
         self.closed.set();
     }
 
+    /// Has requests end of which the answer hasn't begun: the process is about to exit.
+    pub fn end_unanswered_requests(&self) {
+        self.exiting.set();
+    }
+
+    /// Completes when requests are to end of which the answer hasn't begun.
+    pub async fn until_exit(&self) {
+        self.exiting.wait().await;
+    }
+
     /// Completes when an idle connection of a caller is to close. One that hasn't carried a request yet closes last,
     /// since its caller is about to send one.
     pub async fn until_idle_connections_close(&self, is_used: bool) {
@@ -200,7 +213,7 @@
     }
 
     fn log_reach(&self, service: &ServiceName, in_reach: bool) {
-        let has_peer = self.serving().has_forward_peer(self.now(), service);
+        let has_peer = self.serving().has_forward_peer(self.now(), service, &[]);
         self.log(&Decision::Reach {
             service: service.to_string(),
             in_reach,
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -198,7 +198,7 @@
     input: &mut Input,
     deadline_ms: Option<u64>,
 ) -> bool {
-    if state.was_ready() {
+    if state.was_ready() || state.serving().is_leaving() {
         return true;
     }
     let deadline_ms = deadline_ms.unwrap_or(ASSUMED_DEADLINE_MS);
@@ -252,6 +252,9 @@
     };
     if let Err(retry_after_ms) = admit_before_exit(state, &context) {
         let message = "this instance is leaving: use another one";
+        if context.forwarded.is_some() {
+            return RequestEnd::error(answer, NOT_TAKEN, message, None).await;
+        }
         let max_ms = context.deadline.since(context.arrived) / RETRY_AFTER_DIVISOR;
         let retry_after_ms = Some(retry_after_ms.min(max_ms));
         return RequestEnd::error(answer, 503, message, retry_after_ms).await;
@@ -302,11 +305,13 @@
             .clock
             .sleep(left_ms.saturating_sub(ANSWER_MARGIN_MS))
             .fuse();
-        pin_mut!(work, gone, timed_out);
+        let exiting = until_exit_without_answer(state, answer).fuse();
+        pin_mut!(work, gone, timed_out, exiting);
         select! {
             ended = work => Some(ended),
             () = gone => Some(RequestEnd::caller_gone()),
             () = timed_out => None,
+            () = exiting => Some(end_for_exit(answer).await),
         }
     };
     if let Some(ended) = ended {
@@ -323,6 +328,24 @@
     }
 }
 
+/// Completes when the process is about to exit and the answer to a request hasn't begun.
+async fn until_exit_without_answer(state: &EntryState, answer: &CallerAnswer<'_>) {
+    state.until_exit().await;
+    if answer.has_begun() {
+        future::pending::<()>().await;
+    }
+}
+
+/// Tells a caller what became of its request, which the exit of the process ends.
+async fn end_for_exit(answer: &CallerAnswer<'_>) -> RequestEnd {
+    if answer.may_have_run() {
+        let message = "the instance exits, the request may have run";
+        return RequestEnd::error(answer, 502, message, None).await;
+    }
+    let message = "the instance exits: use another one";
+    RequestEnd::error(answer, 503, message, Some(0)).await
+}
+
 fn is_prompt(caller: &CallerHead) -> bool {
     caller.prompt.is_some()
 }
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -193,15 +193,24 @@
         state.flush_log().await;
     }
 
-    /// Closes callers' connections on which no request is being served, and waits a limited time for all to end.
+    /// Closes callers' connections on which no request is being served, and waits for the requests that were taken until
+    /// then, and a limited time for the connections.
     ///
     /// Guards against a request that is read, or even sent to a target, between the decision to exit and the exit.
     async fn close_connections(&self, shutdown: &Shutdown) {
         let state = &self.state;
         state.close_connections();
+        if state.now() >= shutdown.exits_at() {
+            state.end_unanswered_requests();
+        }
         let latest = shutdown.exits_at() + CLOSE_MARGIN_MS;
         let closes_until = latest.min(state.now() + CLOSE_TIMEOUT_MS);
-        while state.open_requests.connections() > 0 && state.now() < closes_until {
+        let is_waiting = || {
+            let open = &state.open_requests;
+            let is_closing = open.connections() > 0 && state.now() < closes_until;
+            is_closing || open.count() > 0 && state.now() < latest
+        };
+        while is_waiting() {
             state.clock.sleep(CLOSE_CHECK_INTERVAL_MS).await;
         }
     }
--- a/crates/daemon/tests/shutdown/exits.rs
+++ b/crates/daemon/tests/shutdown/exits.rs
@@ -82,6 +82,23 @@
     assert_eq!(cut, Vec::<String>::new());
 }
 
+/// Guards against a caller whose connection closes without a word at the exit, though nothing of its answer was sent.
+#[test]
+fn a_request_without_an_answer_gets_one_at_the_exit() {
+    let plain = TargetStandin::start("p-1", Behaviour::Hang);
+    let store = store(&[], &[&plain]);
+    let mut process = Process::start(&store, SHORT_GRACE_S);
+    let mut caller = Caller::connect(process.settings.callers());
+    caller.write(&call().text());
+    plain.wait_for_arrivals(1);
+
+    process.stop();
+    let answer = caller.read();
+    process.wait();
+
+    assert_eq!(answer.map(|answer| answer.status), Some(502));
+}
+
 /// Guards against the end of a process of which the log doesn't tell what it cut off.
 #[test]
 fn the_log_names_what_the_exit_cuts_off() {
