--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -121,7 +121,7 @@
             left_ms: context.deadline.since(now),
             target: target.name(),
             account: context.account.as_deref(),
-            last_event_id: None,
+            last_event_id: context.caller.last_event_id,
             helpers: &[],
             rank: None,
         });
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -38,5 +38,7 @@
 mod published;
 #[path = "entry/silent_engines.rs"]
 mod silent_engines;
+#[path = "entry/resumed_streams.rs"]
+mod resumed_streams;
 #[path = "entry/streams.rs"]
 mod streams;
--- /dev/null
+++ b/crates/daemon/tests/entry/resumed_streams.rs
@@ -0,0 +1,107 @@
+//! Streams that their callers resume, on all kinds of routes that stream.
+
+use {
+    super::fixture::{target, world},
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    whinlatch_platform_standins::{
+        Behaviour, CallerRequest, FEED_PREFIX, STREAM_PREFIX, TargetStandin,
+        names::LAST_EVENT_HEADER,
+    },
+};
+
+/// Last event that the callers have.
+const LAST_EVENT: u64 = 2;
+
+fn feed(prefix: &str) -> CallerRequest {
+    CallerRequest {
+        body: "feed".to_owned(),
+        ..CallerRequest::new("POST", format!("{prefix}x"))
+    }
+}
+
+fn prompt(prefix: &str) -> CallerRequest {
+    CallerRequest::prompt(format!("{prefix}x"), 5_000)
+}
+
+/// Returns the request with which a caller that has events up to [`LAST_EVENT`] resumes its stream.
+fn resumed(mut request: CallerRequest) -> CallerRequest {
+    let last = (LAST_EVENT_HEADER, LAST_EVENT.to_string());
+    request.extra_headers.push(last);
+    request
+}
+
+fn events(first: u64, last: u64) -> String {
+    let events: Vec<String> = (first..=last)
+        .map(|id| format!("id: {id}\ndata: event {id}\n\n"))
+        .collect();
+    events.concat()
+}
+
+/// Returns the last events that the requests at a target name.
+fn last_events(target: &TargetStandin) -> Vec<Option<String>> {
+    let arrivals = target.arrivals();
+    let names = arrivals.iter().map(|request| {
+        let id = request.header(LAST_EVENT_HEADER);
+        id.map(str::to_owned)
+    });
+    names.collect()
+}
+
+/// Starts two targets, of which the one that is asked first drops its response and the other one streams.
+fn two_targets() -> [TargetStandin; 2] {
+    let requests = Arc::new(AtomicUsize::new(0));
+    ["t-1", "t-2"].map(|id| {
+        let requests = Arc::clone(&requests);
+        TargetStandin::start_choosing(id, move |_request| {
+            match requests.fetch_add(1, Ordering::SeqCst) {
+                0 => Behaviour::DropResponse,
+                _ => Behaviour::Stream(5),
+            }
+        })
+    })
+}
+
+/// Guards against events that a caller gets twice, after it resumed a stream whose route or request isn't that of a
+/// prompt at an engine.
+#[async_std::test]
+async fn a_resumed_stream_goes_on_after_the_last_event_of_its_caller() {
+    let engine = target("e-1", Behaviour::Stream(5));
+    let plain = target("p-1", Behaviour::Stream(5));
+    let world = world(&[&engine], &[&plain]).await;
+    let requests = [
+        prompt(STREAM_PREFIX),
+        feed(STREAM_PREFIX),
+        feed(FEED_PREFIX),
+    ];
+
+    let answers = requests.map(|request| world.exchange(&resumed(request)));
+
+    for answer in answers {
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+        assert_eq!(answer.body, events(LAST_EVENT + 1, 5));
+    }
+    let last = Some(LAST_EVENT.to_string());
+    assert_eq!(last_events(&engine), [last.clone(), last.clone()]);
+    assert_eq!(last_events(&plain), [last]);
+}
+
+/// As above, where the first target breaks off before it has answered.
+#[async_std::test]
+async fn a_resumed_stream_that_is_sent_again_goes_on_after_the_last_event() {
+    let targets = two_targets();
+    let world = world(&[], &targets.each_ref()).await;
+
+    let answer = world.exchange(&resumed(feed(FEED_PREFIX)));
+
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, events(LAST_EVENT + 1, 5));
+    let last = Some(LAST_EVENT.to_string());
+    assert!(
+        targets
+            .iter()
+            .all(|target| last_events(target) == [last.clone()])
+    );
+}
