--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -291,7 +291,7 @@
     answer: &CallerAnswer<'_>,
 ) -> RequestEnd {
     let work = async {
-        if context.route.retry_policy.is_stream() && is_prompt(&context.caller) {
+        if is_prompt_for_engines(context) {
             serve_stream(state, context, answer).await
         } else {
             serve_call(state, context, answer).await
@@ -346,8 +346,10 @@
     RequestEnd::error(answer, 503, message, Some(0)).await
 }
 
-fn is_prompt(caller: &CallerHead) -> bool {
-    caller.prompt.is_some()
+/// Returns whether a stream is placed by what its prompt costs the engines.
+fn is_prompt_for_engines(context: &RequestContext) -> bool {
+    let is_stream = context.route.retry_policy.is_stream();
+    is_stream && context.has_engines && context.caller.prompt.is_some()
 }
 
 /// Completes when the caller closes its connection. Pipelined requests are buffered in `input`.
--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -59,6 +59,8 @@
     pub route: Arc<Route>,
     /// Service that was drawn from those of the route.
     pub service: ServiceName,
+    /// Whether the targets of the service are model engines.
+    pub has_engines: bool,
     /// Its client account; `None` on a route that needs no key.
     pub account: Option<AccountName>,
     /// Its priority, 0 first: that of its account, or of its route if the account has none.
--- a/crates/daemon/src/entry/routing.rs
+++ b/crates/daemon/src/entry/routing.rs
@@ -10,7 +10,7 @@
     std::sync::Arc,
     whinlatch_core::MonoMs,
     whinlatch_platform::CallerHead,
-    whinlatch_serving::catalog::RouteError,
+    whinlatch_serving::catalog::{Configuration, RouteError},
     xxhash_rust::xxh3::Xxh3,
 };
 
@@ -98,6 +98,7 @@
         deadline: arrived + time_ms,
         time_limit,
         route: Arc::clone(route),
+        has_engines: has_engines(&configuration, &service),
         service,
         account,
         priority: priority.unwrap_or(route.priority),
@@ -110,6 +111,11 @@
     })
 }
 
+fn has_engines(configuration: &Configuration, service: &str) -> bool {
+    let known = configuration.service(service);
+    known.is_some_and(|service| service.engine.is_some())
+}
+
 fn rejection(error: RouteError) -> RoutingRejection {
     let status = match error {
         RouteError::NoRoute => 404,
