--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -2,6 +2,7 @@
 //! targets, peers and the store; [`whinlatch_serving::Serving`] takes the decisions.
 
 mod accept;
+mod answer_limits;
 mod answers;
 mod attempt;
 mod caller_connection;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        answer_limits::MAX_SKIPPED_BYTES,
         decision_line::Decision,
         entry_state::EntryState,
         http::{BodyFault, Framing, ResponseHead},
@@ -9,6 +10,7 @@
         silence::{Silence, SilenceKind},
         target_connection::{TargetConnection, TargetFault},
     },
+    crate::clock::timeout,
     std::{io, net::SocketAddr},
     whinlatch_core::MonoMs,
     whinlatch_platform::TargetResponse,
@@ -17,6 +19,8 @@
 
 /// Answers to other requests that are skipped before the connection is closed.
 const MAX_MISMATCHED_ANSWERS: usize = 2;
+/// Time within which an answer to another request has to end if the request may be sent to another target, in ms.
+const SKIP_TIMEOUT_MS: u64 = 1_000;
 
 /// Reason for a failed attempt.
 #[derive(Debug, thiserror::Error)]
@@ -137,7 +141,7 @@
             TargetFault::Body(fault) => {
                 (*fault == BodyFault::Truncated).then_some(BrokenConnection::BrokenOff)
             }
-            TargetFault::Head(_) => None,
+            TargetFault::Head(_) | TargetFault::TooLarge(_) => None,
         }
     }
 
@@ -295,7 +299,8 @@
 /// Sends the request and receives the head of its answer.
 ///
 /// Guards against a target that answers a request twice: the second answer arrives where the next
-/// request's is expected. It is recognised by its request id and skipped.
+/// request's is expected. It is recognised by its request id and skipped, within a bounded time if `may_repeat` says that
+/// another target may get the request.
 ///
 /// # Errors
 /// [`AttemptFault`].
@@ -305,6 +310,7 @@
     connection: &mut TargetConnection,
     context: &RequestContext,
     bytes: &[u8],
+    may_repeat: bool,
 ) -> Result<ResponseHead, AttemptFault> {
     let sent_at = state.now();
     connection.send(bytes).await?;
@@ -316,7 +322,7 @@
             .request_id
             .is_some_and(|id| id != context.caller.request_id);
         if is_mismatched {
-            connection.complete_body(&head).await?;
+            skip_body(state, connection, &head, may_repeat).await?;
             continue;
         }
         state.apply_notice(sent_at, &target.id, &answer.notice);
@@ -337,3 +343,24 @@
     }
     Err(AttemptFault::Mismatched)
 }
+
+/// Receives and discards the body of an answer to another request.
+async fn skip_body(
+    state: &EntryState,
+    connection: &mut TargetConnection,
+    head: &ResponseHead,
+    may_repeat: bool,
+) -> Result<(), AttemptFault> {
+    if head.framing == Framing::UntilClose {
+        // Nothing can follow it on this connection.
+        return Err(AttemptFault::Mismatched);
+    }
+    let skipped = connection.complete_body(head, MAX_SKIPPED_BYTES);
+    let skipped = if may_repeat {
+        timeout(state.clock.as_ref(), SKIP_TIMEOUT_MS, skipped).await
+    } else {
+        Some(skipped.await)
+    };
+    skipped.ok_or(AttemptFault::Mismatched)??;
+    Ok(())
+}
--- a/crates/daemon/src/entry/event_splitter.rs
+++ b/crates/daemon/src/entry/event_splitter.rs
@@ -1,3 +1,6 @@
+/// Limit for an event, in bytes; a target that sends more without an end of the event is broken.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Splits a stream of server-sent events into complete events. An event ends with an empty line; lines end with CR,
 /// LF or both.
 ///
@@ -6,6 +9,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// Bytes of `pending` in which no event ends.
+    searched_bytes: usize,
     last_id: Option<u64>,
 }
 
@@ -22,15 +27,23 @@
 
     /// Takes all complete events, byte for byte; `None` if there is none.
     pub fn take_complete(&mut self) -> Option<Vec<u8>> {
-        let end = last_event_end(&self.pending)?;
-        let rest = self.pending.split_off(end);
+        let end = last_event_end(&self.pending, self.searched_bytes);
+        self.searched_bytes = self.pending.len() - end.unwrap_or(0);
+        let rest = self.pending.split_off(end?);
         let complete = std::mem::replace(&mut self.pending, rest);
         self.record_ids(&complete);
         Some(complete)
     }
 
+    /// Returns whether more was received without the end of an event than any event has, after the complete ones were
+    /// taken.
+    pub fn is_overfull(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Takes the line ends and comments after the last complete event, at the end of a complete stream.
     pub fn take_rest(&mut self) -> Vec<u8> {
+        self.searched_bytes = 0;
         std::mem::take(&mut self.pending)
     }
 
@@ -46,6 +59,7 @@
 
     /// Discards an incomplete event; the target that resumes the stream sends it from its start.
     pub fn discard_partial(&mut self) {
+        self.searched_bytes = 0;
         self.pending.clear();
     }
 
@@ -65,7 +79,7 @@
 /// Returns whether a stream that ends with these bytes stops inside an event, so that it is broken off whatever its
 /// framing says.
 pub fn ends_inside_event(stream: &[u8]) -> bool {
-    let rest = &stream[last_event_end(stream).unwrap_or(0)..];
+    let rest = &stream[last_event_end(stream, 0).unwrap_or(0)..];
     let mut lines = rest.split_inclusive(|byte| matches!(byte, b'\n' | b'\r'));
     lines.any(|line| {
         let is_line_end = matches!(line, b"\n" | b"\r");
@@ -74,9 +88,9 @@
     })
 }
 
-/// Returns the index after the last empty line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len())
+/// Returns the index after the last empty line that ends at `from` or later.
+fn last_event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    (from..bytes.len())
         .rev()
         .find(|index| is_empty_line_end(bytes, *index))
         .map(|index| index + 1)
--- a/crates/daemon/src/entry/forward/forward_send.rs
+++ b/crates/daemon/src/entry/forward/forward_send.rs
@@ -3,6 +3,7 @@
     crate::{
         clock::timeout,
         entry::{
+            answer_limits::MAX_SKIPPED_BYTES,
             answers::CallerAnswer,
             attempt::AttemptFault,
             decision_line::Decision,
@@ -198,8 +199,10 @@
             }
             self.state.metrics.record_forward("not_taken");
             self.answer.set_may_have_run(runs > 0);
-            let body = forwarded.connection.complete_body(&forwarded.head).await;
-            if body.is_ok() {
+            let skipped = forwarded
+                .connection
+                .complete_body(&forwarded.head, MAX_SKIPPED_BYTES);
+            if skipped.await.is_ok() {
                 forwarded.keep_connection(self.state);
             }
         }
--- a/crates/daemon/src/entry/forwarded_stream.rs
+++ b/crates/daemon/src/entry/forwarded_stream.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        answer_limits::max_answer_bytes,
         exchange::RequestEnd,
         forward::{Forward, ForwardFault, ForwardedHead},
         http::{BodyDecoder, BodyProgress},
@@ -73,7 +74,11 @@
     /// Passes on an error that comes through a peer.
     async fn pass_on_peer_failure(&self, mut forwarded: ForwardedHead<'_>) -> RequestEnd {
         let status = forwarded.head.status;
-        let Ok(body) = forwarded.connection.complete_body(&forwarded.head).await else {
+        let max_bytes = max_answer_bytes(&forwarded.head);
+        let received = forwarded
+            .connection
+            .complete_body(&forwarded.head, max_bytes);
+        let Ok(body) = received.await else {
             let message = "the peer that was to serve the prompt didn't answer";
             return RequestEnd::error(self.answer, 502, message, None).await;
         };
@@ -103,7 +108,7 @@
                 .receive_from_peer(forward, &mut forwarded, &mut decoder)
                 .await?;
             let is_stream = has_begun || head.is_event_stream() != Some(false);
-            let events = self.take_events(progress, is_stream);
+            let events = self.take_events(progress, is_stream)?;
             if !events.is_empty() {
                 has_begun = true;
                 self.record_arrival(self.state.now());
--- a/crates/daemon/src/entry/http/body_decoder.rs
+++ b/crates/daemon/src/entry/http/body_decoder.rs
@@ -5,8 +5,8 @@
 
 /// Limit for the size line of a chunk, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
-/// Limit for each trailer line after the last chunk, in bytes.
-const MAX_TRAILER_BYTES: usize = 8 * 1024;
+/// Limit for the trailer lines after the last chunk, in bytes.
+const MAX_TRAILER_BYTES: usize = 64 * 1024;
 
 /// Reason why a body can't be decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -34,7 +34,8 @@
     ChunkLine,
     Chunk(u64),
     ChunkEnd,
-    Trailer,
+    /// Trailer lines, with the number of bytes that they may still have.
+    Trailer(usize),
     UntilClose,
     Complete,
 }
@@ -78,7 +79,7 @@
                 }
                 State::ChunkLine => self.chunk_line(input)?,
                 State::ChunkEnd => self.chunk_end(input)?,
-                State::Trailer => self.trailer(input)?,
+                State::Trailer(left) => self.trailer(input, left)?,
             };
             if !advanced {
                 return Ok(BodyProgress::More);
@@ -123,7 +124,7 @@
         let length = u64::from_str_radix(digits, 16).ok().filter(|_| is_hex);
         self.state = match length {
             None => return Err(BodyFault::Malformed("a length isn't a number")),
-            Some(0) => State::Trailer,
+            Some(0) => State::Trailer(MAX_TRAILER_BYTES),
             Some(length) => State::Chunk(length),
         };
         Ok(true)
@@ -142,14 +143,15 @@
         Ok(true)
     }
 
-    fn trailer(&mut self, input: &mut Input) -> Result<bool, BodyFault> {
-        while let Some(line) = line(input, MAX_TRAILER_BYTES)? {
-            if line.is_empty() {
-                self.state = State::Complete;
-                return Ok(true);
-            }
-        }
-        Ok(false)
+    fn trailer(&mut self, input: &mut Input, left: usize) -> Result<bool, BodyFault> {
+        let Some(line) = line(input, left)? else {
+            return Ok(false);
+        };
+        self.state = match line.len() {
+            0 => State::Complete,
+            length => State::Trailer(left - length),
+        };
+        Ok(true)
     }
 }
 
--- a/crates/daemon/src/entry/own_call.rs
+++ b/crates/daemon/src/entry/own_call.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        answer_limits::MAX_OWN_CALL_BYTES,
         attempt::{AttemptFault, connection},
         entry_state::EntryState,
         http::ResponseHead,
@@ -83,7 +84,9 @@
     let mut connection = connection(state, target).await?;
     let sent_at = state.now();
     let request = call.request(target);
-    let (head, body) = connection.exchange(call.method(), &request).await?;
+    let (head, body) = connection
+        .exchange(call.method(), &request, MAX_OWN_CALL_BYTES)
+        .await?;
     state.serving().record_heard(state.now(), &target.id);
     let answer = TargetResponse::read(head.status, head.pairs());
     state.apply_notice(sent_at, &target.id, &answer.notice);
--- a/crates/daemon/src/entry/plain_calls/forwarded_call.rs
+++ b/crates/daemon/src/entry/plain_calls/forwarded_call.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         super::{
+            answer_limits::max_answer_bytes,
             exchange::RequestEnd,
             forward::{Forward, ForwardFault, ForwardedHead},
         },
@@ -44,7 +45,11 @@
         &self,
         mut forwarded: ForwardedHead<'_>,
     ) -> Result<RequestEnd, TargetFault> {
-        let body = forwarded.connection.complete_body(&forwarded.head).await?;
+        let max_bytes = max_answer_bytes(&forwarded.head);
+        let body = forwarded
+            .connection
+            .complete_body(&forwarded.head, max_bytes)
+            .await?;
         check_end(&forwarded.head, &body)?;
         let status = forwarded.head.status;
         let written = self.answer.write_full(&forwarded.head, &body).await;
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         super::{
+            answer_limits::max_answer_bytes,
             answers::{CallerAnswer, NOT_RUN_STATUSES},
             attempt::{
                 AttemptFault, SentAttempt, record_answer, record_broken_attempt,
@@ -174,6 +175,12 @@
         received
     }
 
+    /// Returns whether the call may be sent to another target if an attempt that was sent fails.
+    fn has_another_attempt(&self) -> bool {
+        let route = &self.context.route;
+        route.retry_policy.is_idempotent() && self.runs.count() < route.max_attempts
+    }
+
     async fn send_and_receive(
         &self,
         guard: &CallGuard<'_>,
@@ -184,9 +191,14 @@
             mut connection,
             bytes,
         } = prepared;
-        let head = send_request(self.state, target, &mut connection, self.context, &bytes).await?;
+        let may_repeat = self.has_another_attempt();
+        let (state, context) = (self.state, self.context);
+        let sent = send_request(state, target, &mut connection, context, &bytes, may_repeat);
+        let head = sent.await?;
         self.answer.record_framing(head.framing);
-        let body = connection.complete_body(&head).await?;
+        let body = connection
+            .complete_body(&head, max_answer_bytes(&head))
+            .await?;
         check_end(&head, &body)?;
         if head.keeps_alive {
             let now = self.state.now();
--- a/crates/daemon/src/entry/store/store_calls.rs
+++ b/crates/daemon/src/entry/store/store_calls.rs
@@ -2,6 +2,7 @@
     crate::{
         clock::timeout,
         entry::{
+            answer_limits::MAX_STORE_BYTES,
             entry_state::EntryState,
             target_connection::{TargetConnection, TargetFault},
         },
@@ -121,6 +122,8 @@
     host: SocketAddr,
 ) -> Result<(u16, bool, Vec<u8>), TargetFault> {
     let request = format!("GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n");
-    let (head, body) = connection.exchange("GET", request.as_bytes()).await?;
+    let (head, body) = connection
+        .exchange("GET", request.as_bytes(), MAX_STORE_BYTES)
+        .await?;
     Ok((head.status, head.keeps_alive, body))
 }
--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -35,7 +35,7 @@
                 .receive(attempt, &mut connection, &mut decoder, due)
                 .await?;
             let is_stream = has_begun || head.is_event_stream() != Some(false);
-            let events = self.take_events(progress, is_stream);
+            let events = self.take_events(progress, is_stream)?;
             if !events.is_empty() {
                 self.record_event(placement, !std::mem::replace(&mut has_begun, true));
                 if self.deliver(&head, &events).await.is_err() {
@@ -74,13 +74,28 @@
 
     /// Takes the complete events, and at the end of a complete stream also what follows them. Of an answer that
     /// declares another type and has no event, takes all.
-    pub(super) fn take_events(&mut self, progress: BodyProgress, is_stream: bool) -> Vec<u8> {
-        let mut events = self.splitter.take_complete().unwrap_or_default();
+    ///
+    /// # Errors
+    /// [`TargetFault::TooLarge`] if no event ends where each would have.
+    pub(super) fn take_events(
+        &mut self,
+        progress: BodyProgress,
+        is_stream: bool,
+    ) -> Result<Vec<u8>, TargetFault> {
+        let complete = self.splitter.take_complete();
+        // What was taken has to be passed on first.
+        if complete.is_none() && self.splitter.is_overfull() {
+            return Err(TargetFault::TooLarge("events"));
+        }
+        let mut events = complete.unwrap_or_default();
+        if progress == BodyProgress::More {
+            return Ok(events);
+        }
         let ends_inside_event = is_stream && self.splitter.partial_event_bytes() > 0;
-        if progress == BodyProgress::Complete && !ends_inside_event {
+        if !ends_inside_event {
             events.extend(self.splitter.take_rest());
         }
-        events
+        Ok(events)
     }
 
     /// Checks that a stream whose body is complete by its framing wasn't broken off.
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        answer_limits::max_answer_bytes,
         answers::{CallerAnswer, NOT_RUN_STATUSES},
         attempt::{
             AttemptFault, SentAttempt, record_answer, record_broken_attempt, request_connection,
@@ -271,7 +272,9 @@
         let engine = &attempt.placement.engine;
         let due = (attempt.first_event_by, SilenceKind::FirstEvent);
         let watch = self.silence_watch(attempt, due);
-        let responded = send_request(self.state, engine, &mut connection, self.context, request);
+        let (state, context) = (self.state, self.context);
+        let may_repeat = self.may_move(attempt.tried);
+        let responded = send_request(state, engine, &mut connection, context, request, may_repeat);
         let head = match watch.unless_replaced(responded).await {
             Ok(head) => head?,
             Err(replacement) => return Err(self.accept_replacement(replacement)),
@@ -384,6 +387,8 @@
     mut connection: TargetConnection,
     head: ResponseHead,
 ) -> Result<StreamEnd, AttemptFault> {
-    let body = connection.complete_body(&head).await?;
+    let body = connection
+        .complete_body(&head, max_answer_bytes(&head))
+        .await?;
     Ok(StreamEnd::Failure(head, body))
 }
--- a/crates/daemon/src/entry/target_connection.rs
+++ b/crates/daemon/src/entry/target_connection.rs
@@ -1,6 +1,7 @@
 use {
     super::http::{
-        BodyDecoder, BodyFault, BodyProgress, HeadFault, Input, ResponseHead, find_head_end,
+        BodyDecoder, BodyFault, BodyProgress, Framing, HeadFault, Input, ResponseHead,
+        find_head_end,
     },
     crate::targets::GuardedStream,
     futures::{AsyncReadExt, AsyncWrite, FutureExt, future::poll_fn, ready},
@@ -12,8 +13,10 @@
     thiserror::Error,
 };
 
-/// Limit for the head of a target's answer, in bytes.
+/// Limit for the head of a target's answer with the interim ones before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Limit for the number of interim answers (1xx) before an answer.
+const MAX_INTERIM_HEADS: usize = 16;
 
 /// Reason why a target's answer couldn't be read.
 #[derive(Debug, Error)]
@@ -34,6 +37,9 @@
     /// The body can't be decoded.
     #[error(transparent)]
     Body(#[from] BodyFault),
+    /// A part of the answer is larger than any that a sound target sends.
+    #[error("the target's answer exceeds the limit for {0}")]
+    TooLarge(&'static str),
     /// The answer is a stream that stopped inside an event, whatever its framing says.
     #[error("the target's stream ended inside an event")]
     InsideEvent,
@@ -131,6 +137,8 @@
     /// # Errors
     /// [`TargetFault`].
     pub async fn head(&mut self, method: &str) -> Result<ResponseHead, TargetFault> {
+        let mut interim_bytes = 0;
+        let mut interim_heads = 0;
         loop {
             match find_head_end(self.input.as_slice())? {
                 Some(end) => {
@@ -139,9 +147,14 @@
                     if !head.is_interim() {
                         return Ok(head);
                     }
+                    interim_bytes += end;
+                    interim_heads += 1;
+                    if interim_heads > MAX_INTERIM_HEADS {
+                        return Err(TargetFault::TooLarge("interim answers"));
+                    }
                 }
-                None if self.input.as_slice().len() > MAX_HEAD_BYTES => {
-                    return Err(HeadFault::TooLarge.into());
+                None if interim_bytes + self.input.as_slice().len() > MAX_HEAD_BYTES => {
+                    return Err(TargetFault::TooLarge("heads"));
                 }
                 None => self.fill().await?,
             }
@@ -171,7 +184,7 @@
         }
     }
 
-    /// Sends a request and receives the complete answer.
+    /// Sends a request and receives the complete answer, whose body has at most `max_body_bytes`.
     ///
     /// # Errors
     /// [`TargetFault`].
@@ -179,22 +192,38 @@
         &mut self,
         method: &str,
         request: &[u8],
+        max_body_bytes: usize,
     ) -> Result<(ResponseHead, Vec<u8>), TargetFault> {
         self.send(request).await?;
         let head = self.head(method).await?;
-        let body = self.complete_body(&head).await?;
+        let body = self.complete_body(&head, max_body_bytes).await?;
         Ok((head, body))
     }
 
-    /// Receives the complete body that follows `head`.
+    /// Receives the complete body that follows `head`, of at most `max_bytes`.
     ///
     /// # Errors
-    /// [`TargetFault`].
-    pub async fn complete_body(&mut self, head: &ResponseHead) -> Result<Vec<u8>, TargetFault> {
+    /// [`TargetFault`]; [`TargetFault::TooLarge`] as soon as the body is known to be larger.
+    pub async fn complete_body(
+        &mut self,
+        head: &ResponseHead,
+        max_bytes: usize,
+    ) -> Result<Vec<u8>, TargetFault> {
+        const TOO_LARGE: TargetFault = TargetFault::TooLarge("bodies");
+        if matches!(head.framing, Framing::Length(length) if length > max_bytes as u64) {
+            return Err(TOO_LARGE);
+        }
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
-        while self.body(&mut decoder, &mut body).await? == BodyProgress::More {}
-        Ok(body)
+        loop {
+            let progress = self.body(&mut decoder, &mut body).await?;
+            if body.len() > max_bytes {
+                return Err(TOO_LARGE);
+            }
+            if progress == BodyProgress::Complete {
+                return Ok(body);
+            }
+        }
     }
 
     async fn fill(&mut self) -> Result<(), TargetFault> {
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -12,6 +12,8 @@
 mod crashing_requests;
 #[path = "entry/cut_off.rs"]
 mod cut_off;
+#[path = "entry/endless_answers.rs"]
+mod endless_answers;
 #[path = "entry/evacuation.rs"]
 mod evacuation;
 #[path = "entry/failing_engines.rs"]
@@ -36,9 +38,9 @@
 mod paused_fleet;
 #[path = "entry/published.rs"]
 mod published;
-#[path = "entry/silent_engines.rs"]
-mod silent_engines;
 #[path = "entry/resumed_streams.rs"]
 mod resumed_streams;
+#[path = "entry/silent_engines.rs"]
+mod silent_engines;
 #[path = "entry/streams.rs"]
 mod streams;
