--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -18,12 +18,12 @@
     async_std::{
         io::{ReadExt, WriteExt},
         net::{Shutdown, TcpListener, TcpStream},
-        task,
+        task::{self, JoinHandle},
     },
     futures::{future, join},
     http_types::StatusCode,
     serde::{Deserialize, Serialize},
-    socket2::SockRef,
+    socket2::{Domain, SockRef, Socket, Type},
     std::{
         io,
         net::SocketAddr,
@@ -35,6 +35,8 @@
     },
 };
 
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 128;
 /// Size of the buffer for forwarded bytes.
 const COPY_BUFFER_BYTES: usize = 16_384;
 /// Delay of each forwarded piece in slow mode, in ms: about twenty times that of a healthy network.
@@ -92,6 +94,10 @@
     address: SocketAddr,
     control: Standin<FakeRelay>,
     stop: Signal,
+    /// The task that accepts connections, until it was waited for.
+    accepting: Option<JoinHandle<()>>,
+    /// Holds the port also when nothing listens on it, so that no other program is reached there.
+    _reserved: Socket,
 }
 
 /// How a relay ends connections that it cuts.
@@ -150,7 +156,7 @@
     /// # Errors
     /// The listen address can't be bound.
     pub async fn start(options: RelayOptions) -> io::Result<Self> {
-        let listener = TcpListener::bind(options.listen).await?;
+        let (reserved, listener) = listen(options.listen)?;
         let address = listener.local_addr()?;
         let fake = FakeRelay {
             common: CommonState::default(),
@@ -163,7 +169,7 @@
         };
         let control = Standin::listen(ANY_PORT, fake).await?;
         let stop = Signal::default();
-        task::spawn(
+        let accepting = task::spawn(
             stop.waiter()
                 .run_until_signal(accept(Arc::clone(&control.0), listener)),
         );
@@ -171,6 +177,8 @@
             address,
             control,
             stop,
+            accepting: Some(accepting),
+            _reserved: reserved,
         })
     }
 
@@ -184,6 +192,14 @@
         self.control.address()
     }
 
+    /// Stops accepting connections; open ones continue. New ones are refused once this returns.
+    pub async fn stop_listening(&mut self) {
+        self.stop.notify();
+        if let Some(accepting) = self.accepting.take() {
+            accepting.await;
+        }
+    }
+
     /// Sets the mode. `RelayMode::Pass` restores normal forwarding, except on connections that were silenced.
     pub fn set_mode(&self, mode: RelayMode) {
         self.control.0.set_mode(mode);
@@ -272,6 +288,23 @@
     }
 }
 
+/// Takes an address, with any free port for port 0.
+fn bind(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+/// Takes an address and listens on it. The first socket holds the port when the listener is gone.
+fn listen(address: SocketAddr) -> io::Result<(Socket, TcpListener)> {
+    let reserved = bind(address)?;
+    let address = reserved.local_addr()?.as_socket();
+    let listener = bind(address.ok_or(io::ErrorKind::AddrNotAvailable)?)?;
+    listener.listen(BACKLOG)?;
+    Ok((reserved, std::net::TcpListener::from(listener).into()))
+}
+
 /// Makes the connection end with a reset. Fails without effect if it is closed already.
 fn reset_at_end(stream: &TcpStream) {
     let _already_closed = SockRef::from(stream).set_linger(Some(Duration::ZERO));
