--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -64,7 +64,7 @@
 ///
 /// Stops when callers' connections close, which closes the listener.
 pub async fn serve_callers(state: Arc<EntryState>, listener: TcpListener) {
-    let closed = state.until_idle_connections_close(false);
+    let closed = state.until_connections_close();
     let accepted = accept_all(Arc::clone(&state), listener, "callers", serve_caller);
     pin_mut!(accepted, closed);
     select(accepted, closed).await;
@@ -156,9 +156,16 @@
 }
 
 /// Completes when a connection that is idle from now on is to close: at the idle timeout of the configuration that is
-/// active by then, or when this instance leaves.
+/// active by then, or when this instance leaves. One that hasn't carried a request closes last, since its caller is about
+/// to send one.
 async fn until_idle_connection_closes(state: &Arc<EntryState>, is_used: bool) {
-    let leaving = state.until_idle_connections_close(is_used);
+    let leaving = async {
+        if is_used {
+            state.until_idle_connections_close().await;
+        } else {
+            state.until_connections_close().await;
+        }
+    };
     let idle = until_idle_timeout(state, is_used);
     pin_mut!(leaving, idle);
     select(leaving, idle).await;
--- a/crates/daemon/src/entry/entry_state.rs
+++ b/crates/daemon/src/entry/entry_state.rs
@@ -128,14 +128,14 @@
         self.exiting.wait().await;
     }
 
-    /// Completes when an idle connection of a caller is to close. One that hasn't carried a request yet closes last,
-    /// since its caller is about to send one.
-    pub async fn until_idle_connections_close(&self, is_used: bool) {
-        if is_used {
-            self.announced.wait().await;
-        } else {
-            self.closed.wait().await;
-        }
+    /// Completes when callers' idle connections are to close that have carried a request.
+    pub async fn until_idle_connections_close(&self) {
+        self.announced.wait().await;
+    }
+
+    /// Completes when all callers' connections are to close on which no request is being read or served.
+    pub async fn until_connections_close(&self) {
+        self.closed.wait().await;
     }
 
     /// Locks the decision state. The guard must not be held across an await.
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -32,6 +32,9 @@
 /// The wait for a configuration is also limited to the request's deadline divided by this.
 const CONFIGURATION_WAIT_DIVISOR: u64 = 4;
 
+/// Outcome of a request whose target's answer was passed on completely.
+const ANSWERED: &str = "answered";
+
 /// How a request ended.
 #[derive(Debug)]
 pub struct RequestEnd {
@@ -60,7 +63,7 @@
     /// A target's answer was passed on completely.
     pub fn answered(status: u16) -> Self {
         Self {
-            outcome: "answered",
+            outcome: ANSWERED,
             status,
             reason: String::new(),
             keeps_alive: true,
@@ -68,6 +71,11 @@
         }
     }
 
+    /// Returns whether a target's answer was passed on completely.
+    fn is_answered(&self) -> bool {
+        self.outcome == ANSWERED
+    }
+
     /// The caller closed its connection.
     pub fn caller_gone() -> Self {
         Self {
@@ -260,7 +268,7 @@
         return RequestEnd::error(answer, 503, message, retry_after_ms).await;
     }
     let ended = serve(state, stream, input, &context, answer).await;
-    if ended.outcome == "answered" {
+    if ended.is_answered() {
         let now = state.now();
         let took_ms = now.since(context.arrived);
         state
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -178,10 +178,10 @@
             grace_ms: state.settings.shutdown_ms,
             list_use_ms: LIST_TTLS * ENTRY_TTL_S * MS_PER_S,
         };
-        let shutdown = Shutdown::begin(state.now(), rule);
-        let left_ms = shutdown.exits_at().since(state.now());
+        let now = state.now();
+        let shutdown = state.serving().leave(now, rule);
+        let left_ms = shutdown.exits_at().since(now);
         state.log(&Decision::Stopping { left_ms });
-        state.serving().leave(state.now(), rule);
         while !shutdown.is_over(state.now(), state.open_requests.count()) {
             state.clock.sleep(IDLE_CHECK_INTERVAL_MS).await;
             if state.now() >= shutdown.announced_at() {
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -33,7 +33,7 @@
 
 /// Engines that are tried before a prompt fails.
 const MAX_TARGETS: usize = 4;
-/// Another engine is looked for if the first event takes three times its expected time and this, in ms, or longer: an engine detects a dead
+/// Another engine is looked for if the first event takes three times its expected time and this, in ms: an engine detects a dead
 /// helper within 1,500 ms and reports it itself.
 const FIRST_EVENT_GRACE_MS: u64 = 1_800;
 /// Pause between events after which another engine is looked for, in ms. It is longer than a pass that reads parts of several
--- a/crates/serving/src/shutdown.rs
+++ b/crates/serving/src/shutdown.rs
@@ -32,7 +32,6 @@
 /// The shutdown of an instance that was ordered to stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shutdown {
-    began_at: MonoMs,
     announced_at: MonoMs,
     exits_at: MonoMs,
     is_closed: bool,
@@ -42,7 +41,6 @@
     /// Begins a shutdown.
     pub fn begin(now: MonoMs, rule: ShutdownRule) -> Self {
         Self {
-            began_at: now,
             announced_at: now + rule.list_use_ms.saturating_sub(SIGNAL_DELAY_MS),
             exits_at: now + rule.grace_ms.saturating_sub(KILL_MARGIN_MS),
             is_closed: false,
