--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -41,6 +41,9 @@
     Slow,
     #[error("the body is too large: send less")]
     BodyTooLarge,
+    /// The instance leaves before it has read the request.
+    #[error("the instance exits: use another one")]
+    Leaving,
     #[error("{0}")]
     Head(#[from] HeadFault),
     #[error("{0}")]
@@ -53,11 +56,17 @@
             Self::Closed | Self::Body(BodyFault::Truncated) => None,
             Self::Slow => Some(408),
             Self::BodyTooLarge => Some(413),
+            Self::Leaving => Some(503),
             Self::Head(HeadFault::TooLarge) => Some(431),
             Self::Head(HeadFault::Coding) => Some(501),
             Self::Head(HeadFault::Malformed(_)) | Self::Body(BodyFault::Malformed(_)) => Some(400),
         }
     }
+
+    /// Time after which another attempt is worthwhile, in ms.
+    fn retry_after_ms(&self) -> Option<u64> {
+        matches!(self, Self::Leaving).then_some(0)
+    }
 }
 
 /// Accepts callers' connections.
@@ -80,7 +89,7 @@
     while wait_for_first_byte(&state, &stream, &mut input, is_used).await {
         let arrived = state.now();
         let open = state.open_requests.begin(arrived);
-        let request = match read_request(&state, &stream, &mut input, arrived).await {
+        let request = match read_unless_closing(&state, &stream, &mut input, arrived).await {
             Ok(request) => request,
             Err(fault) => return reject(&stream, &fault).await,
         };
@@ -98,7 +107,28 @@
     if let Some(status) = fault.status() {
         let answer = CallerAnswer::new(stream, true);
         // A failed write means that the caller is gone.
-        let _written = answer.write_error(status, &fault.to_string(), None).await;
+        let message = fault.to_string();
+        let _written = answer
+            .write_error(status, &message, fault.retry_after_ms())
+            .await;
+    }
+}
+
+/// Reads a request, unless all connections close before it is complete.
+///
+/// Guards against a caller whose connection closes without a word at the exit while it is sending a request.
+async fn read_unless_closing(
+    state: &Arc<EntryState>,
+    stream: &TcpStream,
+    input: &mut Input,
+    arrived: MonoMs,
+) -> Result<ReadRequest, ReadFault> {
+    let closing = state.until_connections_close();
+    let reading = read_request(state, stream, input, arrived);
+    pin_mut!(closing, reading);
+    match select(closing, reading).await {
+        Either::Left(((), _)) => Err(ReadFault::Leaving),
+        Either::Right((request, _)) => request,
     }
 }
 
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -6,5 +6,7 @@
 mod exits;
 #[path = "shutdown/fixture.rs"]
 mod fixture;
+#[path = "shutdown/half_read.rs"]
+mod half_read;
 #[path = "shutdown/undisturbed.rs"]
 mod undisturbed;
