--- a/crates/daemon/src/entry/caller_connection.rs
+++ b/crates/daemon/src/entry/caller_connection.rs
@@ -12,6 +12,7 @@
             find_head_end,
         },
         request_context::ReadRequest,
+        routing::ASSUMED_DEADLINE_MS,
     },
     crate::{clock::timeout, targets::set_options},
     async_std::net::{TcpListener, TcpStream},
@@ -23,6 +24,7 @@
     std::{sync::Arc, time::Duration},
     thiserror::Error,
     whinlatch_core::MonoMs,
+    whinlatch_platform::read_deadline_ms,
     whinlatch_serving::catalog::Limits,
 };
 
@@ -148,7 +150,12 @@
         let continued = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         continued.map_err(|_gone| ReadFault::Closed)?;
     }
-    let body = read_body(state, stream, input, &head, &limits).await?;
+    let deadline_ms = read_deadline_ms(head.pairs()).unwrap_or(ASSUMED_DEADLINE_MS);
+    let left_ms = deadline_ms.saturating_sub(state.now().since(arrived));
+    let reading = read_body(state, stream, input, &head, &limits);
+    let body = timeout(state.clock.as_ref(), left_ms, reading)
+        .await
+        .ok_or(ReadFault::Slow)??;
     Ok(ReadRequest {
         head,
         body,
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -42,5 +42,7 @@
 mod resumed_streams;
 #[path = "entry/silent_engines.rs"]
 mod silent_engines;
+#[path = "entry/slow_bodies.rs"]
+mod slow_bodies;
 #[path = "entry/streams.rs"]
 mod streams;
