--- a/crates/daemon/src/entry/forward/forward_send.rs
+++ b/crates/daemon/src/entry/forward/forward_send.rs
@@ -151,14 +151,14 @@
     }
 
     /// Sends the request to a peer that takes it, and receives the head of its answer. `runs` targets may have run the
-    /// request before; `last_event_id` is that of the last event that its caller has.
+    /// request before; `received` is the id of the last event that came to this instance.
     ///
     /// # Errors
     /// [`ForwardFault`].
     pub async fn send(
         &mut self,
         runs: u32,
-        last_event_id: Option<u64>,
+        received: Option<u64>,
     ) -> Result<ForwardedHead<'a>, ForwardFault> {
         while self.tried.len() < MAX_PEERS {
             let now = self.state.now();
@@ -172,7 +172,7 @@
             let Ok(connection) = self.connection(&peer).await else {
                 continue;
             };
-            let request = self.request(&peer, runs, last_event_id);
+            let request = self.request(&peer, runs, received);
             self.state.log(&Decision::Forwarded {
                 request: self.context.caller.request_id.clone(),
                 route: self.context.route.name.clone(),
@@ -263,7 +263,7 @@
         state.pool.open(state.clock.as_ref(), address).await
     }
 
-    fn request(&self, peer: &ForwardPeer, runs: u32, last_event_id: Option<u64>) -> Vec<u8> {
+    fn request(&self, peer: &ForwardPeer, runs: u32, received: Option<u64>) -> Vec<u8> {
         let context = self.context;
         let note = ForwardNote {
             run: peer.run,
@@ -274,7 +274,7 @@
             runs,
             is_resumed: self.answer.has_begun(),
         };
-        context.for_peer(&note, last_event_id)
+        context.for_peer(&note, received)
     }
 
     async fn exchange(
--- a/crates/daemon/src/entry/forwarded_stream.rs
+++ b/crates/daemon/src/entry/forwarded_stream.rs
@@ -32,8 +32,8 @@
         &mut self,
         forward: &mut Forward<'_>,
     ) -> Option<RequestEnd> {
-        let last_event_id = self.last_event_id();
-        let forwarded = match forward.send(self.runs, last_event_id).await {
+        let received = self.splitter.last_id();
+        let forwarded = match forward.send(self.runs, received).await {
             Ok(forwarded) => forwarded,
             Err(ForwardFault::NotTaken) => return None,
             Err(ForwardFault::Broken { peer, .. }) => {
--- a/crates/daemon/src/entry/plain_calls/forwarded_call.rs
+++ b/crates/daemon/src/entry/plain_calls/forwarded_call.rs
@@ -17,8 +17,7 @@
     /// may be sent again.
     pub async fn serve_through_peer(&self, forward: &mut Forward<'_>) -> Option<RequestEnd> {
         let (context, answer) = (self.context, self.answer);
-        let last_event_id = context.caller.last_event_id;
-        let (peer, fault) = match forward.send(self.runs.count(), last_event_id).await {
+        let (peer, fault) = match forward.send(self.runs.count(), None).await {
             Ok(forwarded) => {
                 let peer = *forwarded.guard.peer();
                 match self.pass_on_from_peer(forwarded).await {
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -122,7 +122,7 @@
             left_ms: context.deadline.since(now),
             target: target.name(),
             account: context.account.as_deref(),
-            last_event_id: context.caller.last_event_id,
+            last_event_id: context.caller.last_event_id.as_deref(),
             helpers: &[],
             rank: None,
         });
--- a/crates/daemon/src/entry/request_context.rs
+++ b/crates/daemon/src/entry/request_context.rs
@@ -3,7 +3,7 @@
         forward::ForwardNote,
         http::{Framing, RequestHead},
     },
-    std::{fmt::Write, sync::Arc},
+    std::{borrow::Cow, fmt::Write, sync::Arc},
     whinlatch_core::MonoMs,
     whinlatch_platform::{
         CallerHead, TargetHead, is_forwarded_to_peer, is_forwarded_to_target, write_last_event_id,
@@ -75,6 +75,8 @@
     pub time_limit: TimeLimit,
     /// Hash of account, path and body, the same for all retries of a request.
     pub fingerprint: Fingerprint,
+    /// Event after which its stream goes on; `None` if it begins with the first one, or may not be resumed.
+    pub resumes_after: Option<u64>,
     /// What the peer says of it that has forwarded it; `None` if it came from its caller.
     pub forwarded: Option<ForwardNote>,
 }
@@ -96,6 +98,15 @@
         parts.map(ToString::to_string).collect()
     }
 
+    /// Returns the last event of the stream for the next attempt: the one that was received, or else the one that the
+    /// caller names.
+    pub fn last_event_id(&self, received: Option<u64>) -> Option<Cow<'_, str>> {
+        let named = self.caller.last_event_id.as_deref();
+        received
+            .map(|id| id.to_string().into())
+            .or(named.map(Cow::from))
+    }
+
     /// Returns the bytes of the request to a target: the caller's method, path, headers and body, and the
     /// headers that this system adds.
     pub fn for_target(&self, own: &TargetHead<'_>) -> Vec<u8> {
@@ -106,11 +117,11 @@
     }
 
     /// Returns the bytes of the request to a peer that is to serve it: as its caller sent it, with a note and the last
-    /// event that its caller has.
-    pub fn for_peer(&self, note: &ForwardNote, last_event_id: Option<u64>) -> Vec<u8> {
+    /// event that was received, if there is one.
+    pub fn for_peer(&self, note: &ForwardNote, received: Option<u64>) -> Vec<u8> {
         let mut own_lines = note.line();
-        if let Some(id) = last_event_id {
-            write_last_event_id(id, &mut own_lines);
+        if let Some(id) = self.last_event_id(received) {
+            write_last_event_id(&id, &mut own_lines);
         }
         let is_passed_on = |name: &str| is_forwarded_to_peer(name) && !ForwardNote::is_name(name);
         self.bytes(is_passed_on, &own_lines)
--- a/crates/daemon/src/entry/routing.rs
+++ b/crates/daemon/src/entry/routing.rs
@@ -10,7 +10,7 @@
     std::sync::Arc,
     whinlatch_core::MonoMs,
     whinlatch_platform::CallerHead,
-    whinlatch_serving::catalog::{Configuration, RouteError},
+    whinlatch_serving::catalog::{Configuration, RetryPolicy, Route, RouteError},
     xxhash_rust::xxh3::Xxh3,
 };
 
@@ -70,6 +70,7 @@
         .map_err(rejection)?;
     let account = known.map(|(name, _priority)| name.clone());
     let priority = known.and_then(|(_name, priority)| priority);
+    let resumes_after = resumes_after(&caller, route)?;
     let service = forwarded
         .as_ref()
         .and_then(|note| route.service(&note.service))
@@ -107,10 +108,26 @@
         body,
         caller,
         arrived,
+        resumes_after,
         forwarded,
     })
 }
 
+/// Returns the event after which the caller resumes a stream that may be resumed. On other routes, what it names is for
+/// the target alone.
+fn resumes_after(caller: &CallerHead, route: &Route) -> Result<Option<u64>, RoutingRejection> {
+    if route.retry_policy != RetryPolicy::ResumableStream {
+        return Ok(None);
+    }
+    caller
+        .last_event_number()
+        .map_err(|fault| RoutingRejection {
+            status: 400,
+            message: fault.to_string(),
+            retry_after_ms: None,
+        })
+}
+
 fn has_engines(configuration: &Configuration, service: &str) -> bool {
     let known = configuration.service(service);
     known.is_some_and(|service| service.engine.is_some())
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -310,10 +310,9 @@
         AttemptFault::Silent(replacement.silence)
     }
 
-    /// Returns the id of the last event that the caller has, if it has any.
+    /// Returns the id of the event after which the next attempt goes on, if the caller has any.
     pub(super) fn last_event_id(&self) -> Option<u64> {
-        let received = self.splitter.last_id();
-        received.or(self.context.caller.last_event_id)
+        self.splitter.last_id().or(self.context.resumes_after)
     }
 
     /// Returns the number of events that have arrived in the current attempt.
@@ -324,11 +323,12 @@
 
     fn request(&self, placement: &PromptPlacement, reservations: &Reservations<'_>) -> Vec<u8> {
         let helpers = reservations.entries(&placement.helpers);
+        let last_event_id = self.context.last_event_id(self.splitter.last_id());
         self.context.for_target(&TargetHead {
             left_ms: self.context.deadline.since(self.state.now()),
             target: placement.engine.name(),
             account: self.context.account.as_deref(),
-            last_event_id: self.last_event_id(),
+            last_event_id: last_event_id.as_deref(),
             helpers: &helpers,
             rank: None,
         })
