--- a/crates/daemon/src/entry/event_splitter.rs
+++ b/crates/daemon/src/entry/event_splitter.rs
@@ -1,3 +1,5 @@
+use std::iter;
+
 /// Limit for an event, in bytes; a target that sends more without an end of the event is broken.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -11,7 +13,19 @@
     pending: Vec<u8>,
     /// Bytes of `pending` in which no event ends.
     searched_bytes: usize,
-    last_id: Option<u64>,
+    position: StreamPosition,
+}
+
+/// How much of a stream was taken from its attempts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum StreamPosition {
+    /// No event.
+    #[default]
+    Start,
+    /// All events up to the one with this id.
+    After(u64),
+    /// The last event has no id, or one that isn't a number, so that no other target can go on after it.
+    Unnumbered,
 }
 
 impl EventSplitter {
@@ -20,9 +34,17 @@
         &mut self.pending
     }
 
-    /// Returns the id of the last complete event that was taken, if any had one.
+    /// Returns the id of the last complete event that was taken, if it has one.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        match self.position {
+            StreamPosition::After(id) => Some(id),
+            StreamPosition::Start | StreamPosition::Unnumbered => None,
+        }
+    }
+
+    /// Returns whether another target can go on after what was taken.
+    pub fn is_resumable(&self) -> bool {
+        self.position != StreamPosition::Unnumbered
     }
 
     /// Takes all complete events, byte for byte; `None` if there is none.
@@ -31,7 +53,7 @@
         self.searched_bytes = self.pending.len() - end.unwrap_or(0);
         let rest = self.pending.split_off(end?);
         let complete = std::mem::replace(&mut self.pending, rest);
-        self.record_ids(&complete);
+        self.position = events(&complete).fold(self.position, StreamPosition::advanced);
         Some(complete)
     }
 
@@ -62,20 +84,76 @@
         self.searched_bytes = 0;
         self.pending.clear();
     }
+}
+
+impl StreamPosition {
+    fn advanced(self, event: Event) -> Self {
+        match event {
+            Event::Numbered(id) => Self::After(id),
+            Event::Unnumbered => Self::Unnumbered,
+            Event::Comment => self,
+        }
+    }
+}
 
-    fn record_ids(&mut self, complete: &[u8]) {
-        for line in complete.split(|byte| matches!(byte, b'\n' | b'\r')) {
-            let Some(value) = line.strip_prefix(b"id:") else {
-                continue;
-            };
-            let id = std::str::from_utf8(value)
-                .ok()
-                .and_then(|text| text.trim().parse().ok());
-            self.last_id = id.or(self.last_id);
+/// What tells the place of a complete event in its stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Event {
+    /// Its id is this number.
+    Numbered(u64),
+    /// It has no id, or one that isn't a number.
+    Unnumbered,
+    /// It holds nothing for the caller, such as a comment that keeps the connection open.
+    Comment,
+}
+
+/// Returns the events of complete ones.
+fn events(complete: &[u8]) -> impl Iterator<Item = Event> {
+    let mut lines = lines(complete).peekable();
+    iter::from_fn(move || {
+        lines.peek()?;
+        let event = lines.by_ref().take_while(|line| !line.is_empty());
+        Some(event.fold(Event::Comment, Event::with_line))
+    })
+}
+
+/// Returns the lines of complete events without their ends.
+fn lines(mut text: &[u8]) -> impl Iterator<Item = &[u8]> {
+    iter::from_fn(move || {
+        let end = text.iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
+        let line = &text[..end];
+        let end_bytes = if text[end..].starts_with(b"\r\n") {
+            2
+        } else {
+            1
+        };
+        text = &text[end + end_bytes..];
+        Some(line)
+    })
+}
+
+impl Event {
+    /// Returns what an event is after one more of its lines.
+    fn with_line(self, line: &[u8]) -> Self {
+        let (name, value) = match line.iter().position(|byte| *byte == b':') {
+            Some(colon) => (&line[..colon], &line[colon + 1..]),
+            None => (line, &[][..]),
+        };
+        match (name, self) {
+            (b"id", _) => parse_event_id(value).map_or(Self::Unnumbered, Self::Numbered),
+            (b"data", Self::Comment) => Self::Unnumbered,
+            (_, event) => event,
         }
     }
 }
 
+/// Parses an id that consists of decimal digits.
+fn parse_event_id(value: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(value.trim_ascii()).ok()?;
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| text.parse().ok()).flatten()
+}
+
 /// Returns whether a stream that ends with these bytes stops inside an event, so that it is broken off whatever its
 /// framing says.
 pub fn ends_inside_event(stream: &[u8]) -> bool {
--- a/crates/daemon/src/entry/forwarded_stream.rs
+++ b/crates/daemon/src/entry/forwarded_stream.rs
@@ -10,7 +10,7 @@
         target_connection::TargetFault,
     },
     futures::{
-        future::{Either, select},
+        future::{Either, pending, select},
         pin_mut,
     },
     std::io,
@@ -64,7 +64,7 @@
         self.answer
             .record_partial_event(self.splitter.partial_event_bytes());
         self.splitter.discard_partial();
-        if self.context.route.retry_policy.is_idempotent() {
+        if self.context.route.retry_policy.is_idempotent() && self.splitter.is_resumable() {
             return None;
         }
         let reason = "the peer that served the stream didn't complete it";
@@ -134,8 +134,14 @@
         decoder: &mut BodyDecoder,
     ) -> Result<BodyProgress, TargetFault> {
         let peer = *forwarded.guard.peer();
+        let may_move = self.splitter.is_resumable();
         let more = forwarded.connection.body(decoder, self.splitter.buffer());
-        let gone = forward.until_peer_is_replaceable(&peer, self.runs);
+        let gone = async {
+            if !may_move {
+                return pending().await;
+            }
+            forward.until_peer_is_replaceable(&peer, self.runs).await;
+        };
         pin_mut!(more, gone);
         match select(more, gone).await {
             Either::Left((progress, _)) => progress,
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -43,6 +43,9 @@
 /// engine.
 const FIRST_EVENT_PATIENCE_TENTHS: u64 = 6;
 
+/// Reason for which a stream isn't resumed whose last event no other target knows.
+const UNRESUMABLE: &str = "the stream broke off after an event without a number as its id";
+
 /// End of the last attempt of a stream.
 pub(super) enum StreamEnd {
     /// All events of the answer with this head were passed on.
@@ -136,6 +139,9 @@
                 self.answer.set_may_have_run(self.runs > 0);
             }
             self.splitter.discard_partial();
+            if !self.splitter.is_resumable() {
+                return RequestEnd::cut(UNRESUMABLE.to_owned());
+            }
             let may_retry =
                 self.context.route.retry_policy.is_idempotent() || !fault.may_have_run();
             let is_over = self.runs >= self.context.route.max_attempts
@@ -345,6 +351,7 @@
     fn may_move(&self, tried: &[TargetId]) -> bool {
         let route = &self.context.route;
         route.retry_policy.is_idempotent()
+            && self.splitter.is_resumable()
             && self.runs + 1 < route.max_attempts
             && self.answer.progress().sends <= route.max_attempts
             && tried.len() + 1 < MAX_TARGETS
--- a/crates/daemon/tests/entry/resumed_streams.rs
+++ b/crates/daemon/tests/entry/resumed_streams.rs
@@ -174,6 +174,23 @@
     }
 }
 
+/// Guards against events that a caller gets twice, after a target whose events can't be told apart has broken off.
+#[async_std::test]
+async fn a_stream_is_not_resumed_after_an_event_without_a_number() {
+    for body in [
+        "data: one\n\ndata: two\n\n",
+        "id: a\ndata: one\n\n",
+        "id: 1\ndata: one\n\ndata: two\n\n",
+    ] {
+        let engines = targets_in_turn(&always(body, false), &always(body, true));
+        let world = world(&engines.each_ref(), &[]).await;
+
+        let answer = world.exchange(&prompt(STREAM_PREFIX));
+
+        assert_eq!(outcome(&answer), (200, false, body));
+    }
+}
+
 /// Guards against a failure of a caller that resumes a stream of which it has all events, or names one that doesn't exist.
 #[async_std::test]
 async fn a_stream_that_is_resumed_at_or_beyond_its_end_is_complete_and_empty() {
