--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -134,7 +134,10 @@
             TargetFault::Io(fault) if fault.kind() == io::ErrorKind::TimedOut => {
                 Some(BrokenConnection::Ambiguous)
             }
-            TargetFault::Unanswered(_) => Some(BrokenConnection::Ambiguous),
+            // The connection of an answer that began anew was closed here before the target could break it off.
+            TargetFault::Unanswered(_) | TargetFault::BegunAnew(_) => {
+                Some(BrokenConnection::Ambiguous)
+            }
             TargetFault::Io(_) | TargetFault::Closed | TargetFault::InsideEvent => {
                 Some(BrokenConnection::BrokenOff)
             }
--- a/crates/daemon/src/entry/event_splitter.rs
+++ b/crates/daemon/src/entry/event_splitter.rs
@@ -1,4 +1,4 @@
-use std::iter;
+use {std::iter, thiserror::Error};
 
 /// Limit for an event, in bytes; a target that sends more without an end of the event is broken.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -14,6 +14,8 @@
     /// Bytes of `pending` in which no event ends.
     searched_bytes: usize,
     position: StreamPosition,
+    /// Event after which the current attempt was asked to go on, until its first event was taken.
+    resumes_after: Option<u64>,
 }
 
 /// How much of a stream was taken from its attempts.
@@ -28,12 +30,23 @@
     Unnumbered,
 }
 
+/// A target that was asked to go on after an event has sent that one or an earlier one, or an event whose place in the
+/// stream can't be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the target didn't go on after the last event")]
+pub struct BegunAnew;
+
 impl EventSplitter {
     /// Returns the buffer to which decoded bytes are appended.
     pub fn buffer(&mut self) -> &mut Vec<u8> {
         &mut self.pending
     }
 
+    /// Begins an attempt whose target goes on after the event with this id, or begins with the first event.
+    pub fn begin_attempt(&mut self, after: Option<u64>) {
+        self.resumes_after = after;
+    }
+
     /// Returns the id of the last complete event that was taken, if it has one.
     pub fn last_id(&self) -> Option<u64> {
         match self.position {
@@ -48,13 +61,22 @@
     }
 
     /// Takes all complete events, byte for byte; `None` if there is none.
-    pub fn take_complete(&mut self) -> Option<Vec<u8>> {
+    ///
+    /// # Errors
+    /// [`BegunAnew`]; nothing is taken.
+    pub fn take_complete(&mut self) -> Result<Option<Vec<u8>>, BegunAnew> {
         let end = last_event_end(&self.pending, self.searched_bytes);
         self.searched_bytes = self.pending.len() - end.unwrap_or(0);
-        let rest = self.pending.split_off(end?);
+        let Some(end) = end else {
+            return Ok(None);
+        };
+        if goes_on_after(&self.pending[..end], self.resumes_after)? {
+            self.resumes_after = None;
+        }
+        let rest = self.pending.split_off(end);
         let complete = std::mem::replace(&mut self.pending, rest);
         self.position = events(&complete).fold(self.position, StreamPosition::advanced);
-        Some(complete)
+        Ok(Some(complete))
     }
 
     /// Returns whether more was received without the end of an event than any event has, after the complete ones were
@@ -107,6 +129,27 @@
     Comment,
 }
 
+/// Checks that the events of an attempt which was to go on after an event come after that one.
+///
+/// # Errors
+/// [`BegunAnew`].
+pub fn check_resumed(stream: &[u8], after: Option<u64>) -> Result<(), BegunAnew> {
+    goes_on_after(stream, after).map(|_known| ())
+}
+
+/// Returns whether the first event shows that an attempt goes on after the event `after`; `false` if there is none yet.
+fn goes_on_after(stream: &[u8], after: Option<u64>) -> Result<bool, BegunAnew> {
+    let Some(after) = after else {
+        return Ok(false);
+    };
+    let first = events(stream).find(|event| *event != Event::Comment);
+    match first {
+        None => Ok(false),
+        Some(Event::Numbered(id)) if id > after => Ok(true),
+        Some(_) => Err(BegunAnew),
+    }
+}
+
 /// Returns the events of complete ones.
 fn events(complete: &[u8]) -> impl Iterator<Item = Event> {
     let mut lines = lines(complete).peekable();
--- a/crates/daemon/src/entry/forwarded_stream.rs
+++ b/crates/daemon/src/entry/forwarded_stream.rs
@@ -32,6 +32,7 @@
         &mut self,
         forward: &mut Forward<'_>,
     ) -> Option<RequestEnd> {
+        self.splitter.begin_attempt(self.last_event_id());
         let received = self.splitter.last_id();
         let forwarded = match forward.send(self.runs, received).await {
             Ok(forwarded) => forwarded,
--- a/crates/daemon/src/entry/plain_calls/forwarded_call.rs
+++ b/crates/daemon/src/entry/plain_calls/forwarded_call.rs
@@ -7,7 +7,7 @@
             exchange::RequestEnd,
             forward::{Forward, ForwardFault, ForwardedHead},
         },
-        plain_call::{PlainCall, check_end},
+        plain_call::PlainCall,
     },
     crate::entry::target_connection::TargetFault,
 };
@@ -49,7 +49,7 @@
             .connection
             .complete_body(&forwarded.head, max_bytes)
             .await?;
-        check_end(&forwarded.head, &body)?;
+        self.check_answer(&forwarded.head, &body)?;
         let status = forwarded.head.status;
         let written = self.answer.write_full(&forwarded.head, &body).await;
         let is_sealed = forwarded.is_sealed;
--- a/crates/daemon/src/entry/plain_calls/plain_call.rs
+++ b/crates/daemon/src/entry/plain_calls/plain_call.rs
@@ -9,7 +9,7 @@
             },
             decision_line::Decision,
             entry_state::EntryState,
-            event_splitter::ends_inside_event,
+            event_splitter::{check_resumed, ends_inside_event},
             http::ResponseHead,
             permits::is_permitted,
             request_context::RequestContext,
@@ -199,7 +199,7 @@
         let body = connection
             .complete_body(&head, max_answer_bytes(&head))
             .await?;
-        check_end(&head, &body)?;
+        self.check_answer(&head, &body)?;
         if head.keeps_alive {
             let now = self.state.now();
             let pool = &self.state.pool;
@@ -207,15 +207,23 @@
         }
         Ok(CompleteAnswer { head, body })
     }
-}
 
-/// Checks that an answer whose body is complete by its framing wasn't broken off.
-pub fn check_end(head: &ResponseHead, body: &[u8]) -> Result<(), TargetFault> {
-    if head.is_event_stream() == Some(true) && ends_inside_event(body) {
-        return Err(TargetFault::InsideEvent);
-    }
-    if head.ends_without_sign(body.is_empty()) {
-        return Err(TargetFault::Closed);
+    /// Checks that an answer whose body is complete by its framing wasn't broken off, and that a stream goes on where
+    /// its caller resumes it.
+    ///
+    /// # Errors
+    /// [`TargetFault`].
+    pub fn check_answer(&self, head: &ResponseHead, body: &[u8]) -> Result<(), TargetFault> {
+        let is_event_stream = head.is_event_stream();
+        if is_event_stream == Some(true) && ends_inside_event(body) {
+            return Err(TargetFault::InsideEvent);
+        }
+        if is_event_stream != Some(false) && head.is_success() {
+            check_resumed(body, self.context.resumes_after)?;
+        }
+        if head.ends_without_sign(body.is_empty()) {
+            return Err(TargetFault::Closed);
+        }
+        Ok(())
     }
-    Ok(())
 }
--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -76,13 +76,14 @@
     /// declares another type and has no event, takes all.
     ///
     /// # Errors
-    /// [`TargetFault::TooLarge`] if no event ends where each would have.
+    /// [`TargetFault::TooLarge`] if no event ends where each would have, [`TargetFault::BegunAnew`] if the caller has
+    /// the first event.
     pub(super) fn take_events(
         &mut self,
         progress: BodyProgress,
         is_stream: bool,
     ) -> Result<Vec<u8>, TargetFault> {
-        let complete = self.splitter.take_complete();
+        let complete = self.splitter.take_complete()?;
         // What was taken has to be passed on first.
         if complete.is_none() && self.splitter.is_overfull() {
             return Err(TargetFault::TooLarge("events"));
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -232,7 +232,9 @@
             was_reused: connection.is_reused,
             at: state.now(),
         };
-        self.attempt_begins_after = self.last_event_id().unwrap_or(0);
+        let resumes_after = self.last_event_id();
+        self.attempt_begins_after = resumes_after.unwrap_or(0);
+        self.splitter.begin_attempt(resumes_after);
         let request = self.request(placement, &reservations);
         self.log_sent(placement);
         self.answer.set_may_have_run(true);
--- a/crates/daemon/src/entry/target_connection.rs
+++ b/crates/daemon/src/entry/target_connection.rs
@@ -1,7 +1,10 @@
 use {
-    super::http::{
-        BodyDecoder, BodyFault, BodyProgress, Framing, HeadFault, Input, ResponseHead,
-        find_head_end,
+    super::{
+        event_splitter::BegunAnew,
+        http::{
+            BodyDecoder, BodyFault, BodyProgress, Framing, HeadFault, Input, ResponseHead,
+            find_head_end,
+        },
     },
     crate::targets::GuardedStream,
     futures::{AsyncReadExt, AsyncWrite, FutureExt, future::poll_fn, ready},
@@ -43,6 +46,9 @@
     /// The answer is a stream that stopped inside an event, whatever its framing says.
     #[error("the target's stream ended inside an event")]
     InsideEvent,
+    /// The answer doesn't go on after the event that the request names.
+    #[error(transparent)]
+    BegunAnew(#[from] BegunAnew),
 }
 
 /// Result of a write to a target.
--- a/crates/daemon/tests/entry/resumed_streams.rs
+++ b/crates/daemon/tests/entry/resumed_streams.rs
@@ -191,6 +191,64 @@
     }
 }
 
+/// Guards against events that a caller gets twice, from a target that begins anew whatever event the request names.
+#[async_std::test]
+async fn an_answer_that_begins_anew_does_not_reach_a_caller_that_resumes() {
+    for anew in [
+        events(1, 5),
+        events(LAST_EVENT, 5),
+        "data: x\n\n".to_owned(),
+    ] {
+        let targets = ["t-1", "t-2"].map(|id| target(id, always(&anew, true)));
+        let [engine, plain] = &targets;
+        let world = world(&[engine], &[plain]).await;
+
+        for request in [
+            prompt(STREAM_PREFIX),
+            feed(STREAM_PREFIX),
+            feed(FEED_PREFIX),
+        ] {
+            let answer = world.exchange(&resumed(request));
+
+            assert_eq!((answer.status, answer.is_whole), (502, true));
+        }
+    }
+}
+
+/// As above, where another target goes on after the event.
+#[async_std::test]
+async fn a_resumed_stream_is_served_by_a_target_that_goes_on() {
+    let anew = always(&events(1, 5), true);
+    for request in [prompt(STREAM_PREFIX), feed(FEED_PREFIX)] {
+        let targets = targets_in_turn(&anew, &Behaviour::Stream(5));
+        let targets = targets.each_ref();
+        let world = match request.path.starts_with(STREAM_PREFIX) {
+            true => world(&targets, &[]).await,
+            false => world(&[], &targets).await,
+        };
+
+        let answer = world.exchange(&resumed(request));
+
+        let rest = events(LAST_EVENT + 1, 5);
+        assert_eq!(outcome(&answer), (200, true, &*rest));
+    }
+}
+
+/// As above, where the system itself resumes the stream within one answer.
+#[async_std::test]
+async fn a_stream_is_cut_if_its_second_target_begins_anew() {
+    let engines = targets_in_turn(&Behaviour::StreamBroken(2), &always(&events(1, 5), true));
+    let world = world(&engines.each_ref(), &[]).await;
+
+    let answer = world.exchange(&prompt(STREAM_PREFIX));
+
+    assert_eq!(outcome(&answer), (200, false, &*events(1, 2)));
+    assert_eq!(
+        last_events(&engines[0]).len() + last_events(&engines[1]).len(),
+        2
+    );
+}
+
 /// Guards against a failure of a caller that resumes a stream of which it has all events, or names one that doesn't exist.
 #[async_std::test]
 async fn a_stream_that_is_resumed_at_or_beyond_its_end_is_complete_and_empty() {
