--- a/crates/daemon/tests/entry/silent_engines.rs
+++ b/crates/daemon/tests/entry/silent_engines.rs
@@ -237,6 +237,9 @@
         let paused = PausedWorld::start(&engines, &Fixture::default(), MANY_RETRIES).await;
         let mut caller = paused.send_prompt(USUAL_TOKENS);
         let silent = engines.silent().await;
+        if silent_after > 0 {
+            caller.wait_for_first_bytes();
+        }
 
         paused.advance(LONG_SILENCE_MS).await;
 
