--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -18,7 +18,7 @@
 };
 
 /// Answers to other requests that are skipped before the connection is closed.
-const MAX_MISMATCHED_ANSWERS: usize = 2;
+pub const MAX_MISMATCHED_ANSWERS: usize = 2;
 /// Time within which an answer to another request has to end if the request may be sent to another target, in ms.
 const SKIP_TIMEOUT_MS: u64 = 1_000;
 
@@ -301,9 +301,10 @@
 
 /// Sends the request and receives the head of its answer.
 ///
-/// Guards against a target that answers a request twice: the second answer arrives where the next
-/// request's is expected. It is recognised by its request id and skipped, within a bounded time if `may_repeat` says that
-/// another target may get the request.
+/// Guards against a target that answers a request or an order twice: the second answer arrives where the next
+/// request's is expected. It lacks the id of this one and is skipped, within a bounded time if `may_repeat` says that
+/// another target may get the request. Without any id, an answer is known to be this one's only as the first one on its
+/// connection.
 ///
 /// # Errors
 /// [`AttemptFault`].
@@ -317,15 +318,18 @@
 ) -> Result<ResponseHead, AttemptFault> {
     let sent_at = state.now();
     connection.send(bytes).await?;
+    let mut has_skipped = false;
     for _ in 0..=MAX_MISMATCHED_ANSWERS {
         let head = connection.head(&context.head.method).await?;
         state.serving().record_heard(state.now(), &target.id);
         let answer = TargetResponse::read(head.status, head.pairs());
-        let is_mismatched = answer
-            .request_id
-            .is_some_and(|id| id != context.caller.request_id);
-        if is_mismatched {
-            skip_body(state, connection, &head, may_repeat).await?;
+        let is_own = match &answer.request_id {
+            Some(id) => *id == context.caller.request_id,
+            None => !connection.is_reused && !has_skipped,
+        };
+        if !is_own {
+            Box::pin(skip_body(state, connection, &head, may_repeat)).await?;
+            has_skipped = true;
             continue;
         }
         state.apply_notice(sent_at, &target.id, &answer.notice);
--- a/crates/daemon/src/entry/own_call.rs
+++ b/crates/daemon/src/entry/own_call.rs
@@ -3,10 +3,11 @@
 use {
     super::{
         answer_limits::MAX_OWN_CALL_BYTES,
-        attempt::{AttemptFault, connection},
+        attempt::{AttemptFault, MAX_MISMATCHED_ANSWERS, connection},
         entry_state::EntryState,
         http::ResponseHead,
         permits::{is_permitted, note_unpermitted_send},
+        target_connection::TargetConnection,
     },
     std::fmt::Write,
     whinlatch_platform::TargetResponse,
@@ -84,11 +85,9 @@
     let mut connection = connection(state, target).await?;
     let sent_at = state.now();
     let request = call.request(target);
-    let (head, body) = connection
-        .exchange(call.method(), &request, MAX_OWN_CALL_BYTES)
-        .await?;
+    connection.send(&request).await?;
+    let (head, body, answer) = receive(&mut connection, call).await?;
     state.serving().record_heard(state.now(), &target.id);
-    let answer = TargetResponse::read(head.status, head.pairs());
     state.apply_notice(sent_at, &target.id, &answer.notice);
     if head.keeps_alive {
         let now = state.now();
@@ -98,3 +97,19 @@
     }
     Ok((head, body))
 }
+
+/// Receives the answer to a call. Those that name a caller's request are skipped: the target has answered that twice.
+async fn receive(
+    connection: &mut TargetConnection,
+    call: OwnCall<'_>,
+) -> Result<(ResponseHead, Vec<u8>, TargetResponse), AttemptFault> {
+    for _ in 0..=MAX_MISMATCHED_ANSWERS {
+        let head = connection.head(call.method()).await?;
+        let body = connection.complete_body(&head, MAX_OWN_CALL_BYTES).await?;
+        let answer = TargetResponse::read(head.status, head.pairs());
+        if answer.request_id.is_none() {
+            return Ok((head, body, answer));
+        }
+    }
+    Err(AttemptFault::Mismatched)
+}
--- a/crates/daemon/src/entry/stream_relay.rs
+++ b/crates/daemon/src/entry/stream_relay.rs
@@ -164,7 +164,7 @@
         }
         loop {
             if forward.is_due(self.runs)
-                && let Some(end) = self.serve_through_peer(forward).await
+                && let Some(end) = Box::pin(self.serve_through_peer(forward)).await
             {
                 return Err(end);
             }
--- a/crates/daemon/tests/entry.rs
+++ b/crates/daemon/tests/entry.rs
@@ -40,6 +40,8 @@
 mod published;
 #[path = "entry/resumed_streams.rs"]
 mod resumed_streams;
+#[path = "entry/second_answers.rs"]
+mod second_answers;
 #[path = "entry/silent_engines.rs"]
 mod silent_engines;
 #[path = "entry/slow_bodies.rs"]
