--- a/crates/daemon/src/entry/stream_events.rs
+++ b/crates/daemon/src/entry/stream_events.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         attempt::AttemptFault,
-        http::{BodyDecoder, BodyProgress, ResponseHead},
+        http::{BodyDecoder, BodyProgress, Framing, ResponseHead},
         silence::SilenceKind,
         stream_relay::{MAX_EVENT_PAUSE_MS, Relay, RunningAttempt, StreamEnd},
         target_connection::{TargetConnection, TargetFault},
@@ -166,7 +166,11 @@
         }
     }
 
+    /// Ends the answer. One without a body has no chunks: they would be read as the begin of the next answer.
     pub(super) async fn finish(&self, head: &ResponseHead) -> io::Result<()> {
+        if !self.answer.has_begun() && head.framing == Framing::Empty {
+            return self.answer.write_full(head, &[]).await;
+        }
         if !self.answer.has_begun() {
             self.answer.begin(head, &[]).await?;
         }
--- a/crates/daemon/tests/entry/answer_ends.rs
+++ b/crates/daemon/tests/entry/answer_ends.rs
@@ -297,3 +297,18 @@
         assert_eq!(answer.status, 502, "{body:?}");
     }
 }
+
+/// Guards against chunks after an answer that has no body, which a caller reads as the begin of its next answer.
+#[async_std::test]
+async fn an_answer_without_a_body_to_a_prompt_leaves_its_connection_usable() {
+    let engine = target("e-1", Behaviour::Stream(2));
+    engine.script([Behaviour::NoContent]);
+    let world = world(&[&engine], &[]).await;
+    let mut caller = world.connect();
+    let none = caller.exchange(&prompt());
+
+    let next = caller.exchange(&prompt());
+
+    assert_eq!((none.status, none.header("Transfer-Encoding")), (204, None));
+    assert_eq!((next.status, next.body), (200, events(1, 2)));
+}
