--- a/crates/daemon/tests/entry/cut_off.rs
+++ b/crates/daemon/tests/entry/cut_off.rs
@@ -162,6 +162,31 @@
     }
 }
 
+/// As above, through a peer whose target begins anew whatever event the request names.
+#[async_std::test]
+async fn a_stream_that_begins_anew_behind_a_peer_does_not_reach_a_caller_that_resumes() {
+    let anew = Behaviour::End(AnswerEnd {
+        body: events(4),
+        media_type: Some("text/event-stream"),
+        framing: AnswerFraming::Length,
+        is_framed_complete: true,
+        connection: ConnectionEnd::Close,
+    });
+    for prefix in [STREAM_PREFIX, FEED_PREFIX] {
+        let targets = ["t-1", "t-2"].map(|id| target(id, anew.clone()));
+        let [engine, plain] = &targets;
+        let fleet = cut_fleet(Cut::Refused, &[engine], &[plain]).await;
+        let mut resumed = CallerRequest::prompt(format!("{prefix}x"), 5_000);
+        resumed
+            .extra_headers
+            .push((LAST_EVENT_HEADER, "3".to_owned()));
+
+        let answer = fleet.exchange(&resumed);
+
+        assert_eq!((answer.status, answer.is_whole), (502, true), "{prefix}");
+    }
+}
+
 /// Guards against a request that is passed around between instances which both reach no target.
 #[async_std::test]
 async fn a_forwarded_request_is_not_forwarded_again() {
