--- a/crates/daemon/tests/entry/fixture.rs
+++ b/crates/daemon/tests/entry/fixture.rs
@@ -174,3 +174,18 @@
         self.closed.load(Ordering::SeqCst)
     }
 }
+
+/// Starts two targets, of which the one that is asked first behaves like `first` and the other one like `second`.
+pub fn targets_in_turn(first: &Behaviour, second: &Behaviour) -> [TargetStandin; 2] {
+    let requests = Arc::new(AtomicUsize::new(0));
+    ["t-1", "t-2"].map(|id| {
+        let requests = Arc::clone(&requests);
+        let (first, second) = (first.clone(), second.clone());
+        TargetStandin::start_choosing(id, move |_request| {
+            match requests.fetch_add(1, Ordering::SeqCst) {
+                0 => first.clone(),
+                _ => second.clone(),
+            }
+        })
+    })
+}
